--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,63 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a kind whose answer claims "not run" with a status that
+// proxies or clients treat as a success or as a redirect.
+func TestEveryKindHasAnErrorStatus(t *testing.T) {
+	for kind, answer := range answers {
+		assert.GreaterOrEqual(t, answer.Status, 400, string(kind))
+		assert.Contains(t, []Effect{NotRun, Unknown, Ran}, answer.Effect, string(kind))
+	}
+}
+
+// Guards against the effect of an error being lost between two processes.
+func TestWriteAndDecodeKeepTheError(t *testing.T) {
+	rec := httptest.NewRecorder()
+	sent := New(Overloaded, "queue is full").WithEffect(Unknown).WithRetryAfter(1500 * time.Millisecond)
+	Write(rec, "r1", sent)
+
+	assert.Equal(t, http.StatusServiceUnavailable, rec.Code)
+	assert.Equal(t, "2", rec.Header().Get("Retry-After"))
+	assert.Equal(t, sent, Decode(rec.Body.Bytes()))
+}
+
+func TestFrom(t *testing.T) {
+	inner := New(NoUpstream, "none")
+	cases := []struct {
+		desc string
+		err  error
+		want Kind
+	}{
+		{"plain fault", inner, NoUpstream},
+		{"wrapped by fmt", fmt.Errorf("while dialling: %w", inner), NoUpstream},
+		{"wrapped by trace", trace.Wrap(inner), NoUpstream},
+		{"foreign error", errors.New("boom"), Internal},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			assert.Equal(t, tc.want, From(tc.err).Kind)
+		})
+	}
+}
+
+// Guards against an unreadable error body being taken for "not run".
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"kind":"overloaded","effect":"not-run"}`))
+	f.Add([]byte(`{"kind":"nonsense"}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		e := Decode(body)
+		assert.True(t, e.Kind.Valid())
+	})
+}
--- /dev/null
+++ b/internal/fault/kinds.go
@@ -0,0 +1,104 @@
+// Package fault holds the closed list of error kinds that callers and
+// operators see, and the table from a kind to its answer.
+package fault
+
+import "net/http"
+
+// Kind names an error. Only the kinds of this file exist.
+type Kind string
+
+// The error kinds.
+const (
+	BadRequest         Kind = "bad_request"
+	KeyRequired        Kind = "key_required"
+	KeyInvalid         Kind = "key_invalid"
+	Unauthorized       Kind = "unauthorized"
+	NotEntitled        Kind = "not_entitled"
+	UnknownService     Kind = "unknown_service"
+	SlowSender         Kind = "slow_sender"
+	VersionConflict    Kind = "version_conflict"
+	StillRunning       Kind = "still_running"
+	KeyExpired         Kind = "key_expired"
+	AnswerNotKept      Kind = "answer_not_kept"
+	BodyTooLarge       Kind = "body_too_large"
+	KeyConflict        Kind = "key_conflict"
+	InvalidChange      Kind = "invalid_change"
+	HeaderTooLarge     Kind = "header_too_large"
+	RateLimited        Kind = "rate_limited"
+	Internal           Kind = "internal"
+	UpstreamFailed     Kind = "upstream_failed"
+	OutcomeUnknown     Kind = "outcome_unknown"
+	Overloaded         Kind = "overloaded"
+	NoUpstream         Kind = "no_upstream"
+	Isolated           Kind = "isolated"
+	Draining           Kind = "draining"
+	OwnerUnreachable   Kind = "owner_unreachable"
+	ControlUnavailable Kind = "control_unavailable"
+	ClaimsUnavailable  Kind = "claims_unavailable"
+	DeadlineExceeded   Kind = "deadline_exceeded"
+	CommitUnknown      Kind = "commit_unknown"
+)
+
+// Effect says what is known about the effect of a refused request.
+type Effect string
+
+// The effects.
+const (
+	NotRun  Effect = "not-run" // the request did not and will not take effect
+	Unknown Effect = "unknown" // the request may have taken effect
+	Ran     Effect = "ran"     // the request took effect
+)
+
+// Answer is a row of the table from kind to answer.
+type Answer struct {
+	Status    int    // HTTP status code
+	Effect    Effect // default effect; an Error may carry a weaker one
+	Retryable bool   // whether a later retry of the same request may succeed
+}
+
+var answers = map[Kind]Answer{
+	BadRequest:         {http.StatusBadRequest, NotRun, false},
+	KeyRequired:        {http.StatusBadRequest, NotRun, false},
+	KeyInvalid:         {http.StatusBadRequest, NotRun, false},
+	Unauthorized:       {http.StatusUnauthorized, NotRun, false},
+	NotEntitled:        {http.StatusForbidden, NotRun, false},
+	UnknownService:     {http.StatusNotFound, NotRun, false},
+	SlowSender:         {http.StatusRequestTimeout, NotRun, true},
+	VersionConflict:    {http.StatusConflict, NotRun, false},
+	StillRunning:       {http.StatusConflict, Unknown, true},
+	KeyExpired:         {http.StatusConflict, Unknown, false},
+	AnswerNotKept:      {http.StatusConflict, Ran, false},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, NotRun, false},
+	KeyConflict:        {http.StatusUnprocessableEntity, NotRun, false},
+	InvalidChange:      {http.StatusUnprocessableEntity, NotRun, false},
+	HeaderTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, NotRun, false},
+	RateLimited:        {http.StatusTooManyRequests, NotRun, true},
+	Internal:           {http.StatusInternalServerError, Unknown, false},
+	UpstreamFailed:     {http.StatusBadGateway, Unknown, true},
+	OutcomeUnknown:     {http.StatusBadGateway, Unknown, false},
+	Overloaded:         {http.StatusServiceUnavailable, NotRun, true},
+	NoUpstream:         {http.StatusServiceUnavailable, NotRun, true},
+	Isolated:           {http.StatusServiceUnavailable, NotRun, true},
+	Draining:           {http.StatusServiceUnavailable, NotRun, true},
+	OwnerUnreachable:   {http.StatusServiceUnavailable, NotRun, true},
+	ControlUnavailable: {http.StatusServiceUnavailable, NotRun, true},
+	ClaimsUnavailable:  {http.StatusServiceUnavailable, Unknown, true},
+	DeadlineExceeded:   {http.StatusGatewayTimeout, Unknown, true},
+	CommitUnknown:      {http.StatusGatewayTimeout, Unknown, true},
+}
+
+// AnswerOf returns the table row of a kind. A kind outside the closed list is
+// a programming error and panics.
+func AnswerOf(kind Kind) Answer {
+	a, ok := answers[kind]
+	if !ok {
+		panic("fault: kind outside the closed list: " + string(kind))
+	}
+	return a
+}
+
+// Valid reports whether the kind is in the closed list.
+func (k Kind) Valid() bool {
+	_, ok := answers[k]
+	return ok
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,165 @@
+// Package settings reads the JSON settings of a process and checks them
+// strictly. An error names the file, the path of the field, the value found
+// and what is allowed, on one line.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+)
+
+// Error is a fault in a settings file.
+type Error struct {
+	File    string
+	Path    string // path of the field, such as "claims.groups[0].members"; empty for the whole file
+	Value   string // value found, as JSON; empty if there is none
+	Allowed string // what is allowed
+}
+
+// Error implements error with one line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(e.File)
+	if e.Path != "" {
+		b.WriteString(": " + e.Path)
+	}
+	if e.Value != "" {
+		b.WriteString(": found " + e.Value)
+	}
+	b.WriteString(": " + e.Allowed)
+	return b.String()
+}
+
+// Checker is implemented by settings types that check their own fields. It
+// reports a fault by calling report with the path relative to itself.
+type Checker interface {
+	Check(report Report)
+}
+
+// Report records a fault of a field.
+type Report func(path string, value any, allowed string)
+
+// Load reads the JSON file into target, which holds the defaults, and checks
+// it. It returns the first fault as an *Error.
+func Load(file string, target Checker) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{File: file, Allowed: "cannot be read: " + reason(err)}
+	}
+	return Parse(file, raw, target)
+}
+
+// Parse is Load for a file already read.
+func Parse(file string, raw []byte, target Checker) error {
+	if err := checkUnknown(file, raw, target); err != nil {
+		return err
+	}
+	if err := decode(file, raw, target); err != nil {
+		return err
+	}
+	var first *Error
+	target.Check(func(path string, value any, allowed string) {
+		if first == nil {
+			first = &Error{File: file, Path: path, Value: encodeValue(value), Allowed: allowed}
+		}
+	})
+	if first != nil {
+		return first
+	}
+	return nil
+}
+
+func decode(file string, raw []byte, target any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if err := d.Decode(target); err != nil {
+		return decodeError(file, err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return &Error{File: file, Allowed: "exactly one JSON object is allowed"}
+	}
+	return nil
+}
+
+func decodeError(file string, err error) error {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) {
+		return &Error{File: file, Path: typeErr.Field, Value: typeErr.Value, Allowed: "want " + typeErr.Type.String()}
+	}
+	var syntaxErr *json.SyntaxError
+	if errors.As(err, &syntaxErr) {
+		return &Error{File: file, Allowed: fmt.Sprintf("not valid JSON at byte %d: %s", syntaxErr.Offset, syntaxErr.Error())}
+	}
+	return &Error{File: file, Allowed: err.Error()}
+}
+
+// checkUnknown walks the JSON value beside the Go type, so that an unknown
+// field and a wrong duration are reported with their path.
+func checkUnknown(file string, raw []byte, target any) error {
+	var value any
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	if err := d.Decode(&value); err != nil {
+		return decodeError(file, err)
+	}
+	if e := walk("", value, reflect.TypeOf(target)); e != nil {
+		e.File = file
+		return e
+	}
+	return nil
+}
+
+var durationType = reflect.TypeOf(Duration(0))
+
+func walk(path string, value any, t reflect.Type) *Error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t == durationType {
+		return checkDuration(path, value)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return walkStruct(path, value, t)
+	case reflect.Slice:
+		return walkSlice(path, value, t)
+	default:
+		return nil
+	}
+}
+
+func walkStruct(path string, value any, t reflect.Type) *Error {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return &Error{Path: path, Value: encodeValue(value), Allowed: "want an object"}
+	}
+	fields := fieldsByName(t)
+	for _, name := range sortedKeys(object) {
+		field, known := fields[name]
+		if !known {
+			return &Error{Path: join(path, name), Value: encodeValue(object[name]), Allowed: "unknown field; known: " + strings.Join(sortedKeys(fields), ", ")}
+		}
+		if e := walk(join(path, name), object[name], field); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+func walkSlice(path string, value any, t reflect.Type) *Error {
+	list, ok := value.([]any)
+	if !ok {
+		return &Error{Path: path, Value: encodeValue(value), Allowed: "want a list"}
+	}
+	for i, item := range list {
+		if e := walk(fmt.Sprintf("%s[%d]", path, i), item, t.Elem()); e != nil {
+			return e
+		}
+	}
+	return nil
+}
