--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,35 @@
+// Package membership keeps the table of the entries of the fleet by gossip.
+package membership
+
+// State is the state of a member in the local view.
+type State string
+
+// The states.
+const (
+	Alive    State = "alive"
+	Suspect  State = "suspect"
+	Dead     State = "dead"
+	Draining State = "draining"
+	Left     State = "left"
+)
+
+// Member is an entry of the fleet in the local view.
+type Member struct {
+	Name           string  `json:"name" cbor:"1,keyasint"` // VM name, stable over restarts
+	Region         string  `json:"region" cbor:"2,keyasint"`
+	DataCentre     string  `json:"data_centre" cbor:"3,keyasint"`
+	CallerAddress  string  `json:"caller_address" cbor:"4,keyasint"` // IP address and port for callers
+	PeerAddress    string  `json:"peer_address" cbor:"5,keyasint"`   // IP address and port for other entries
+	GossipAddress  string  `json:"gossip_address" cbor:"6,keyasint"` // IP address and UDP port
+	Incarnation    uint64  `json:"incarnation" cbor:"7,keyasint"`
+	State          State   `json:"state" cbor:"8,keyasint"`
+	CatalogVersion uint64  `json:"catalog_version" cbor:"9,keyasint"`
+	Load           float64 `json:"load" cbor:"10,keyasint"` // requests in flight per core
+	Isolated       bool    `json:"isolated" cbor:"11,keyasint"`
+}
+
+// Usable reports whether the member may own services and be named in address
+// answers. A suspect member stays usable until it is declared dead.
+func (m Member) Usable() bool {
+	return (m.State == Alive || m.State == Suspect) && !m.Isolated
+}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -32,7 +32,7 @@
 	cases := []struct {
 		desc, raw, want string
 	}{
-		{"unknown field", `{"listen":"127.0.0.1:1","listen":1}`, `f.json: listen: found 1: unknown field; known: listen, members, wait`},
+		{"unknown field", `{"listen":"127.0.0.1:1","lissten":1}`, `f.json: lissten: found 1: unknown field; known: listen, members, wait`},
 		{"unknown nested field", `{"members":[{"name":"a"},{"nam":"b"}]}`, `f.json: members[1].nam: found "b": unknown field; known: name`},
 		{"number without unit", `{"wait":5}`, `f.json: wait: found 5: want a string with a unit`},
 		{"wrong unit", `{"wait":"5 parsecs"}`, `f.json: wait: found "5 parsecs": want a string with a unit`},
--- /dev/null
+++ b/internal/upstream/types.go
@@ -0,0 +1,57 @@
+// Package upstream is the aggregate of the target records of a service: what
+// targets announce about themselves, their leases and their tombstones.
+package upstream
+
+// State is what a target says about itself.
+type State string
+
+// The states. Draining and Leaving are final within an incarnation.
+const (
+	Serving  State = "serving"
+	Draining State = "draining"
+	Leaving  State = "leaving"
+)
+
+// Route says whether requests that match it are idempotent.
+type Route struct {
+	Method     string `json:"method"`      // HTTP method, or "*" for any
+	PathPrefix string `json:"path_prefix"` // path below the service, such as "/orders"
+	Idempotent bool   `json:"idempotent"`
+}
+
+// Announcement is the record that a target sends about itself.
+type Announcement struct {
+	Service         string  `json:"service"`
+	Address         string  `json:"address"` // IP address and port; identifies the target within its service
+	Region          string  `json:"region"`
+	DataCentre      string  `json:"data_centre"`
+	Slots           int     `json:"slots"` // requests that the target runs at once
+	State           State   `json:"state"`
+	Incarnation     uint64  `json:"incarnation"` // rises when the process restarts
+	Sequence        uint64  `json:"sequence"`    // rises with each announcement of an incarnation
+	Routes          []Route `json:"routes,omitempty"`
+	EchoesRequestID bool    `json:"echoes_request_id,omitempty"`
+	ProbePath       string  `json:"probe_path,omitempty"` // empty: the target cannot be probed
+}
+
+// Target identifies a target and says how to reach it.
+type Target struct {
+	Service         string
+	Address         string
+	Region          string
+	DataCentre      string
+	Slots           int
+	Incarnation     uint64
+	EchoesRequestID bool
+	ProbePath       string
+}
+
+// ApplyResult tells what an announcement did.
+type ApplyResult string
+
+// The results.
+const (
+	Applied  ApplyResult = "applied"  // the record is now current
+	Renewed  ApplyResult = "renewed"  // nothing changed but the lease
+	Outdated ApplyResult = "outdated" // a newer record is known; the announcement was ignored
+)
