--- /dev/null
+++ b/internal/consensus/config.go
@@ -0,0 +1,121 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// Defaults of a Config.
+const (
+	DefaultHeartbeatInterval = 50 * time.Millisecond
+	DefaultElectionTimeout   = 500 * time.Millisecond
+	DefaultLearnerTimeout    = 10 * time.Second
+	DefaultSnapshotTimeout   = 10 * time.Second
+	DefaultSnapshotEvery     = 10_000
+)
+
+// maxMembers bounds the slots of a group. It is below epochStride.
+const maxMembers = 9
+
+// Member is a slot of a group and where it listens.
+type Member struct {
+	Slot    string `json:"slot"`
+	Address string `json:"address"` // IP address and port
+}
+
+// Config describes one member of a group. Fields with a default may be zero.
+type Config struct {
+	Group        string   // name of the group, the same on all members; part of URLs
+	Self         string   // slot of this member
+	Members      []Member // all slots of the group, the same on all members
+	Storage      Storage
+	StateMachine StateMachine
+	Clock        sys.Clock    // default: the clock of the operating system
+	Rand         *rand.Rand   // default: a random seed; used by the group alone
+	Logger       *zap.Logger  // default: no logs
+	Token        string       // shared secret of all members; empty: not checked
+	PathPrefix   string       // default "/consensus/v1/" followed by Group
+	Client       *http.Client // default: a client with the time-outs of own links
+
+	HeartbeatInterval time.Duration // default DefaultHeartbeatInterval
+	ElectionTimeout   time.Duration // without contact; elections start after one to two of it
+	LearnerTimeout    time.Duration // without a leader; see the package documentation
+	SnapshotTimeout   time.Duration // to send and install a snapshot
+	RequestTimeout    time.Duration // to send a batch of messages; default 3/4 of ElectionTimeout
+	SnapshotEvery     int           // applied entries between snapshots
+	// LeaseReads lets the leader answer ReadBarrier from its lease, without a
+	// round trip. It needs a monotonic clock that goes on while the VM is
+	// paused; otherwise a resumed leader may answer with old state.
+	LeaseReads bool
+}
+
+func (c Config) withDefaults() (Config, error) {
+	if c.Clock == nil {
+		c.Clock = sys.RealClock{}
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
+	if c.PathPrefix == "" {
+		c.PathPrefix = "/consensus/v1/" + c.Group
+	}
+	c.HeartbeatInterval = orDefault(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.ElectionTimeout = orDefault(c.ElectionTimeout, DefaultElectionTimeout)
+	c.LearnerTimeout = orDefault(c.LearnerTimeout, DefaultLearnerTimeout)
+	c.SnapshotTimeout = orDefault(c.SnapshotTimeout, DefaultSnapshotTimeout)
+	c.RequestTimeout = orDefault(c.RequestTimeout, c.ElectionTimeout*3/4)
+	if c.SnapshotEvery == 0 {
+		c.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if c.Client == nil {
+		c.Client = newClient(c.RequestTimeout)
+	}
+	return c, c.check()
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return d
+}
+
+func (c Config) check() error {
+	if c.Group == "" || c.Storage == nil || c.StateMachine == nil {
+		return trace.BadParameter("consensus: Group, Storage and StateMachine are required")
+	}
+	if len(c.Members) == 0 || len(c.Members) > maxMembers {
+		return trace.BadParameter("consensus: group %s has %d members, want 1 to %d", c.Group, len(c.Members), maxMembers)
+	}
+	if c.ElectionTimeout < 2*c.HeartbeatInterval {
+		return trace.BadParameter("consensus: election timeout %v is less than two heartbeats of %v", c.ElectionTimeout, c.HeartbeatInterval)
+	}
+	seen := map[string]bool{}
+	for _, member := range c.Members {
+		if member.Slot == "" || seen[member.Slot] {
+			return trace.BadParameter("consensus: slot %q of group %s is empty or listed twice", member.Slot, c.Group)
+		}
+		seen[member.Slot] = true
+	}
+	if !seen[c.Self] {
+		return trace.BadParameter("consensus: slot %q is not a member of group %s", c.Self, c.Group)
+	}
+	return nil
+}
+
+func (c Config) slots() []string {
+	slots := make([]string, 0, len(c.Members))
+	for _, member := range c.Members {
+		slots = append(slots, member.Slot)
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,115 @@
+package consensus
+
+// campaign starts a pre-vote, which leaves terms alone, or an election.
+func (c *core) campaign(as role) {
+	c.becomeFollower(c.term)
+	c.role = as
+	c.votes = map[string]bool{}
+	request := message{Type: msgPreVote, Term: c.term + 1}
+	if as == candidate {
+		c.term++
+		c.vote = c.id
+		request.Type = msgVote
+		request.Term = c.term
+	}
+	c.countVote(c.id, true)
+	if c.role != as {
+		return
+	}
+	request.Index = c.log.lastIndex()
+	request.LogTerm = c.log.lastTerm()
+	for _, slot := range c.slots {
+		if slot != c.id.Slot && c.config[slot] != 0 {
+			request.To = MemberID{Slot: slot, Incarnation: c.config[slot]}
+			c.send(request)
+		}
+	}
+}
+
+func (c *core) stepVote(m message) {
+	response := message{Type: msgVoteResp, To: m.From, Term: m.Term}
+	free := c.vote == m.From || c.vote == MemberID{} && c.leader == MemberID{}
+	if m.Type == msgPreVote {
+		response.Type = msgPreVoteResp
+		free = m.Term > c.term
+	}
+	if !free || c.role == leader || !c.log.upToDate(m.Index, m.LogTerm) {
+		response.Term = c.term
+		response.Reject = true
+		c.send(response)
+		return
+	}
+	if m.Type == msgVote {
+		c.vote = m.From
+		c.resetElection()
+	}
+	c.send(response)
+}
+
+func (c *core) stepVoteResp(m message) {
+	wanted := preCandidate
+	if m.Type == msgVoteResp {
+		wanted = candidate
+	}
+	granted := !m.Reject
+	if m.Type == msgPreVoteResp && granted && m.Term != c.term+1 {
+		return
+	}
+	if c.role == wanted && c.config.names(m.From) {
+		c.countVote(m.From, granted)
+	}
+}
+
+func (c *core) countVote(from MemberID, granted bool) {
+	c.votes[from.Slot] = granted
+	count := 0
+	for _, yes := range c.votes {
+		if yes {
+			count++
+		}
+	}
+	if count < c.quorum() {
+		return
+	}
+	if c.role == preCandidate {
+		c.campaign(candidate)
+		return
+	}
+	c.becomeLeader()
+	c.appendOwn(Entry{Kind: entryNoop})
+	c.broadcastAppend()
+}
+
+func (c *core) becomeLeader() {
+	c.role = leader
+	c.leader = c.id
+	c.votes = nil
+	c.peers = map[string]*progress{}
+	c.learners = map[string]*progress{}
+	c.setPeers()
+	for _, entry := range c.log.slice(c.log.applied+1, c.log.lastIndex()) {
+		if entry.Kind == entryReplace {
+			c.pendingReplace = entry.Index
+		}
+	}
+	c.heartbeatDue = c.now
+}
+
+// setPeers makes the progress records agree with the configuration.
+func (c *core) setPeers() {
+	for slot, incarnation := range c.config {
+		id := MemberID{Slot: slot, Incarnation: incarnation}
+		if p := c.peers[slot]; p != nil && p.id != id {
+			delete(c.peers, slot)
+		}
+		if slot == c.id.Slot || incarnation == 0 || c.peers[slot] != nil {
+			continue
+		}
+		if p := c.learners[slot]; p != nil && p.id == id {
+			c.peers[slot] = p
+			delete(c.learners, slot)
+			continue
+		}
+		c.peers[slot] = newProgress(id, c.log.lastIndex()+1, c.now)
+	}
+}
--- /dev/null
+++ b/internal/consensus/message.go
@@ -0,0 +1,103 @@
+package consensus
+
+// EntryKind tells what a log entry holds.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	entryCommand EntryKind = 0 // a command of the state machine
+	entryNoop    EntryKind = 1 // first entry of a term
+	entryReplace EntryKind = 2 // a MemberID in CBOR
+)
+
+// Entry is an entry of the replicated log.
+type Entry struct {
+	Index uint64    `cbor:"1,keyasint"`
+	Term  uint64    `cbor:"2,keyasint"`
+	Kind  EntryKind `cbor:"3,keyasint,omitempty"`
+	Data  []byte    `cbor:"4,keyasint,omitempty"`
+}
+
+// configuration names the incarnation of each slot; 0 stands for a vacant slot.
+type configuration map[string]uint64
+
+func (c configuration) clone() configuration {
+	copied := make(configuration, len(c))
+	for slot, incarnation := range c {
+		copied[slot] = incarnation
+	}
+	return copied
+}
+
+func (c configuration) names(id MemberID) bool {
+	return id.Incarnation != 0 && c[id.Slot] == id.Incarnation
+}
+
+// snapshot is the state of the group up to and including Index.
+type snapshot struct {
+	Epoch  uint64        `cbor:"1,keyasint"`
+	Index  uint64        `cbor:"2,keyasint"`
+	Term   uint64        `cbor:"3,keyasint"`
+	Config configuration `cbor:"4,keyasint"`
+	Fence  int64         `cbor:"5,keyasint,omitempty"` // Unix time in nanoseconds; 0: no fence
+	Data   []byte        `cbor:"6,keyasint,omitempty"` // empty: initial state
+}
+
+// hardState is what a member must remember of its promises.
+type hardState struct {
+	Incarnation uint64   `cbor:"1,keyasint"`
+	Epoch       uint64   `cbor:"2,keyasint,omitempty"` // 0: blank
+	Promised    uint64   `cbor:"3,keyasint,omitempty"` // older epochs are refused
+	PromisedTo  MemberID `cbor:"4,keyasint,omitempty"`
+	Term        uint64   `cbor:"5,keyasint,omitempty"`
+	Vote        MemberID `cbor:"6,keyasint,omitempty"`
+	Commit      uint64   `cbor:"7,keyasint,omitempty"`
+}
+
+type messageType uint8
+
+const (
+	msgAppend       messageType = 1
+	msgAppendResp   messageType = 2
+	msgHeartbeat    messageType = 3
+	msgBeatResp     messageType = 4
+	msgSnapshot     messageType = 5
+	msgPreVote      messageType = 6
+	msgPreVoteResp  messageType = 7
+	msgVote         messageType = 8
+	msgVoteResp     messageType = 9
+	msgProbe        messageType = 10 // status of a member without a leader, asks for msgStatus
+	msgStatus       messageType = 11
+	msgFormation    messageType = 12 // asks blank members to grant epoch Promised
+	msgGrant        messageType = 13
+	lastMessageType             = msgGrant
+)
+
+// message is sent between members. Epoch is the one whose state the sender
+// holds; the response of a blank member repeats the epoch of the request.
+type message struct {
+	Type     messageType `cbor:"1,keyasint"`
+	From     MemberID    `cbor:"2,keyasint"`
+	To       MemberID    `cbor:"3,keyasint"` // Incarnation 0: whichever runs in the slot
+	Epoch    uint64      `cbor:"4,keyasint,omitempty"`
+	Term     uint64      `cbor:"5,keyasint,omitempty"`
+	Index    uint64      `cbor:"6,keyasint,omitempty"` // entry before Entries, last entry of a candidate, or acknowledged entry
+	LogTerm  uint64      `cbor:"7,keyasint,omitempty"` // term of the entry at Index
+	Entries  []Entry     `cbor:"8,keyasint,omitempty"`
+	Commit   uint64      `cbor:"9,keyasint,omitempty"`
+	Reject   bool        `cbor:"10,keyasint,omitempty"`
+	Hint     uint64      `cbor:"11,keyasint,omitempty"` // highest index that may match, if Reject is set
+	Sent     int64       `cbor:"12,keyasint,omitempty"` // leader's monotonic send time, repeated in responses
+	Snapshot *snapshot   `cbor:"13,keyasint,omitempty"`
+	Promised uint64      `cbor:"14,keyasint,omitempty"`
+	Blank    bool        `cbor:"15,keyasint,omitempty"`
+	Formed   bool        `cbor:"16,keyasint,omitempty"` // Epoch has committed an entry
+}
+
+func (m message) fromLeader() bool {
+	return m.Type == msgAppend || m.Type == msgHeartbeat || m.Type == msgSnapshot
+}
+
+func (m message) ofFormation() bool {
+	return m.Type >= msgProbe && m.Type <= lastMessageType
+}
--- /dev/null
+++ b/internal/consensus/snapshots.go
@@ -0,0 +1,76 @@
+package consensus
+
+import "fmt"
+
+func (c *core) sendSnapshot(p *progress) {
+	if c.now.Before(p.snapshotDue) {
+		return
+	}
+	p.snapshotDue = c.now.Add(c.snapshotTimeout)
+	s := c.log.snapshot
+	c.send(message{Type: msgSnapshot, To: p.id, Term: c.term, Sent: c.nextSent(), Snapshot: &s})
+}
+
+// snapshotFailed lets a snapshot that could not be sent be sent again.
+func (c *core) snapshotFailed(to MemberID) {
+	if c.role != leader {
+		return
+	}
+	if p := c.progressOf(to); p != nil {
+		p.snapshotDue = c.now.Add(c.electionTimeout)
+	}
+}
+
+func (c *core) stepSnapshot(m message) {
+	s := m.Snapshot
+	if s == nil || s.Epoch != m.Epoch || s.Index == 0 {
+		return
+	}
+	if !c.sameSlots(s.Config) {
+		c.foreignSlots = true
+		return
+	}
+	if s.Index > c.log.commit {
+		c.installSnapshot(*s)
+	}
+	c.send(message{
+		Type: msgAppendResp, To: m.From, Term: c.term, Sent: m.Sent,
+		Index: c.log.commit, Commit: c.log.commit,
+	})
+}
+
+func (c *core) installSnapshot(s snapshot) {
+	c.log.restore(s)
+	c.config = s.Config.clone()
+	c.configIndex = 0
+	c.epoch = s.Epoch
+	c.newSnapshot = &s
+}
+
+func (c *core) sameSlots(config configuration) bool {
+	for _, slot := range c.slots {
+		if _, ok := config[slot]; !ok {
+			return false
+		}
+	}
+	return len(config) == len(c.slots)
+}
+
+// compact replaces the applied part of the log by a snapshot of the state
+// machine.
+func (c *core) compact(data []byte) snapshot {
+	term, ok := c.log.term(c.log.applied)
+	if !ok {
+		panic(fmt.Sprintf("consensus: no term for applied entry %d", c.log.applied))
+	}
+	s := snapshot{
+		Epoch:  c.epoch,
+		Index:  c.log.applied,
+		Term:   term,
+		Config: c.config.clone(),
+		Fence:  c.log.snapshot.Fence,
+		Data:   data,
+	}
+	c.log.compact(s, c.keepEntries)
+	return s
+}
--- /dev/null
+++ b/internal/consensus/storage.go
@@ -0,0 +1,115 @@
+package consensus
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/sequoialane/sequoialane/internal/disk"
+	"github.com/sequoialane/sequoialane/internal/wal"
+)
+
+// Storage keeps the state of one member. Use MemoryStorage or DiskStorage.
+type Storage interface {
+	durable() bool
+	open() (storedState, error)
+	// save makes the hard state and the entries durable.
+	save(hard hardState, entries []Entry) error
+	// saveSnapshot replaces all stored state.
+	saveSnapshot(hard hardState, s snapshot, entries []Entry) error
+	close() error
+}
+
+type storedState struct {
+	hard     hardState // zero: nothing was stored
+	snapshot snapshot  // Index 0: none
+	entries  []Entry
+}
+
+// MemoryStorage keeps nothing over a restart. The group forms again after it
+// has lost its majority.
+func MemoryStorage() Storage { return memoryStorage{} }
+
+type memoryStorage struct{}
+
+func (memoryStorage) durable() bool                                   { return false }
+func (memoryStorage) open() (storedState, error)                      { return storedState{}, nil }
+func (memoryStorage) save(hardState, []Entry) error                   { return nil }
+func (memoryStorage) saveSnapshot(hardState, snapshot, []Entry) error { return nil }
+func (memoryStorage) close() error                                    { return nil }
+
+// DiskStorage keeps the state in a folder that holds nothing else.
+func DiskStorage(dir disk.Dir) Storage { return &diskStorage{dir: dir} }
+
+type diskStorage struct {
+	dir disk.Dir
+	log *wal.Log
+}
+
+func (d *diskStorage) durable() bool { return true }
+
+func (d *diskStorage) open() (storedState, error) {
+	log, state, err := wal.Open(d.dir, wal.Options{})
+	if err != nil {
+		return storedState{}, trace.Wrap(err)
+	}
+	d.log = log
+	stored, err := decodeState(state)
+	if err != nil {
+		_ = log.Close()
+		return storedState{}, err
+	}
+	return stored, nil
+}
+
+func decodeState(state wal.State) (storedState, error) {
+	var stored storedState
+	if state.Hard != nil {
+		if err := cbor.Unmarshal(state.Hard, &stored.hard); err != nil {
+			return stored, trace.Wrap(err, "hard state")
+		}
+	}
+	if state.SnapshotIndex > 0 {
+		if err := cbor.Unmarshal(state.Snapshot, &stored.snapshot); err != nil {
+			return stored, trace.Wrap(err, "snapshot %d", state.SnapshotIndex)
+		}
+	}
+	for _, raw := range state.Entries {
+		var entry Entry
+		if err := cbor.Unmarshal(raw.Data, &entry); err != nil {
+			return stored, trace.Wrap(err, "entry %d", raw.Index)
+		}
+		stored.entries = append(stored.entries, entry)
+	}
+	return stored, nil
+}
+
+func (d *diskStorage) save(hard hardState, entries []Entry) error {
+	return d.log.Save(encode(hard), encodeEntries(entries), true)
+}
+
+func (d *diskStorage) saveSnapshot(hard hardState, s snapshot, entries []Entry) error {
+	return d.log.SaveSnapshot(s.Index, encode(s), encode(hard), encodeEntries(entries))
+}
+
+func (d *diskStorage) close() error {
+	if d.log == nil {
+		return nil
+	}
+	return d.log.Close()
+}
+
+func encodeEntries(entries []Entry) []wal.Entry {
+	raw := make([]wal.Entry, 0, len(entries))
+	for _, entry := range entries {
+		raw = append(raw, wal.Entry{Index: entry.Index, Data: encode(entry)})
+	}
+	return raw
+}
+
+func encode(value any) []byte {
+	raw, err := cbor.Marshal(value)
+	if err != nil {
+		panic("consensus: value cannot be encoded: " + err.Error())
+	}
+	return raw
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,8 +1,9 @@
-// Package consensus replicates a log over the members of a group by majority,
-// and feeds it to a state machine on each member.
 package consensus
 
-import "errors"
+import (
+	"errors"
+	"time"
+)
 
 // MemberID identifies a member of a group. The slot is the VM name and stays
 // the same; the incarnation changes when the member lost its state. Votes and
@@ -14,16 +15,29 @@
 }
 
 // StateMachine is fed the committed commands of a group in log order. It must
-// be deterministic.
+// be deterministic. Its methods are called by one goroutine at a time, which
+// must not be blocked for long and must not call the Group.
 type StateMachine interface {
 	Apply(index uint64, command []byte) (result []byte)
 	Snapshot() ([]byte, error)
+	// Restore replaces the whole state. An empty snapshot stands for the
+	// initial state.
 	Restore(snapshot []byte) error
 }
 
-// Errors of a proposal.
+// FenceSetter is implemented by state machines of memory groups. Commands that
+// were committed before the fence may be forgotten. SetFence is called after
+// each Restore, before the first command of an epoch is applied. The time is
+// the wall clock of the member that formed the epoch and is the same on all
+// members.
+type FenceSetter interface {
+	SetFence(fence time.Time)
+}
+
+// Errors of a proposal or a read barrier.
 var (
-	ErrNotLeader      = errors.New("consensus: this member is not the leader; the command was not proposed")
+	ErrNotLeader      = errors.New("consensus: no leader is known; the command was not proposed")
 	ErrUnknownOutcome = errors.New("consensus: the command may or may not be committed later")
 	ErrStopped        = errors.New("consensus: the member has stopped")
+	ErrBusy           = errors.New("consensus: too many commands are waiting; the command was not proposed")
 )
