Test the consensus core under random and named faults, and fix two faults

Cause: the core had only been run over a working loopback.

Change: a simulated network in the tests that drops, delays, reorders and cuts one way, crashes members before and after a write, with and without their state, and freezes them. A checker panics on two leaders in a term, on a leader beside a valid lease, on conflicting or changed committed entries, on stale reads, and on a command of a lost epoch that is younger than a later fence.

Found by reasoning about the lease: a member that has just restarted now grants no epoch for one election timeout.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -234,18 +234,13 @@
 	return false
 }
 
-// hearsLeader reports whether a vote must be refused, so that neither a leader
-// nor its lease is disturbed. A member that has just started may have answered
-// a leader right before, so it counts as hearing one.
+// hearsLeader reports whether a vote or a grant must be refused, so that neither
+// a leader nor its lease is disturbed. A member that has just started may have
+// answered a leader right before, so it counts as hearing one.
 func (c *core) hearsLeader() bool {
 	return c.role == leader || c.now.Sub(c.lastContact) < c.electionTimeout
 }
 
-// hearsLeaderNow is hearsLeader without the time after the start.
-func (c *core) hearsLeaderNow() bool {
-	return c.leader != (MemberID{}) && c.hearsLeader()
-}
-
 func (c *core) becomeFollower(term uint64) {
 	if term < c.term {
 		panic(fmt.Sprintf("consensus: term goes back from %d to %d", c.term, term))
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -168,7 +168,7 @@
 
 func (c *core) answerFormation(m message) {
 	repeated := m.Promised == c.promised && c.promisedTo == m.From
-	if !c.blank() || c.hearsLeaderNow() || m.Promised <= c.promised && !repeated {
+	if !c.blank() || c.hearsLeader() || m.Promised <= c.promised && !repeated {
 		c.sendStatus(m.From)
 		return
 	}
@@ -273,6 +273,7 @@
 	c.messages = nil
 	c.newSnapshot = nil
 	c.discarded = true
+	c.lastContact = c.now
 	c.leaderSeen = c.now
 	c.formation.reset(c.now)
 	c.promise(promised, MemberID{})
--- /dev/null
+++ b/internal/consensus/random_test.go
@@ -0,0 +1,101 @@
+package consensus
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var seeds = flag.Int("consensus.seeds", 30, "seeds of each randomised test")
+
+// disturb injects one random fault or repairs all of them.
+func disturb(s *sim, wipe bool) {
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	other := s.slots[s.random.IntN(len(s.slots))]
+	switch s.random.IntN(12) {
+	case 0, 1:
+		s.cut[[2]string{n.slot, other}] = true
+	case 2:
+		s.isolate(n, s.random.IntN(2) == 0, s.random.IntN(2) == 0)
+	case 3, 4:
+		s.crash(n, s.durable)
+	case 5:
+		n.frozen = true
+	case 6:
+		s.drop = s.random.Float64() / 3
+	case 7:
+		if wipe && s.whole() {
+			s.crash(n, false)
+		}
+	case 8, 9, 10:
+		if n.core == nil {
+			s.start(n)
+		}
+		n.frozen = false
+	case 11:
+		s.heal()
+	}
+}
+
+func runRandom(t *testing.T, seed uint64, size int, durable, wipe bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			t.Fatalf("seed %d: %v", seed, r)
+		}
+	}()
+	s := newSim(seed, size, durable)
+	s.drop = 0.05
+	s.crashes = 0.0002
+	if durable {
+		// Not until all members hold state may one of them be lost.
+		formed := func() bool { s.heal(); return s.whole() }
+		require.True(t, s.runUntil(formed), "seed %d: first formation", seed)
+	}
+	for range 150 {
+		disturb(s, wipe)
+		for range s.random.IntN(4) {
+			s.propose(s.nodes[s.random.IntN(size)])
+			s.read(s.nodes[s.random.IntN(size)])
+		}
+		s.run(time.Duration(s.random.IntN(400)) * time.Millisecond)
+	}
+	s.drop, s.crashes = 0, 0
+	s.heal()
+	s.run(simElection) // a thawed leader finds out that it has lost the lead
+	require.True(t, s.runUntil(s.whole), "seed %d: the group does not recover:%s", seed, s.describe())
+	require.True(t, s.propose(s.leader()), "seed %d", seed)
+	s.run(2 * time.Second)
+	for _, n := range s.nodes {
+		require.Equal(t, s.nodes[0].commands, n.commands, "seed %d: %s of%s", seed, n.slot, s.describe())
+	}
+	require.NotEmpty(t, s.nodes[0].commands, "seed %d", seed)
+}
+
+// Guards against lost, changed or repeated commands, two leaders, stale reads
+// and groups that do not recover, under random faults.
+func TestRandomFaults(t *testing.T) {
+	cases := []struct {
+		desc          string
+		size          int
+		durable, wipe bool
+	}{
+		{"three on disk", 3, true, false},
+		{"three on disk with lost disks", 3, true, true},
+		{"five on disk with lost disks", 5, true, true},
+		{"three in memory", 3, false, false},
+		{"five in memory", 5, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			for seed := range *seeds {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					runRandom(t, uint64(seed), tc.size, tc.durable, tc.wipe)
+				})
+			}
+		})
+	}
+}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -54,7 +54,7 @@
 
 // retryLost goes back to probing if appends were not answered for some time.
 func (c *core) retryLost(p *progress) {
-	waiting := p.inflight > 0 || p.probeSent
+	waiting := p.probeSent || !p.probing && p.next > p.match+1
 	if !waiting || c.now.Sub(p.lastAck) <= retryPeriods*c.heartbeatInterval {
 		return
 	}
--- /dev/null
+++ b/internal/consensus/simcheck_test.go
@@ -0,0 +1,145 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+)
+
+// checker panics with the values that break an invariant over all members.
+type checker struct {
+	leaders   map[[2]uint64]MemberID    // by epoch and term
+	logged    map[[3]uint64]Entry       // by epoch, index and term
+	committed map[[2]uint64]Entry       // by epoch and index
+	highest   map[uint64]uint64         // committed index by epoch
+	applied   map[uint64]map[int]string // by epoch: commands by position
+	proposed  map[string]time.Time      // time of each command
+	fences    map[uint64]time.Time      // of formed epochs
+	formed    []uint64                  // epochs in the order in which they were formed
+	readFloor map[uint64][2]uint64      // by read: epoch and highest committed index
+}
+
+func newChecker() *checker {
+	return &checker{
+		leaders: map[[2]uint64]MemberID{}, logged: map[[3]uint64]Entry{}, committed: map[[2]uint64]Entry{},
+		highest: map[uint64]uint64{}, applied: map[uint64]map[int]string{}, proposed: map[string]time.Time{},
+		fences: map[uint64]time.Time{}, readFloor: map[uint64][2]uint64{},
+	}
+}
+
+func (k *checker) check(s *sim, n *simNode) {
+	c := n.core
+	if c.blank() {
+		return
+	}
+	k.checkLeader(s, c)
+	k.checkLog(c)
+}
+
+// checkLeader asserts one leader for each term, and none beside a valid lease.
+func (k *checker) checkLeader(s *sim, c *core) {
+	if c.role != leader {
+		return
+	}
+	key := [2]uint64{c.epoch, c.term}
+	if first, ok := k.leaders[key]; ok && first != c.id {
+		panic(fmt.Sprintf("two leaders in epoch %d term %d: %v and %v", c.epoch, c.term, first, c.id))
+	}
+	k.leaders[key] = c.id
+	for _, other := range s.nodes {
+		o := other.core
+		if o == nil || o == c || o.role != leader || other.frozen || !s.now.Before(o.leaseUntil()) {
+			continue
+		}
+		if c.epoch == o.epoch && c.term > o.term || c.epoch > o.epoch && c.formed() {
+			panic(fmt.Sprintf("%v leads epoch %d term %d, %v has a lease until %v at %v", c.id, c.epoch, c.term, o.id, o.leaseUntil(), s.now))
+		}
+	}
+}
+
+// checkLog asserts that entries with the same index and term are the same, also
+// in the entry before them.
+func (k *checker) checkLog(c *core) {
+	for _, entry := range c.log.entries {
+		key := [3]uint64{c.epoch, entry.Index, entry.Term}
+		if first, ok := k.logged[key]; ok && !bytes.Equal(first.Data, entry.Data) {
+			panic(fmt.Sprintf("entry %v holds %q and %q", key, first.Data, entry.Data))
+		}
+		k.logged[key] = entry
+		if committed, ok := k.committed[[2]uint64{c.epoch, entry.Index}]; ok && entry.Index <= c.log.commit && committed.Term != entry.Term {
+			panic(fmt.Sprintf("%v holds entry %v, committed was term %d", c.id, key, committed.Term))
+		}
+	}
+}
+
+func (k *checker) noteCommitted(now time.Time, epoch uint64, entry Entry) {
+	key := [2]uint64{epoch, entry.Index}
+	if first, ok := k.committed[key]; ok {
+		if first.Term != entry.Term || !bytes.Equal(first.Data, entry.Data) {
+			panic(fmt.Sprintf("committed entry %v changes from %v to %v", key, first, entry))
+		}
+		return
+	}
+	k.committed[key] = entry
+	k.highest[epoch] = max(k.highest[epoch], entry.Index)
+	if _, ok := k.fences[epoch]; !ok {
+		k.fences[epoch] = now
+		k.formed = append(k.formed, epoch)
+	}
+	if entry.Kind == entryCommand {
+		k.checkFence(epoch, entry)
+	}
+}
+
+// checkFence asserts that a command committed in a lost epoch is older than all
+// epochs that were formed after it, which treat it as possibly run.
+func (k *checker) checkFence(epoch uint64, entry Entry) {
+	later := false
+	for _, formed := range k.formed {
+		if later && k.proposed[string(entry.Data)].After(k.fences[formed]) {
+			panic(fmt.Sprintf("command %q of epoch %d was proposed after the fence of epoch %d", entry.Data, epoch, formed))
+		}
+		later = later || formed == epoch
+	}
+}
+
+func (k *checker) noteApplied(epoch uint64, position int, command string) {
+	if k.applied[epoch] == nil {
+		k.applied[epoch] = map[int]string{}
+	}
+	if first, ok := k.applied[epoch][position]; ok && first != command {
+		panic(fmt.Sprintf("command %d of epoch %d is %q and %q", position, epoch, first, command))
+	}
+	k.applied[epoch][position] = command
+}
+
+// noteRead keeps what is committed when a read starts.
+func (k *checker) noteRead(n *simNode, id uint64) {
+	newest := uint64(0)
+	if len(k.formed) > 0 {
+		newest = k.formed[len(k.formed)-1]
+	}
+	k.readFloor[id] = [2]uint64{newest, k.highest[newest]}
+}
+
+func (k *checker) noteReadDone(n *simNode, state readState) {
+	floor := k.readFloor[state.id]
+	if n.core.epoch == floor[0] && state.index < floor[1] || k.formedBefore(n.core.epoch, floor[0]) {
+		panic(fmt.Sprintf("read %d on %v sees epoch %d index %d, committed before it was %v", state.id, n.core.id, n.core.epoch, state.index, floor))
+	}
+}
+
+func (k *checker) formedBefore(epoch, other uint64) bool {
+	if other == 0 {
+		return false
+	}
+	for _, formed := range k.formed {
+		if formed == epoch {
+			return epoch != other
+		}
+		if formed == other {
+			return false
+		}
+	}
+	return false
+}
--- a/internal/consensus/snapshots.go
+++ b/internal/consensus/snapshots.go
@@ -30,7 +30,12 @@
 		c.foreignSlots = true
 		return
 	}
-	if s.Index > c.log.commit {
+	switch {
+	case s.Index <= c.log.commit:
+	case c.log.matches(s.Index, s.Term):
+		// Entries behind the snapshot may have been acknowledged already.
+		c.log.commitTo(s.Index)
+	default:
 		c.installSnapshot(*s)
 	}
 	c.send(message{
