Repeat a forwarded proposal once when its connection is silent

Cause: a proposal forwarded over a connection that has become silent ended as ErrUnknownOutcome, although the leader and a new connection work. For a claim, that makes the request unknown.

Change: the leader acknowledges a forwarded proposal at once (status 102). If the acknowledgement does not come within the request time-out, or the answer within an election timeout after it, the follower repeats the request once on a fresh connection. An answer counts as "not proposed" only with a header of the handler, because a layer around it may answer after the fact.

Ruled out: remembering IDs without the stamp. A forwarder that is frozen between its two requests could outlast any time of retention.

--- a/internal/consensus/client.go
+++ b/internal/consensus/client.go
@@ -16,9 +16,9 @@
 	tcpUserTimeout  = 0x12 // TCP_USER_TIMEOUT, which package syscall lacks
 )
 
-// newClient returns a client that keeps connections alive, gives up dialling
-// after dialTimeout and closes connections with unacknowledged bytes.
-func newClient(dialTimeout time.Duration) *http.Client {
+// newClient returns a client that gives up dialling after dialTimeout, closes
+// connections with unacknowledged bytes, and reuses connections on request.
+func newClient(dialTimeout time.Duration, reuse bool) *http.Client {
 	dialer := &net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: keepAlivePeriod,
@@ -29,6 +29,7 @@
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		DisableKeepAlives:   !reuse,
 	}}
 }
 
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -77,7 +77,7 @@
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
 	if c.Client == nil {
-		c.Client = newClient(c.RequestTimeout)
+		c.Client = newClient(c.RequestTimeout, true)
 	}
 	return c, c.check()
 }
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -56,6 +56,7 @@
 	now              time.Time
 	lastContact      time.Time // last message of a leader, or the start
 	leaderSeen       time.Time // last time a leader was known, or the start
+	leaderStamp      int64     // latest message.Sent of the leader
 	electionDeadline time.Time
 	votes            map[string]bool
 
@@ -175,7 +176,7 @@
 	if c.role == leader {
 		panic(fmt.Sprintf("consensus: two leaders in epoch %d term %d: %v and %v", c.epoch, c.term, c.id, m.From))
 	}
-	c.followLeader(m.From)
+	c.followLeader(m.From, m.Sent)
 	switch m.Type {
 	case msgAppend:
 		c.stepAppend(m)
@@ -186,7 +187,11 @@
 	}
 }
 
-func (c *core) followLeader(id MemberID) {
+func (c *core) followLeader(id MemberID, stamp int64) {
+	if c.leader != id {
+		c.leaderStamp = 0
+	}
+	c.leaderStamp = max(c.leaderStamp, stamp)
 	c.role = follower
 	c.leader = id
 	c.lastContact = c.now
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -244,7 +244,7 @@
 	if m.Epoch != c.promised {
 		c.promise(m.Epoch, MemberID{})
 	}
-	c.followLeader(m.From)
+	c.followLeader(m.From, m.Sent)
 	switch m.Type {
 	case msgHeartbeat:
 		c.send(message{Type: msgBeatResp, To: m.From, Epoch: m.Epoch, Term: m.Term, Sent: m.Sent})
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -34,6 +34,7 @@
 	done      chan struct{}
 	stopOnce  sync.Once
 	status    atomic.Pointer[Status]
+	forwarded *forwardTable
 
 	waiting     map[uint64]*proposal // by log index
 	openReads   map[uint64]*read     // by read id, until confirmed
@@ -62,6 +63,7 @@
 		failed:    make(chan MemberID, maxMembers),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
+		forwarded: newForwardTable(),
 		waiting:   map[uint64]*proposal{},
 		openReads: map[uint64]*read{},
 	}
--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -14,7 +14,8 @@
 func (g *Group) PathPrefix() string { return g.config.PathPrefix }
 
 // Handler serves the messages and forwarded calls of other members, at the
-// paths below PathPrefix. A status other than 200 means that nothing was done.
+// paths below PathPrefix. An answer with headerRefused means that nothing was
+// done.
 func (g *Group) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+g.config.PathPrefix+pathMessages, g.serveMessages)
@@ -22,7 +23,7 @@
 	mux.HandleFunc("POST "+g.config.PathPrefix+pathRead, g.serveRead)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !g.authorized(r) {
-			http.Error(w, "the member's token is wrong", http.StatusUnauthorized)
+			refuse(w, "the member's token is wrong", http.StatusUnauthorized)
 			return
 		}
 		mux.ServeHTTP(w, r)
@@ -49,9 +50,9 @@
 	case g.inbox <- batch.Messages:
 		w.WriteHeader(http.StatusNoContent)
 	case <-g.done:
-		http.Error(w, "the member has stopped", http.StatusServiceUnavailable)
+		refuse(w, "the member has stopped", http.StatusServiceUnavailable)
 	default:
-		http.Error(w, "too many messages are waiting", http.StatusServiceUnavailable)
+		refuse(w, "too many messages are waiting", http.StatusServiceUnavailable)
 	}
 }
 
@@ -60,7 +61,9 @@
 	if !decodeBody(w, r, &request) || !g.sameGroup(w, request.Group) {
 		return
 	}
-	result, err := g.proposeHere(r.Context(), request.Command)
+	// The early acknowledgement tells the sender that the connection works.
+	w.WriteHeader(http.StatusProcessing)
+	result, err := g.proposeForwarded(r.Context(), request)
 	writeAnswer(w, proposeAnswer{Code: codeOf(err), Result: result})
 }
 
@@ -83,7 +86,7 @@
 		err = cbor.Unmarshal(raw, into)
 	}
 	if err != nil {
-		http.Error(w, "the body cannot be read", http.StatusBadRequest)
+		refuse(w, "the body cannot be read", http.StatusBadRequest)
 		return false
 	}
 	return true
@@ -91,12 +94,17 @@
 
 func (g *Group) sameGroup(w http.ResponseWriter, group string) bool {
 	if group != g.config.Group {
-		http.Error(w, "the message is for another group", http.StatusNotFound)
+		refuse(w, "the message is for another group", http.StatusNotFound)
 		return false
 	}
 	return true
 }
 
+func refuse(w http.ResponseWriter, text string, status int) {
+	w.Header().Set(headerRefused, "1")
+	http.Error(w, text, status)
+}
+
 func writeAnswer(w http.ResponseWriter, answer any) {
 	w.Header().Set("Content-Type", contentType)
 	_, _ = w.Write(encode(answer))
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -4,15 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
+
+	"github.com/google/uuid"
 )
 
 // maxForwards bounds the changes of leader that one call follows.
 const maxForwards = 3
 
 type proposal struct {
-	command []byte
-	term    uint64
-	done    chan proposalResult
+	command   []byte
+	forwarded bool
+	lead      lead  // if forwarded: propose in this lead only
+	stamp     int64 // if forwarded: refuse if older than forwardRetention
+	term      uint64
+	done      chan proposalResult
+}
+
+func newProposal(command []byte) *proposal {
+	return &proposal{command: command, done: make(chan proposalResult, 1)}
 }
 
 type proposalResult struct {
@@ -50,14 +60,20 @@
 	case status.Leader == MemberID{}:
 		return nil, ErrNotLeader
 	case status.Leader == status.Self:
-		return g.proposeHere(ctx, command)
+		return g.submit(ctx, newProposal(command))
 	}
-	return g.transport.forward(ctx, status.Leader.Slot, command)
+	return g.transport.forward(ctx, status.Leader.Slot, proposeRequest{
+		Group:   g.config.Group,
+		Command: command,
+		Lead:    lead{Epoch: status.Epoch, Term: status.Term},
+		ID:      uuid.New(),
+		Stamp:   status.leaderStamp,
+	})
 }
 
-// proposeHere returns errOtherLeader if this member does not lead.
-func (g *Group) proposeHere(ctx context.Context, command []byte) ([]byte, error) {
-	p := &proposal{command: command, done: make(chan proposalResult, 1)}
+// submit hands a proposal to the loop and waits for its result. It returns
+// errOtherLeader if this member does not lead.
+func (g *Group) submit(ctx context.Context, p *proposal) ([]byte, error) {
 	select {
 	case g.proposals <- p:
 	case <-g.done:
@@ -85,6 +101,10 @@
 		p.finish(nil, ErrBusy)
 		return
 	}
+	if p.forwarded && !g.core.accepts(p.lead, p.stamp) {
+		p.finish(nil, errOtherLeader)
+		return
+	}
 	index, term, ok := g.core.propose(p.command)
 	if !ok {
 		p.finish(nil, errOtherLeader)
@@ -114,3 +134,10 @@
 		return false
 	}
 }
+
+// accepts reports whether a forwarded proposal was made for the current lead
+// and not too long ago.
+func (c *core) accepts(l lead, stamp int64) bool {
+	age := c.now.Sub(c.start.Add(time.Duration(stamp)))
+	return l == lead{Epoch: c.epoch, Term: c.term} && age < forwardRetention
+}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -38,6 +38,8 @@
 	Settled    bool          `json:"settled"`
 	LeaderSeen time.Duration `json:"leader_seen"` // time since a leader was known
 	Failure    string        `json:"failure"`     // storage error that has stopped the member
+
+	leaderStamp int64 // latest message.Sent of the leader
 }
 
 // MemberStatus is one slot of a group.
@@ -66,6 +68,7 @@
 		CommitIndex:  c.log.commit,
 		AppliedIndex: c.log.applied,
 		Settled:      c.settled(),
+		leaderStamp:  c.leaderStamp,
 	}
 	if c.role != leader {
 		s.LeaderSeen = c.now.Sub(c.leaderSeen)
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -25,6 +25,7 @@
 	pathRead      = "/read"
 	contentType   = "application/cbor"
 	authorization = "Authorization"
+	headerRefused = "Sequoialane-Consensus-Refused"
 	bearer        = "Bearer "
 )
 
@@ -33,6 +34,7 @@
 // what matters.
 type transport struct {
 	config Config
+	fresh  *http.Client // opens a connection for each request
 	failed chan<- MemberID
 	peers  map[string]*peerLink
 	ctx    context.Context
@@ -47,7 +49,12 @@
 }
 
 func newTransport(config Config, failed chan<- MemberID) *transport {
-	t := &transport{config: config, failed: failed, peers: map[string]*peerLink{}}
+	t := &transport{
+		config: config,
+		fresh:  newClient(config.RequestTimeout, false),
+		failed: failed,
+		peers:  map[string]*peerLink{},
+	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	for _, member := range config.Members {
 		if member.Slot == config.Self {
@@ -190,11 +197,15 @@
 
 // post sends body in CBOR and decodes the response into answer, if not nil.
 func (t *transport) post(ctx context.Context, url string, body, answer any) error {
+	return t.postBy(ctx, t.config.Client, url, body, answer)
+}
+
+func (t *transport) postBy(ctx context.Context, client *http.Client, url string, body, answer any) error {
 	request, err := t.newRequest(ctx, url, body)
 	if err != nil {
 		return err
 	}
-	response, err := t.config.Client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
@@ -204,7 +215,7 @@
 		return err
 	}
 	if response.StatusCode/100 != 2 {
-		return &statusError{code: response.StatusCode}
+		return &statusError{code: response.StatusCode, refused: response.Header.Get(headerRefused) != ""}
 	}
 	if answer == nil {
 		return nil
