Bound the log by bytes, count events, and guard the core's rules by tests

Counters for proposals, forwards, leader changes, discards and failures; spans for forwarded proposals. A group of one slot starts without waiting.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -18,6 +18,7 @@
 	DefaultLearnerTimeout    = 10 * time.Second
 	DefaultSnapshotTimeout   = 10 * time.Second
 	DefaultSnapshotEvery     = 10_000
+	DefaultSnapshotBytes     = 16 << 20
 )
 
 // maxMembers bounds the slots of a group. It is below epochStride.
@@ -48,7 +49,8 @@
 	LearnerTimeout    time.Duration // without a leader; see the package documentation
 	SnapshotTimeout   time.Duration // to send and install a snapshot
 	RequestTimeout    time.Duration // to send a batch of messages; default 3/4 of ElectionTimeout
-	SnapshotEvery     int           // applied entries between snapshots
+	SnapshotEvery     int           // applied entries between snapshots, at least
+	SnapshotBytes     int           // bytes of applied entries that bring on a snapshot, unless the state is larger
 	// LeaseReads lets the leader answer ReadBarrier from its lease, without a
 	// round trip. It needs a monotonic clock that goes on while the VM is
 	// paused; otherwise a resumed leader may answer with old state.
@@ -76,6 +78,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.Client == nil {
 		c.Client = newClient(c.RequestTimeout, true)
 	}
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -33,7 +33,8 @@
 	electionTimeout   time.Duration
 	learnerTimeout    time.Duration // silence of leaders after which a member of a memory group may start over
 	snapshotTimeout   time.Duration // time to wait for the acknowledgement of a snapshot
-	keepEntries       uint64        // entries kept before a snapshot
+	snapshotEvery     uint64        // applied entries between snapshots, at least
+	snapshotBytes     int           // bytes of applied entries between snapshots, at most for a small state
 	random            *rand.Rand
 	newIncarnation    func() uint64
 }
@@ -100,6 +101,11 @@
 	}
 	c.resetElection()
 	c.formAfter(now)
+	if len(c.slots) == 1 {
+		// Nobody else can lead or hold a promise.
+		c.electionDeadline = now
+		c.formation.formDue = now
+	}
 	return c
 }
 
--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
 
 // maxBodyBytes bounds a request or response, above all a snapshot.
@@ -96,6 +98,9 @@
 // leader recognises its ID. Only a request that was never sent, or an answer to
 // the first one, proves that the command was not proposed.
 func (t *transport) forward(ctx context.Context, slot string, request proposeRequest) ([]byte, error) {
+	ctx, span := telemetry.Start(ctx, "consensus.forward")
+	defer span.End()
+	t.counters.forwards.Inc()
 	answer, err := t.forwardOnce(ctx, t.config.Client, t.config.ElectionTimeout, slot, request)
 	if err == nil {
 		return answer.Result, answer.Code.err()
@@ -104,6 +109,7 @@
 		return nil, ErrNotLeader
 	}
 	if ctx.Err() == nil {
+		t.counters.repeats.Inc()
 		answer, err = t.forwardOnce(ctx, t.fresh, forwardRetention, slot, request)
 	}
 	if err != nil {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -35,6 +35,7 @@
 	stopOnce  sync.Once
 	status    atomic.Pointer[Status]
 	forwarded *forwardTable
+	counters  counters
 
 	waiting     map[uint64]*proposal // by log index
 	openReads   map[uint64]*read     // by read id, until confirmed
@@ -64,6 +65,7 @@
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		forwarded: newForwardTable(),
+		counters:  newCounters(config.Group),
 		waiting:   map[uint64]*proposal{},
 		openReads: map[uint64]*read{},
 	}
@@ -71,7 +73,7 @@
 		_ = config.Storage.close()
 		return nil, err
 	}
-	g.transport = newTransport(config, g.failed)
+	g.transport = newTransport(config, g.failed, g.counters)
 	g.publishStatus(false)
 	go g.run()
 	return g, nil
@@ -86,7 +88,8 @@
 		electionTimeout:   g.config.ElectionTimeout,
 		learnerTimeout:    g.config.LearnerTimeout,
 		snapshotTimeout:   g.config.SnapshotTimeout,
-		keepEntries:       uint64(g.config.SnapshotEvery) / 4,
+		snapshotEvery:     uint64(g.config.SnapshotEvery),
+		snapshotBytes:     g.config.SnapshotBytes,
 		random:            g.config.Rand,
 		newIncarnation:    g.newIncarnation,
 	}
@@ -137,6 +140,7 @@
 	for {
 		if err := g.work(); err != nil {
 			g.failure = err
+			g.counters.storageFailures.Inc()
 			g.config.Logger.Error("consensus member stopped: storage failed", zap.String("group", g.config.Group), zap.Error(err))
 			return
 		}
@@ -245,6 +249,7 @@
 
 // forget returns the state machine to its initial state.
 func (g *Group) forget() error {
+	g.counters.discards.Inc()
 	g.config.Logger.Warn("consensus member discarded its state",
 		zap.String("group", g.config.Group), zap.Uint64("incarnation", g.core.id.Incarnation))
 	g.failWaiting(ErrUnknownOutcome)
@@ -280,8 +285,7 @@
 }
 
 func (g *Group) compact() error {
-	log := &g.core.log
-	if log.applied < log.snapshot.Index+uint64(g.config.SnapshotEvery) {
+	if !g.core.compactDue() {
 		return nil
 	}
 	data, err := g.config.StateMachine.Snapshot()
@@ -289,6 +293,7 @@
 		return trace.Wrap(err, "state machine of group %s cannot make a snapshot", g.config.Group)
 	}
 	s := g.core.compact(data)
+	log := &g.core.log
 	return g.config.Storage.saveSnapshot(g.core.hard(), s, log.slice(s.Index+1, log.lastIndex()))
 }
 
--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
 
 // PathPrefix returns the path below which Handler must be served.
@@ -63,7 +65,9 @@
 	}
 	// The early acknowledgement tells the sender that the connection works.
 	w.WriteHeader(http.StatusProcessing)
-	result, err := g.proposeForwarded(r.Context(), request)
+	ctx, span := telemetry.Start(telemetry.Extract(r.Context(), r.Header), "consensus.propose")
+	defer span.End()
+	result, err := g.proposeForwarded(ctx, request)
 	writeAnswer(w, proposeAnswer{Code: codeOf(err), Result: result})
 }
 
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -13,6 +13,7 @@
 	stored    uint64 // last entry in storage
 	commit    uint64
 	applied   uint64
+	grown     int // bytes of the entries applied since the snapshot
 }
 
 func (l *replicatedLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -104,17 +105,23 @@
 	}
 }
 
-// compact sets a newer snapshot and drops all but the last keep entries up to
-// it.
-func (l *replicatedLog) compact(s snapshot, keep uint64) {
+// compact sets a newer snapshot and keeps up to keep entries before it, of up to
+// keepBytes, for members that are a little behind.
+func (l *replicatedLog) compact(s snapshot, keep uint64, keepBytes int) {
 	if s.Index > l.applied || s.Index <= l.snapshot.Index {
 		panic(fmt.Sprintf("consensus: snapshot at %d, applied %d, previous snapshot %d", s.Index, l.applied, l.snapshot.Index))
 	}
 	l.snapshot = s
-	if s.Index < l.baseIndex+keep {
-		return
+	l.grown = 0
+	base := s.Index
+	size := 0
+	for base > l.baseIndex && s.Index-base < keep {
+		size += l.entries[base-l.baseIndex-1].size()
+		if size > keepBytes {
+			break
+		}
+		base--
 	}
-	base := s.Index - keep
 	term, _ := l.term(base)
 	l.entries = append([]Entry(nil), l.entries[base-l.baseIndex:]...)
 	l.baseIndex = base
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -18,6 +18,11 @@
 	Data  []byte    `cbor:"4,keyasint,omitempty"`
 }
 
+// entryOverhead is the size of an entry without data, roughly, in bytes.
+const entryOverhead = 64
+
+func (e Entry) size() int { return len(e.Data) + entryOverhead }
+
 // configuration names the incarnation of each slot; 0 stands for a vacant slot.
 type configuration map[string]uint64
 
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -110,6 +110,7 @@
 		p.finish(nil, errOtherLeader)
 		return
 	}
+	g.counters.proposals.Inc()
 	p.term = term
 	if old := g.waiting[index]; old != nil {
 		// The index was free again, so the entry of the old proposal is gone
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -54,6 +54,7 @@
 			panic(fmt.Sprintf("consensus: entry %d is applied behind %d", entry.Index, c.log.applied))
 		}
 		c.log.applied = entry.Index
+		c.log.grown += entry.size()
 		if entry.Kind == entryReplace {
 			c.applyReplace(entry)
 		}
--- a/internal/consensus/snapshots.go
+++ b/internal/consensus/snapshots.go
@@ -61,6 +61,15 @@
 	return len(config) == len(c.slots)
 }
 
+// compactDue reports whether a snapshot is worth its cost: enough entries were
+// applied, and they are not small beside the state. Large entries bring it on
+// earlier, to bound the memory of the log.
+func (c *core) compactDue() bool {
+	count := c.log.applied - c.log.snapshot.Index
+	state := len(c.log.snapshot.Data)
+	return count >= c.snapshotEvery && c.log.grown >= state/2 || c.log.grown >= max(c.snapshotBytes, state)
+}
+
 // compact replaces the applied part of the log by a snapshot of the state
 // machine.
 func (c *core) compact(data []byte) snapshot {
@@ -76,6 +85,6 @@
 		Fence:  c.log.snapshot.Fence,
 		Data:   data,
 	}
-	c.log.compact(s, c.keepEntries)
+	c.log.compact(s, c.snapshotEvery/4, c.snapshotBytes/4)
 	return s
 }
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -91,6 +91,9 @@
 }
 
 func (g *Group) logChanges(previous, current *Status) {
+	if previous != nil && previous.Leader != current.Leader && current.Leader != (MemberID{}) {
+		g.counters.leaderChanges.Inc()
+	}
 	if previous == nil || previous.Role != current.Role || previous.Leader != current.Leader {
 		g.config.Logger.Info("consensus role",
 			zap.String("group", current.Group), zap.String("role", string(current.Role)),
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
 
 // Limits of a batch of messages.
@@ -33,13 +35,14 @@
 // delays no other. Messages that cannot be sent are dropped; the core repeats
 // what matters.
 type transport struct {
-	config Config
-	fresh  *http.Client // opens a connection for each request
-	failed chan<- MemberID
-	peers  map[string]*peerLink
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	config   Config
+	fresh    *http.Client // opens a connection for each request
+	failed   chan<- MemberID
+	counters counters
+	peers    map[string]*peerLink
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
 type peerLink struct {
@@ -48,12 +51,13 @@
 	snapshots chan message
 }
 
-func newTransport(config Config, failed chan<- MemberID) *transport {
+func newTransport(config Config, failed chan<- MemberID, counted counters) *transport {
 	t := &transport{
-		config: config,
-		fresh:  newClient(config.RequestTimeout, false),
-		failed: failed,
-		peers:  map[string]*peerLink{},
+		config:   config,
+		fresh:    newClient(config.RequestTimeout, false),
+		failed:   failed,
+		counters: counted,
+		peers:    map[string]*peerLink{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	for _, member := range config.Members {
@@ -152,7 +156,7 @@
 func (m message) size() int {
 	size := messageOverhead
 	for _, entry := range m.Entries {
-		size += len(entry.Data) + messageOverhead
+		size += entry.size()
 	}
 	return size
 }
@@ -174,7 +178,11 @@
 func (t *transport) postMessages(link *peerLink, batch []message, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
-	return t.post(ctx, link.url+pathMessages, messageBatch{Group: t.config.Group, Messages: batch}, nil)
+	err := t.post(ctx, link.url+pathMessages, messageBatch{Group: t.config.Group, Messages: batch}, nil)
+	if err != nil {
+		t.counters.sendFailures.Inc()
+	}
+	return err
 }
 
 // messageBatch is the body of a request to pathMessages.
@@ -189,6 +197,7 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", contentType)
+	telemetry.Inject(ctx, request.Header)
 	if t.config.Token != "" {
 		request.Header.Set(authorization, bearer+t.config.Token)
 	}
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -184,6 +184,18 @@
 	}
 }
 
+// Guards against a search that doubles with each operation of unknown outcome.
+func TestManyUnknownOutcomes(t *testing.T) {
+	var operations []Operation
+	for i := range eventNumber(60) {
+		operations = append(operations, op(i+1, 0, Change{fmt.Sprint("lost ", i), 100 + uint64(i)}, nil))
+	}
+	operations = append(operations, op(101, 102, Change{"a", 0}, accepted(1)))
+	require.NoError(t, Check(CompareAndSet(), operations))
+	operations = append(operations, op(103, 104, Change{"b", 0}, accepted(1)))
+	require.Error(t, Check(CompareAndSet(), operations))
+}
+
 func TestRecorder(t *testing.T) {
 	r := &Recorder{}
 	first := r.Invoke("a", "x", ReadVersion{})
