Add gossip membership

Cause: entries need a shared view of the fleet without an outside store.

Ruled out: a load and version update for each member in the piggybacked records; at 2,800 nodes this alone exceeds 5 KB/s. Each datagram carries the sender's own load and the highest catalog version heard of.

--- /dev/null
+++ b/internal/membership/protocol.go
@@ -0,0 +1,260 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+type probe struct {
+	name     string
+	sequence uint64
+	started  time.Time
+	indirect bool
+	acked    bool
+}
+
+type relay struct {
+	to       string // gossip address of the member that asked
+	sequence uint64 // its sequence number
+	target   string
+	expires  time.Time
+}
+
+// Tick advances the protocol and returns packets to send. The driver calls it
+// every 100 ms or so.
+func (t *Table) Tick(now time.Time) []Packet {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	out := t.continueProbe(now)
+	if !now.Before(t.nextProbe) {
+		t.nextProbe = now.Add(ProbePeriod)
+		out = append(out, t.endProbe(now)...)
+		out = append(out, t.startProbe(now)...)
+		out = append(out, t.probeQuietCentre(now)...)
+	}
+	if !now.Before(t.nextReconnect) {
+		t.nextReconnect = now.Add(reconnectEvery)
+		out = append(out, t.probeDead()...)
+	}
+	return out
+}
+
+// Receive handles a datagram and returns packets to send. A datagram that is
+// not authenticated or malformed is dropped with an error.
+func (t *Table) Receive(now time.Time, payload []byte) ([]Packet, error) {
+	m, err := open(t.key, payload)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.From.Name == t.self.Name {
+		t.defend(m.From)
+		return nil, nil
+	}
+	t.heard(m.From, now)
+	for _, u := range m.Updates {
+		t.merge(u, now)
+	}
+	t.noteVersion(m.Highest)
+	return t.handle(m, now), nil
+}
+
+// heard takes in the record that a member sent about itself.
+func (t *Table) heard(from Member, now time.Time) {
+	t.merge(from, now)
+	r := t.records[from.Name]
+	if r == nil || r.Incarnation != from.Incarnation {
+		return
+	}
+	t.lastHeard[from.DataCentre] = now
+	r.Load = from.Load
+	t.noteVersion(version{from.Name, from.Incarnation, from.CatalogVersion})
+}
+
+func (t *Table) handle(m message, now time.Time) []Packet {
+	switch m.Kind {
+	case kindPing:
+		if m.Target != t.self.Name {
+			return nil
+		}
+		return t.pack(m.From.GossipAddress, message{Kind: kindAck, Sequence: m.Sequence, Target: t.self.Name}, m.From.Name)
+	case kindAck:
+		return t.handleAck(m)
+	case kindPingRequest:
+		return t.handlePingRequest(m, now)
+	default:
+		return nil
+	}
+}
+
+func (t *Table) handleAck(m message) []Packet {
+	if p := t.probe; p != nil && p.sequence == m.Sequence && p.name == m.Target {
+		p.acked = true
+		return nil
+	}
+	r, ok := t.relays[m.Sequence]
+	if !ok || r.target != m.From.Name {
+		return nil
+	}
+	delete(t.relays, m.Sequence)
+	return t.pack(r.to, message{Kind: kindAck, Sequence: r.sequence, Target: r.target}, "")
+}
+
+func (t *Table) handlePingRequest(m message, now time.Time) []Packet {
+	target := t.records[m.Target]
+	if target == nil {
+		return nil
+	}
+	t.sequence++
+	t.relays[t.sequence] = relay{to: m.From.GossipAddress, sequence: m.Sequence, target: m.Target, expires: now.Add(ProbePeriod)}
+	return t.pack(target.GossipAddress, message{Kind: kindPing, Sequence: t.sequence, Target: m.Target}, m.Target)
+}
+
+func (t *Table) startProbe(now time.Time) []Packet {
+	name, ok := t.nextInRing()
+	if !ok {
+		return nil
+	}
+	t.sequence++
+	t.probe = &probe{name: name, sequence: t.sequence, started: now}
+	return t.pack(t.records[name].GossipAddress, message{Kind: kindPing, Sequence: t.sequence, Target: name}, name)
+}
+
+func (t *Table) continueProbe(now time.Time) []Packet {
+	p := t.probe
+	if p == nil || p.acked || p.indirect || now.Sub(p.started) < directTimeout {
+		return nil
+	}
+	p.indirect = true
+	var out []Packet
+	for _, helper := range t.sample(indirectProbes, func(r *record) bool { return r.Present() && r.Name != p.name }) {
+		out = append(out, t.pack(helper.GossipAddress, message{Kind: kindPingRequest, Sequence: p.sequence, Target: p.name}, helper.Name)...)
+	}
+	return out
+}
+
+// endProbe suspects the probed member if it did not answer in this period.
+func (t *Table) endProbe(now time.Time) []Packet {
+	p := t.probe
+	t.probe = nil
+	if p == nil || p.acked {
+		return nil
+	}
+	r := t.records[p.name]
+	if r == nil || (r.State != Alive && r.State != Draining) {
+		return nil
+	}
+	suspect := r.Member
+	suspect.State = Suspect
+	t.store(suspect, now)
+	return nil
+}
+
+func (t *Table) expire(now time.Time) {
+	for name, r := range t.records {
+		switch {
+		case r.State == Suspect && !now.Before(r.deadline):
+			dead := r.Member
+			dead.State = Dead
+			t.store(dead, now)
+		case !r.Present() && now.Sub(r.since) > retention:
+			delete(t.records, name)
+			t.epoch++
+		}
+	}
+	for sequence, r := range t.relays {
+		if now.After(r.expires) {
+			delete(t.relays, sequence)
+		}
+	}
+}
+
+// probeQuietCentre sends a datagram to a data centre that was not heard
+// lately, since freshness of the catalog copy depends on the data centres
+// heard within 10 s.
+func (t *Table) probeQuietCentre(now time.Time) []Packet {
+	for _, r := range t.sample(1, func(r *record) bool {
+		return r.Present() && now.Sub(t.lastHeard[r.DataCentre]) > quietCentre
+	}) {
+		t.sequence++
+		return t.pack(r.GossipAddress, message{Kind: kindPing, Sequence: t.sequence, Target: r.Name}, r.Name)
+	}
+	return nil
+}
+
+func (t *Table) probeDead() []Packet {
+	for _, r := range t.sample(1, func(r *record) bool { return r.State == Dead }) {
+		t.sequence++
+		return t.pack(r.GossipAddress, message{Kind: kindPing, Sequence: t.sequence, Target: r.Name}, r.Name)
+	}
+	return nil
+}
+
+// news sends this member's record to several members at once.
+func (t *Table) news() []Packet {
+	var out []Packet
+	for _, r := range t.sample(urgentTargets, func(r *record) bool { return r.Present() }) {
+		out = append(out, t.pack(r.GossipAddress, message{Kind: kindNews}, r.Name)...)
+	}
+	return out
+}
+
+// pack completes a message with this member's record and updates. The record
+// of the receiver comes first if others doubt it, so that it can refute.
+func (t *Table) pack(to string, m message, receiver string) []Packet {
+	m.From = t.self
+	m.Highest = t.currentHighest()
+	room := MaxPacket - macBytes - encodedReserve - encodedSize(m)
+	if r := t.records[receiver]; r != nil && (r.State == Suspect || r.State == Dead) {
+		m.Updates = append(m.Updates, r.Member)
+		room -= encodedSize(r.Member)
+	}
+	m.Updates = append(m.Updates, t.queue.take(room, maxUpdates-len(m.Updates), len(t.records)+1)...)
+	payload, err := seal(t.key, m)
+	if err != nil {
+		panic("membership: message cannot be encoded: " + err.Error())
+	}
+	return []Packet{{To: to, Payload: payload}}
+}
+
+// sample returns up to n random members that match.
+func (t *Table) sample(n int, match func(*record) bool) []*record {
+	var names []string
+	for name, r := range t.records {
+		if match(r) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	t.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	var chosen []*record
+	for _, name := range names[:min(n, len(names))] {
+		chosen = append(chosen, t.records[name])
+	}
+	return chosen
+}
+
+// nextInRing returns the next member to probe. All members are probed once in
+// a random order before any is probed again, which bounds detection time.
+func (t *Table) nextInRing() (string, bool) {
+	for range 2 {
+		for len(t.ring) > 0 {
+			name := t.ring[0]
+			t.ring = t.ring[1:]
+			if r := t.records[name]; r != nil && r.Present() {
+				return name, true
+			}
+		}
+		for _, r := range t.sample(len(t.records), func(r *record) bool { return r.Present() }) {
+			t.ring = append(t.ring, r.Name)
+		}
+	}
+	return "", false
+}
+
+func (t *Table) insertIntoRing(name string) {
+	at := t.rng.IntN(len(t.ring) + 1)
+	t.ring = slices.Insert(t.ring, at, name)
+}
