--- /dev/null
+++ b/internal/address/answer.go
@@ -0,0 +1,86 @@
+// Package address answers callers that ask which entries to connect to.
+package address
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/ownership"
+)
+
+// Limits of an answer.
+const (
+	DefaultTimeToLive = 10 * time.Second
+	MaxTimeToLive     = 60 * time.Second
+	MaxAddresses      = 8
+	maxWeight         = 100
+)
+
+// Entry is an address that a caller may use.
+type Entry struct {
+	Address string `json:"address"` // IP address and port
+	Weight  int    `json:"weight"`  // relative share of new connections, 1 to 100
+	Owner   bool   `json:"owner,omitempty"`
+}
+
+// Answer lists the addresses to use, the preferred one first.
+type Answer struct {
+	Service      string  `json:"service"`
+	Region       string  `json:"region"`
+	TimeToLiveMS int64   `json:"time_to_live_ms"`
+	Addresses    []Entry `json:"addresses"`
+}
+
+// Build lists the usable members of the region: the owner of the service, the
+// second-ranked entry, then the least loaded ones. A region without a usable
+// member gets members of the other regions.
+func Build(members []membership.Member, service, region string, ttl time.Duration) Answer {
+	ranked := ownership.Rank(members, service, region)
+	owned := len(ranked) > 0
+	if !owned {
+		ranked = lo.Filter(members, func(m membership.Member, _ int) bool { return m.Usable() })
+	}
+	if len(ranked) > 2 {
+		rest := ranked[2:]
+		if !owned {
+			rest = ranked
+		}
+		slices.SortStableFunc(rest, byLoad)
+	}
+	ranked = ranked[:min(MaxAddresses, len(ranked))]
+	answer := Answer{
+		Service:      service,
+		Region:       region,
+		TimeToLiveMS: min(ttl, MaxTimeToLive).Milliseconds(),
+		Addresses:    make([]Entry, 0, len(ranked)),
+	}
+	for i, m := range ranked {
+		answer.Addresses = append(answer.Addresses, Entry{
+			Address: m.CallerAddress,
+			Weight:  weight(m.Load),
+			Owner:   owned && i == 0,
+		})
+	}
+	return answer
+}
+
+func byLoad(a, b membership.Member) int {
+	if c := cmp.Compare(a.Load, b.Load); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// weight falls with the load in requests in flight per core.
+func weight(load float64) int {
+	if math.IsNaN(load) || load < 0 {
+		load = 0
+	}
+	return max(1, int(math.Round(maxWeight/(1+load))))
+}
--- /dev/null
+++ b/internal/address/answer_test.go
@@ -0,0 +1,110 @@
+package address
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/ownership"
+)
+
+func fleet() []membership.Member {
+	var list []membership.Member
+	for i := range 12 {
+		region := "north"
+		if i >= 10 {
+			region = "south"
+		}
+		list = append(list, membership.Member{
+			Name: fmt.Sprintf("entry-%d", i), Region: region, State: membership.Alive,
+			CallerAddress: fmt.Sprintf("10.0.0.%d:80", i), Load: float64(i),
+		})
+	}
+	return list
+}
+
+// Guards against callers being sent to entries that must not take new work.
+func TestBuildLeavesOutUnusable(t *testing.T) {
+	states := []struct {
+		desc   string
+		change func(m *membership.Member)
+	}{
+		{"draining", func(m *membership.Member) { m.State = membership.Draining }},
+		{"dead", func(m *membership.Member) { m.State = membership.Dead }},
+		{"left", func(m *membership.Member) { m.State = membership.Left }},
+		{"isolated", func(m *membership.Member) { m.Isolated = true }},
+	}
+	for _, tc := range states {
+		t.Run(tc.desc, func(t *testing.T) {
+			list := fleet()
+			owner := ownership.Rank(list, "consents", "north")[0].Name
+			for i := range list {
+				if list[i].Name == owner {
+					tc.change(&list[i])
+				}
+			}
+			answer := Build(list, "consents", "north", DefaultTimeToLive)
+			next := ownership.Rank(list, "consents", "north")[0]
+			assert.NotEqual(t, owner, next.Name)
+			assert.Equal(t, next.CallerAddress, answer.Addresses[0].Address)
+			assert.True(t, answer.Addresses[0].Owner)
+		})
+	}
+}
+
+func TestBuild(t *testing.T) {
+	list := fleet()
+	ranked := ownership.Rank(list, "consents", "north")
+	answer := Build(list, "consents", "north", 2*time.Hour)
+	assert.EqualValues(t, 60_000, answer.TimeToLiveMS, "time to live is bounded")
+	require.Len(t, answer.Addresses, MaxAddresses)
+	assert.Equal(t, ranked[0].CallerAddress, answer.Addresses[0].Address)
+	assert.Equal(t, ranked[1].CallerAddress, answer.Addresses[1].Address)
+	for i := 3; i < len(answer.Addresses); i++ {
+		assert.GreaterOrEqual(t, answer.Addresses[i-1].Weight, answer.Addresses[i].Weight, "weights fall with load")
+	}
+	assert.Len(t, Build(list, "consents", "south", time.Second).Addresses, 2)
+	away := Build(list, "consents", "west", time.Second)
+	assert.Len(t, away.Addresses, MaxAddresses, "a region without entries gets others")
+	assert.False(t, away.Addresses[0].Owner)
+	assert.NotNil(t, Build(nil, "consents", "north", time.Second).Addresses, "JSON must hold an empty list")
+	assert.Equal(t, 100, weight(0))
+	assert.Equal(t, 1, weight(1e9))
+}
+
+type fixedMembers []membership.Member
+
+func (f fixedMembers) Members() []membership.Member { return f }
+
+func TestHandler(t *testing.T) {
+	h := Handler(fixedMembers(fleet()), "south", DefaultTimeToLive)
+	cases := []struct {
+		desc, query string
+		status      int
+		region      string
+	}{
+		{"home region", "?service=consents", http.StatusOK, "south"},
+		{"named region", "?service=consents&region=north", http.StatusOK, "north"},
+		{"no service", "", http.StatusBadRequest, ""},
+		{"bad service", "?service=../x", http.StatusBadRequest, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+tc.query, nil))
+			require.Equal(t, tc.status, w.Code)
+			if tc.status == http.StatusOK {
+				var answer Answer
+				require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+				assert.Equal(t, tc.region, answer.Region)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/announce/handler.go
@@ -0,0 +1,235 @@
+// Package announce takes in what upstreams announce about themselves and
+// passes it to the owners of their service.
+package announce
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sequoialane/sequoialane/internal/address"
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+)
+
+// Paths of announcements.
+const (
+	Path     = "/v1/announcements"      // caller port, upstream token
+	PeerPath = "/peer/v1/announcements" // peer port, fleet token
+)
+
+// Limits of an announcement.
+const (
+	LeaseTime      = 6 * time.Second
+	maxBytes       = 64 << 10
+	maxSlots       = 10_000
+	maxRoutes      = 256
+	maxPath        = 1024
+	owners         = 2 // first owners by rank that get each record
+	forwardTimeout = time.Second
+)
+
+var (
+	accepted = metrics.NewCounter(`sequoialane_announcements_total{result="accepted"}`)
+	outdated = metrics.NewCounter(`sequoialane_announcements_total{result="outdated"}`)
+	refused  = metrics.NewCounter(`sequoialane_announcements_total{result="refused"}`)
+	noOwner  = metrics.NewCounter(`sequoialane_announcements_total{result="owner_unreachable"}`)
+)
+
+// Reply is the answer to an announcement.
+type Reply struct {
+	Result  upstream.ApplyResult `json:"result"`
+	LeaseMS int64                `json:"lease_ms"`
+	Owners  []string             `json:"owners"` // caller addresses of the owners
+}
+
+// Ranker ranks the owners of a service.
+type Ranker interface {
+	Rank(service, region string) []membership.Member
+}
+
+// Local holds the target records of this entry.
+type Local interface {
+	Announce(a upstream.Announcement) upstream.ApplyResult
+}
+
+// Forwarder passes an announcement to another entry.
+type Forwarder interface {
+	ForwardAnnouncement(ctx context.Context, peer membership.Member, a upstream.Announcement) (upstream.ApplyResult, error)
+}
+
+// Service handles announcements.
+type Service struct {
+	Self    string // name of this entry
+	Ranker  Ranker
+	Local   Local
+	Forward Forwarder
+}
+
+// Handler answers POST /v1/announcements. The caller checks the token.
+func (s *Service) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, err := Decode(http.MaxBytesReader(w, r.Body, maxBytes))
+		if err != nil {
+			refused.Inc()
+			fault.Write(w, "", fault.From(err))
+			return
+		}
+		reply, err := s.spread(r.Context(), a)
+		if err != nil {
+			noOwner.Inc()
+			fault.Write(w, "", fault.From(err))
+			return
+		}
+		writeJSON(w, reply)
+	})
+}
+
+// PeerHandler answers announcements that another entry passed on.
+func (s *Service) PeerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a, err := Decode(http.MaxBytesReader(w, r.Body, maxBytes))
+		if err != nil {
+			fault.Write(w, "", fault.From(err))
+			return
+		}
+		writeJSON(w, Reply{Result: s.Local.Announce(a), LeaseMS: LeaseTime.Milliseconds()})
+	})
+}
+
+// spread passes the record to the first owners at the same time. It succeeds
+// if one of them took it in.
+func (s *Service) spread(ctx context.Context, a upstream.Announcement) (Reply, error) {
+	ranked := s.Ranker.Rank(a.Service, a.Region)
+	ranked = ranked[:min(owners, len(ranked))]
+	if len(ranked) == 0 {
+		return Reply{}, fault.Newf(fault.OwnerUnreachable, "region %q has no usable entry", a.Region).WithRetryAfter(time.Second)
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	results := make([]upstream.ApplyResult, len(ranked))
+	var wg sync.WaitGroup
+	for i, m := range ranked {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[i] = s.deliver(ctx, m, a)
+		}()
+	}
+	wg.Wait()
+	return s.reply(ranked, results)
+}
+
+func (s *Service) deliver(ctx context.Context, m membership.Member, a upstream.Announcement) upstream.ApplyResult {
+	if m.Name == s.Self {
+		return s.Local.Announce(a)
+	}
+	result, err := s.Forward.ForwardAnnouncement(ctx, m, a)
+	if err != nil {
+		return ""
+	}
+	return result
+}
+
+func (s *Service) reply(ranked []membership.Member, results []upstream.ApplyResult) (Reply, error) {
+	reply := Reply{LeaseMS: LeaseTime.Milliseconds()}
+	for i, result := range results {
+		if result == "" {
+			continue
+		}
+		reply.Owners = append(reply.Owners, ranked[i].CallerAddress)
+		if reply.Result == "" || result == upstream.Applied {
+			reply.Result = result
+		}
+	}
+	switch reply.Result {
+	case "":
+		return Reply{}, fault.New(fault.OwnerUnreachable, "no owner of the service accepted the record").WithRetryAfter(time.Second)
+	case upstream.Outdated:
+		outdated.Inc()
+	default:
+		accepted.Inc()
+	}
+	return reply, nil
+}
+
+// Decode reads an announcement and checks each field. It returns a
+// *fault.Error that names the field.
+func Decode(body io.Reader) (upstream.Announcement, error) {
+	var a upstream.Announcement
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&a); err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return a, fault.Newf(fault.BodyTooLarge, "an announcement has at most %d bytes", maxBytes)
+		}
+		return a, fault.New(fault.BadRequest, "announcement: "+err.Error())
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return a, fault.New(fault.BadRequest, "announcement: want exactly one JSON object")
+	}
+	if problem := check(a); problem != "" {
+		return a, fault.New(fault.BadRequest, "announcement: "+problem)
+	}
+	return a, nil
+}
+
+func check(a upstream.Announcement) string {
+	at, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case !address.ValidName(a.Service):
+		return "service: want lower-case letters, digits, '.', '_', '-'"
+	case err != nil || at.Port() == 0 || at.Addr().IsUnspecified():
+		return "address: want an IP address with a port"
+	case !address.ValidName(a.Region):
+		return "region: want lower-case letters, digits, '.', '_', '-'"
+	case !address.ValidName(a.DataCentre):
+		return "data_centre: want lower-case letters, digits, '.', '_', '-'"
+	case a.Slots < 1 || a.Slots > maxSlots:
+		return "slots: want 1 to 10000"
+	case a.State != upstream.Serving && a.State != upstream.Draining && a.State != upstream.Leaving:
+		return "state: want serving, draining or leaving"
+	case a.Incarnation == 0:
+		return "incarnation: want a number above 0"
+	case a.ProbePath != "" && !validPath(a.ProbePath):
+		return "probe_path: want a path that starts with '/'"
+	case len(a.Routes) > maxRoutes:
+		return "routes: want at most 256"
+	}
+	for _, r := range a.Routes {
+		if !validMethod(r.Method) || !validPath(r.PathPrefix) {
+			return "routes: want a method or '*', and a path_prefix that starts with '/'"
+		}
+	}
+	return ""
+}
+
+func validPath(p string) bool {
+	return strings.HasPrefix(p, "/") && len(p) <= maxPath && !strings.ContainsAny(p, " \r\n\t?#")
+}
+
+func validMethod(m string) bool {
+	if m == "*" {
+		return true
+	}
+	return m != "" && len(m) <= 16 && strings.Trim(m, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+}
+
+func writeJSON(w http.ResponseWriter, v Reply) {
+	encoded, err := json.Marshal(v)
+	if err != nil {
+		panic("announce: reply cannot be encoded: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoded)
+}
