Add the stand-in upstream

Cause: tests, demo and bench need an upstream whose gray failures can be switched on and off, and which counts how often each key took effect.

--- /dev/null
+++ b/tools/upstream/main.go
@@ -0,0 +1,112 @@
+// Command upstream is a stand-in for an upstream with gray failures. It
+// announces itself to the entries, and an HTTP control port switches its
+// failure mode.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+)
+
+const (
+	drainAnnounced = 2 * time.Second // draining is announced this long before leaving
+	maxDrain       = 30 * time.Second
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "upstream",
+		Usage: "stand-in upstream for tests, demo and bench",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address for requests"},
+			&cli.StringFlag{Name: "control", Value: "127.0.0.1:0", Usage: "address of the control port"},
+			&cli.StringFlag{Name: "service", Required: true},
+			&cli.StringFlag{Name: "region", Required: true},
+			&cli.StringFlag{Name: "data-centre", Required: true},
+			&cli.IntFlag{Name: "slots", Value: 2},
+			&cli.DurationFlag{Name: "service-time", Value: 10 * time.Millisecond, Usage: "time that a request takes without a 'work' query parameter"},
+			&cli.StringSliceFlag{Name: "entry", Usage: "caller address of an entry; may be repeated"},
+			&cli.StringFlag{Name: "token-file", Usage: "file with the upstream token"},
+			&cli.StringSliceFlag{Name: "idempotent", Usage: "path prefix whose requests are idempotent with any method; may be repeated"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random numbers of failure modes"},
+		},
+		Action: run,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "upstream:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	token, err := settings.ReadToken(c.String("token-file"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	requests, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	control, err := net.Listen("tcp", c.String("control"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	target := newTarget(c.Int("slots"), c.Duration("service-time"), c.Uint64("seed"))
+	server := &http.Server{Handler: target, ReadHeaderTimeout: 5 * time.Second}
+	controlServer := &http.Server{Handler: target.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
+	go serve(server, requests)
+	go serve(controlServer, control)
+	a := newAnnouncer(c.StringSlice("entry"), token, upstream.Announcement{
+		Service: c.String("service"), Address: requests.Addr().String(), Region: c.String("region"),
+		DataCentre: c.String("data-centre"), Slots: c.Int("slots"), State: upstream.Serving,
+		Incarnation: uint64(time.Now().UnixMilli()), EchoesRequestID: true, ProbePath: probePath,
+		Routes: routes(c.StringSlice("idempotent")),
+	})
+	fmt.Printf("listening requests=%s control=%s\n", requests.Addr(), control.Addr())
+	a.run(ctx)
+	return drain(a, target, server)
+}
+
+func routes(idempotent []string) []upstream.Route {
+	var list []upstream.Route
+	for _, prefix := range idempotent {
+		list = append(list, upstream.Route{Method: "*", PathPrefix: prefix, Idempotent: true})
+	}
+	return list
+}
+
+func serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		fmt.Fprintln(os.Stderr, "upstream:", err)
+		os.Exit(1)
+	}
+}
+
+// drain announces draining, waits for requests in flight and then leaves.
+func drain(a *announcer, t *target, s *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), maxDrain)
+	defer cancel()
+	a.setState(ctx, upstream.Draining)
+	select {
+	case <-time.After(drainAnnounced):
+	case <-ctx.Done():
+	}
+	a.setState(ctx, upstream.Leaving)
+	t.release()
+	return trace.Wrap(s.Shutdown(ctx))
+}
--- /dev/null
+++ b/tools/upstream/modes.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+// modeName names a gray failure.
+type modeName string
+
+const (
+	modeNormal     modeName = "normal"
+	modeSlow       modeName = "slow"       // service time times Factor
+	modeErrors     modeName = "errors"     // Share of requests answered with 500
+	modeSilent     modeName = "silent"     // requests are accepted and never answered
+	modeTruncated  modeName = "truncated"  // Share of answers break off
+	modeShed       modeName = "shed"       // Share of requests are refused as not run
+	modeFlapping   modeName = "flapping"   // alternates between silent and normal each Period
+	modeFrozen     modeName = "frozen"     // nothing moves until the mode changes; then all continues
+	modeCold       modeName = "cold"       // service time falls from Factor times to normal over Period
+	modeMisleading modeName = "misleading" // probes succeed, requests fail
+	modeCrossed    modeName = "crossed"    // Share of answers belong to the request before
+	modeDoubled    modeName = "doubled"    // Share of answers are written twice
+)
+
+var knownModes = []modeName{
+	modeNormal, modeSlow, modeErrors, modeSilent, modeTruncated, modeShed,
+	modeFlapping, modeFrozen, modeCold, modeMisleading, modeCrossed, modeDoubled,
+}
+
+// mode is the body of POST /mode.
+type mode struct {
+	Mode   modeName          `json:"mode"`
+	Factor float64           `json:"factor"` // default 10
+	Share  float64           `json:"share"`  // share of requests, 0 to 1; default 1
+	Period settings.Duration `json:"period"` // default 1s
+}
+
+func defaultMode() mode {
+	return mode{Mode: modeNormal, Factor: 10, Share: 1, Period: settings.Duration(time.Second)}
+}
+
+// Check implements settings.Checker.
+func (m *mode) Check(report settings.Report) {
+	known := false
+	for _, name := range knownModes {
+		known = known || name == m.Mode
+	}
+	if !known {
+		report("mode", m.Mode, "want a known mode")
+	}
+	if m.Factor < 0 {
+		report("factor", m.Factor, "want 0 or more")
+	}
+	if m.Share < 0 || m.Share > 1 {
+		report("share", m.Share, "want a number from 0 to 1")
+	}
+	settings.RequireRange(report, "period", m.Period, time.Millisecond, time.Hour)
+}
+
+// current is the mode in force at a time, with flapping and cold start
+// resolved.
+func (m mode) current(since, now time.Time) mode {
+	elapsed := now.Sub(since)
+	period := m.Period.Std()
+	switch m.Mode {
+	case modeFlapping:
+		m.Mode = modeNormal
+		if (elapsed/period)%2 == 0 {
+			m.Mode = modeSilent
+		}
+	case modeCold:
+		if elapsed >= period {
+			m.Mode = modeNormal
+			return m
+		}
+		rest := 1 - float64(elapsed)/float64(period)
+		m.Mode = modeSlow
+		m.Factor = 1 + (m.Factor-1)*rest
+	}
+	return m
+}
+
+// stats is the body of GET /stats.
+type stats struct {
+	Requests    int            `json:"requests"`      // requests that took effect
+	MaxInFlight int            `json:"max_in_flight"` // at one time
+	Probes      int            `json:"probes"`
+	Shed        int            `json:"shed"`
+	Runs        map[string]int `json:"runs"` // effects for each idempotency key
+}
+
+func (t *target) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /mode", t.serveMode)
+	mux.HandleFunc("GET /stats", t.serveStats)
+	return mux
+}
+
+func (t *target) serveMode(w http.ResponseWriter, r *http.Request) {
+	m := defaultMode()
+	raw, err := io.ReadAll(io.LimitReader(r.Body, 4096))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := settings.Parse("mode", raw, &m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.setMode(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *target) serveStats(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	encoded, err := json.Marshal(t.stats)
+	t.mu.Unlock()
+	if err != nil {
+		panic("upstream: statistics cannot be encoded: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoded)
+}
