--- a/internal/upstream/types.go
+++ b/internal/upstream/types.go
@@ -54,4 +54,5 @@
 	Applied  ApplyResult = "applied"  // the record is now current
 	Renewed  ApplyResult = "renewed"  // nothing changed but the lease
 	Outdated ApplyResult = "outdated" // a newer record is known; the announcement was ignored
+	Rejected ApplyResult = "rejected" // the announcement is malformed or meant for another owner
 )
