--- /dev/null
+++ b/internal/entry/probe.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/owner"
+)
+
+const (
+	maxProbeAnswer = 64 << 10 // bytes
+	maxProbeTime   = 5 * time.Second
+)
+
+// probeRequest asks another entry to probe a target.
+type probeRequest struct {
+	Address   string `json:"address"`
+	Path      string `json:"path"`
+	TimeoutMS int64  `json:"timeout_ms"`
+}
+
+// probeReply is the outcome that the other entry saw.
+type probeReply struct {
+	Kind          owner.OutcomeKind `json:"kind"`
+	ServiceTimeMS float64           `json:"service_time_ms"`
+	BytesSent     bool              `json:"bytes_sent"`
+}
+
+// probe runs a probe that the aggregate asked for and reports its outcome.
+func (e *Entry) probe(ctx context.Context, s *slot, a owner.Action) {
+	var outcome owner.Outcome
+	if a.Kind == owner.PeerProbe {
+		outcome = e.probeThroughPeer(ctx, s, a)
+	} else {
+		outcome = probeTarget(ctx, a.Target.Address, a.Target.ProbePath, a.Timeout)
+	}
+	s.service.ProbeResult(a.Probe, outcome)
+}
+
+// probeTarget sends a probe on a fresh connection. A whole answer with a
+// status below 500 is OK.
+func probeTarget(ctx context.Context, address, path string, limit time.Duration) owner.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	started := time.Now()
+	dialer := &net.Dialer{Timeout: limit, Control: setUserTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return owner.Outcome{Kind: owner.Canceled}
+	}
+	r.Header.Set(headerRequestID, newID())
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return probeFailure(ctx, err, time.Since(started))
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeAnswer)); err != nil {
+		return owner.Outcome{Kind: owner.Truncated, ServiceTime: time.Since(started), BytesSent: true}
+	}
+	outcome := owner.Outcome{Kind: owner.OK, ServiceTime: time.Since(started), BytesSent: true}
+	if response.StatusCode >= http.StatusInternalServerError {
+		outcome.Kind = owner.UpstreamError
+	}
+	return outcome
+}
+
+func probeFailure(ctx context.Context, err error, took time.Duration) owner.Outcome {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return owner.Outcome{Kind: owner.ConnectFailed, ServiceTime: took}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return owner.Outcome{Kind: owner.Timeout, ServiceTime: took, BytesSent: true}
+	}
+	if ctx.Err() != nil {
+		return owner.Outcome{Kind: owner.Canceled}
+	}
+	return owner.Outcome{Kind: owner.Truncated, ServiceTime: took, BytesSent: true}
+}
+
+// probeThroughPeer asks another entry of the region. If none answers, the
+// probe says nothing about the target.
+func (e *Entry) probeThroughPeer(ctx context.Context, s *slot, a owner.Action) owner.Outcome {
+	canceled := owner.Outcome{Kind: owner.Canceled}
+	others := lo.Filter(e.ranker.Rank(s.name, e.self.Region), func(m membership.Member, _ int) bool { return m.Name != e.self.Name })
+	if len(others) == 0 {
+		return canceled
+	}
+	body, err := json.Marshal(probeRequest{Address: a.Target.Address, Path: a.Target.ProbePath, TimeoutMS: a.Timeout.Milliseconds()})
+	if err != nil {
+		panic("entry: probe cannot be encoded: " + err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout+ackLimit)
+	defer cancel()
+	var reply probeReply
+	if err := e.postPeer(ctx, others[e.random(len(others))], peerProbePath, body, &reply); err != nil {
+		return canceled
+	}
+	return owner.Outcome{
+		Kind:        reply.Kind,
+		ServiceTime: time.Duration(reply.ServiceTimeMS * float64(time.Millisecond)),
+		BytesSent:   reply.BytesSent,
+	}
+}
+
+func (e *Entry) serveProbe(w http.ResponseWriter, r *http.Request) {
+	var q probeRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxErrorBody)).Decode(&q); err != nil {
+		fault.Write(w, "", fault.New(fault.BadRequest, "probe: "+err.Error()))
+		return
+	}
+	limit := min(time.Duration(q.TimeoutMS)*time.Millisecond, maxProbeTime)
+	outcome := probeTarget(r.Context(), q.Address, q.Path, limit)
+	writeJSON(w, probeReply{
+		Kind:          outcome.Kind,
+		ServiceTimeMS: float64(outcome.ServiceTime) / float64(time.Millisecond),
+		BytesSent:     outcome.BytesSent,
+	})
+}
--- a/tools/upstream/target.go
+++ b/tools/upstream/target.go
@@ -18,7 +18,7 @@
 	headerRequestID = "X-Request-Id"
 	headerKey       = "Idempotency-Key"
 	headerDigest    = "X-Body-Digest"
-	queueFactor     = 2       // requests accepted at once, as a multiple of the slots
+	queueFactor     = 2 // requests accepted at once, as a multiple of the slots
 	doubledOpen     = time.Second
 	maxAnswerBytes  = 8 << 20 // largest answer asked for by the size parameter
 )
