--- /dev/null
+++ b/internal/claims/holder.go
@@ -0,0 +1,47 @@
+package claims
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/sequoialane/sequoialane/internal/membership"
+)
+
+// ErrNotHolder is returned if the attempt does not hold the claim, so that the
+// call had no effect. It is final; the call is not retried.
+var ErrNotHolder = errors.New("claims: the attempt does not hold the claim")
+
+func refusedBy(c command, o outcome) error {
+	return fmt.Errorf("%w: state %s, attempt %s", ErrNotHolder, o.State, c.Attempt)
+}
+
+// HolderName names one run of an entry.
+func HolderName(entry string, incarnation uint64) string {
+	return entry + "/" + strconv.FormatUint(incarnation, 10)
+}
+
+// HolderDead reports whether the members show that the run of the entry that
+// made the holder name has ended. An entry that is missing from the table is
+// not known to be dead.
+func HolderDead(members []membership.Member, holder string) bool {
+	slash := strings.LastIndexByte(holder, '/')
+	if slash < 0 {
+		return false
+	}
+	incarnation, err := strconv.ParseUint(holder[slash+1:], 10, 64)
+	if err != nil {
+		return false
+	}
+	for _, m := range members {
+		if m.Name != holder[:slash] {
+			continue
+		}
+		if m.Incarnation > incarnation {
+			return true
+		}
+		return m.Incarnation == incarnation && (m.State == membership.Dead || m.State == membership.Left)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/claims/key.go
@@ -0,0 +1,113 @@
+package claims
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// ErrKeyForm is returned for an idempotency key that is not a UUID version 7
+// in the 36 character form.
+var ErrKeyForm = errors.New("claims: the idempotency key is not a UUID version 7")
+
+const (
+	canonicalKeyLength = 36 // characters
+	uuidVersion7       = 7
+)
+
+// Key is a parsed idempotency key.
+type Key struct {
+	ID uuid.UUID
+}
+
+// ParseKey reads an idempotency key. Upper and lower case digits name the same
+// key.
+func ParseKey(text string) (Key, error) {
+	if len(text) != canonicalKeyLength {
+		return Key{}, ErrKeyForm
+	}
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return Key{}, ErrKeyForm
+	}
+	if id.Version() != uuidVersion7 || id.Variant() != uuid.RFC4122 {
+		return Key{}, ErrKeyForm
+	}
+	return Key{ID: id}, nil
+}
+
+// NewKey returns a key with the given creation time and random bits.
+func NewKey(created time.Time, random [10]byte) Key {
+	var id uuid.UUID
+	ms := created.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	copy(id[6:], random[:])
+	id[6] = id[6]&0x0f | uuidVersion7<<4
+	id[8] = id[8]&0x3f | 0x80
+	return Key{ID: id}
+}
+
+// String returns the key in lower case.
+func (k Key) String() string { return k.ID.String() }
+
+// CreatedMS returns the creation time in milliseconds since the Unix epoch.
+func (k Key) CreatedMS() int64 {
+	var ms int64
+	for _, b := range k.ID[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+// Created returns the creation time that the key carries.
+func (k Key) Created() time.Time { return time.UnixMilli(k.CreatedMS()) }
+
+// Limits are the time limits of claims. They must be the same on all entries,
+// because each member of a group applies them to the same commands.
+type Limits struct {
+	Retention     time.Duration // age up to which a key may be used
+	ClockError    time.Duration // largest difference between two clocks
+	CallLimit     time.Duration // longest upstream call
+	AnswerBytes   int64         // bytes of stored answers in a group; the oldest are dropped first
+	MaxLeaseTTL   time.Duration // longest lease
+	MaxAnswerSize int           // bytes of one stored answer
+}
+
+// DefaultLimits returns the limits of the design.
+func DefaultLimits() Limits {
+	return Limits{
+		Retention:     time.Hour,
+		ClockError:    30 * time.Second,
+		CallLimit:     10 * time.Minute,
+		AnswerBytes:   64 << 20,
+		MaxLeaseTTL:   10 * time.Second,
+		MaxAnswerSize: 64 << 10,
+	}
+}
+
+// Check panics on limits that no table can work with.
+func (l Limits) Check() {
+	if l.Retention <= 0 || l.ClockError < 0 || l.CallLimit <= 0 || l.MaxLeaseTTL <= 0 {
+		panic(fmt.Sprintf("claims: limits out of range: %+v", l))
+	}
+}
+
+// KeyState returns Expired or TooNew for a key that must be refused at the
+// given time, and an empty state for a usable one.
+func (l Limits) KeyState(k Key, now time.Time) State {
+	return l.keyState(k.CreatedMS(), now.UnixMilli())
+}
+
+func (l Limits) keyState(createdMS, nowMS int64) State {
+	if nowMS-createdMS > (l.Retention + l.ClockError).Milliseconds() {
+		return Expired
+	}
+	if createdMS-nowMS > l.ClockError.Milliseconds() {
+		return TooNew
+	}
+	return ""
+}
--- a/internal/claims/types.go
+++ b/internal/claims/types.go
@@ -20,6 +20,8 @@
 	Undecided State = "unknown"   // the request may have run and is never sent again
 	Conflict  State = "conflict"  // the key was used for a request with other content
 	Expired   State = "expired"   // the key is older than the retention time
+	TooNew    State = "too_new"   // the key was created later than the clock error allows
+	Released  State = "released"  // no attempt holds the claim, or this attempt has given it up
 )
 
 // Request names a claim and the attempt that makes it.
@@ -50,8 +52,10 @@
 }
 
 // Client makes claims. All methods return an error if nothing is known about
-// the outcome of the call; the caller must then treat the request as unknown,
-// unless it sent no byte and the call was the first of its attempt.
+// the outcome of the call; the caller must then treat the request as unknown.
+// Complete, Release and MarkUnknown that returned an error are retried in the
+// background. Once Release was called for an attempt, the attempt never gets
+// the claim, whatever the order in which its calls arrive.
 type Client interface {
 	// Claim asks for the right to send. It never changes an existing claim.
 	Claim(ctx context.Context, r Request) (Result, error)
@@ -60,10 +64,12 @@
 	Complete(ctx context.Context, r Request, a Answer) error
 	// Release frees the key after an attempt that provably sent no byte.
 	Release(ctx context.Context, r Request) error
-	// MarkUnknown records that a byte was sent and no whole answer came.
+	// MarkUnknown records that a byte was sent and no whole answer came. With
+	// an empty Attempt it names the holder that membership found dead.
 	MarkUnknown(ctx context.Context, r Request) error
 	// Wait returns once the claim is no longer running, or with the running
-	// claim when ctx ends.
+	// claim when ctx ends. It never takes a claim: if the key is free, the
+	// state is Released.
 	Wait(ctx context.Context, r Request) (Result, error)
 }
 
--- /dev/null
+++ b/internal/upstreamclient/classify.go
@@ -0,0 +1,73 @@
+package upstreamclient
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+)
+
+// Errors of an attempt.
+var (
+	ErrWrongID = errors.New("upstreamclient: the answer carries another request id")
+	ErrUnsized = errors.New("upstreamclient: the answer has neither a length nor a final chunk")
+	errUpgrade = errors.New("upstreamclient: the target switched protocols")
+)
+
+// classifyAnswer returns the kind of a whole answer, and whether the target
+// says that it did not run the request.
+func classifyAnswer(status int, h http.Header) (kind owner.OutcomeKind, notRun bool) {
+	notRun = status >= http.StatusBadRequest && h.Get(HeaderNotRun) == "1"
+	limited := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if limited && h.Get("Retry-After") != "" || h.Get(HeaderShed) == "1" && status >= http.StatusBadRequest {
+		return owner.Shed, notRun
+	}
+	if status >= http.StatusInternalServerError {
+		return owner.UpstreamError, notRun
+	}
+	return owner.OK, notRun
+}
+
+// classifyError returns the kind of an attempt that ended without a whole
+// answer.
+func classifyError(ctx context.Context, err error, sent, bodyFailed bool) owner.OutcomeKind {
+	if errors.Is(err, ErrWrongID) {
+		return owner.WrongID
+	}
+	if bodyFailed || errors.Is(ctx.Err(), context.Canceled) {
+		return owner.Canceled
+	}
+	if !sent {
+		return owner.ConnectFailed
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || isTimeout(err) {
+		return owner.Timeout
+	}
+	return owner.Truncated
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// checkID compares the id of the answer with the one that was sent. A missing
+// id is accepted from a target that did not announce that it echoes the id.
+func checkID(t upstream.Target, h http.Header, want string) error {
+	got := h.Get(fault.HeaderRequestID)
+	if got == want || got == "" && !t.EchoesRequestID {
+		return nil
+	}
+	return ErrWrongID
+}
+
+// sized reports whether the end of the answer can be told from a break.
+func sized(method string, resp *http.Response) bool {
+	bodyless := method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	chunked := len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+	return bodyless || chunked || resp.ContentLength >= 0
+}
