Add the entry's front, peer API and operator API

Cause: callers, other entries and operators need their end points.

Change: the handlers of the caller port and of the peer port, and the members, upstreams and status answers for operators.

Conclusion: not yet run as a process.

--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/sequoialane/sequoialane/internal/address"
+	"github.com/sequoialane/sequoialane/internal/announce"
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/httpserver"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+func (e *Entry) callerRoutes() http.Handler {
+	announcements := e.announcements()
+	mux := http.NewServeMux()
+	mux.Handle("GET "+address.Path, address.Handler(e.table, e.self.Region, e.ttl))
+	mux.Handle("POST "+announce.Path, requireToken(e.tokens.Upstream, announcements.Handler()))
+	mux.Handle("GET /admin/v1/members", requireToken(e.tokens.Operator, http.HandlerFunc(e.serveMembers)))
+	mux.Handle("GET /admin/v1/upstreams", requireToken(e.tokens.Operator, http.HandlerFunc(e.serveUpstreams)))
+	mux.Handle("GET /admin/v1/status", requireToken(e.tokens.Operator, http.HandlerFunc(e.serveStatus)))
+	mux.HandleFunc("/", e.serveUnknown)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Requests to services bypass the mux, which redirects unclean paths.
+		if len(r.URL.Path) >= len(servicePrefix) && r.URL.Path[:len(servicePrefix)] == servicePrefix {
+			e.serveCaller(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) announcements() *announce.Service {
+	return &announce.Service{Self: e.self.Name, Ranker: e.ranker, Local: e.services, Forward: e}
+}
+
+func (e *Entry) serveUnknown(w http.ResponseWriter, r *http.Request) {
+	q := &request{id: newID(), keyed: len(r.Header.Values(headerKey)) > 0}
+	writeError(w, q, refuse(fault.New(fault.UnknownService, "want a path /s/{service}/...")))
+}
+
+// requireToken lets requests with the bearer token through.
+func requireToken(token string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if token == "" || subtle.ConstantTimeCompare([]byte(bearer(r.Header)), []byte(token)) != 1 {
+			fault.Write(w, "", fault.New(fault.Unauthorized, "the bearer token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// serveCaller handles one request of a caller.
+func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	started := time.Now()
+	ctx, span := telemetry.Start(telemetry.Extract(r.Context(), r.Header), "entry.request")
+	defer span.End()
+	q, refused := e.accept(w, r)
+	span.SetAttributes(attribute.String("request_id", q.id), attribute.String("service", q.service))
+	var answer *Answer
+	if refused == nil {
+		ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(deadlineGrace))
+		defer cancel()
+		answer, refused = e.route(ctx, q)
+	}
+	countRequest(sideCaller, outcomeOf(refused))
+	defer func() { duration.Update(since(started)) }()
+	finish(w, q, answer, refused)
+}
+
+// finish writes the answer or the refusal. An answer that breaks off after its
+// first bytes ends in an aborted connection.
+func finish(w http.ResponseWriter, q *request, answer *Answer, refused *refusal) {
+	if refused != nil {
+		writeError(w, q, refused)
+		return
+	}
+	defer answer.close()
+	if _, err := writeAnswer(w, q, answer); err != nil {
+		aborted.Inc()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// accept reads and checks a request of a caller. The returned request holds at
+// least the id, also beside a refusal.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	id, err := requestID(r.Header)
+	q := &request{
+		id:       id,
+		keyed:    len(r.Header.Values(headerKey)) > 0,
+		method:   r.Method,
+		query:    r.URL.RawQuery,
+		header:   r.Header,
+		received: e.clock.Now(),
+	}
+	if err != nil {
+		return q, refuse(err)
+	}
+	for _, check := range []func() *fault.Error{
+		func() *fault.Error { return checkHead(r) },
+		func() *fault.Error { return q.readHead(r, servicePrefix) },
+		func() *fault.Error { return e.authorize(q, r) },
+	} {
+		if err := check(); err != nil {
+			return q, refuse(err)
+		}
+	}
+	removeConnectionHeaders(q.header)
+	removeFleetHeaders(q.header)
+	if q.body, err = readBody(w, r, q.keyed); err != nil {
+		return q, refuse(err)
+	}
+	return q, nil
+}
+
+func checkHead(r *http.Request) *fault.Error {
+	if headerBytes(r) > httpserver.MaxHeaderBytes {
+		return fault.Newf(fault.HeaderTooLarge, "the headers have more than %d bytes", httpserver.MaxHeaderBytes)
+	}
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return fault.New(fault.BadRequest, "the method is not supported")
+	}
+	return nil
+}
+
+// readHead reads service, path, key and deadline.
+func (q *request) readHead(r *http.Request, prefix string) *fault.Error {
+	var err *fault.Error
+	if q.service, q.path, err = splitPath(r, prefix); err != nil {
+		return err
+	}
+	if q.key, err = key(r.Header); err != nil {
+		return err
+	}
+	limit, err := timeout(r.Header)
+	if err != nil {
+		return err
+	}
+	q.deadline = q.received.Add(limit)
+	return nil
+}
+
+// authorize finds the plan of the token and its entitlement to the service.
+func (e *Entry) authorize(q *request, r *http.Request) *fault.Error {
+	if e.isolated() {
+		return fault.New(fault.Isolated, "this entry cannot tell whether its plans are current").WithRetryAfter(time.Second)
+	}
+	snapshot := e.catalog.Current()
+	if snapshot == nil {
+		return fault.New(fault.Isolated, "this entry has no plans yet").WithRetryAfter(time.Second)
+	}
+	holder, ok := snapshot.Authenticate(bearer(r.Header))
+	if !ok {
+		return fault.New(fault.Unauthorized, "the bearer token belongs to no plan")
+	}
+	entitlement, ok := snapshot.Entitlement(holder.ID, q.service)
+	if !ok {
+		return fault.New(fault.NotEntitled, "the plan is not entitled to this service")
+	}
+	q.plan, q.entitlement = holder, entitlement
+	q.header.Del("Authorization")
+	return nil
+}
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -69,6 +69,7 @@
 		return
 	}
 	t.lastHeard[from.DataCentre] = now
+	r.heard = now
 	r.Load = from.Load
 	t.noteVersion(version{from.Name, from.Incarnation, from.CatalogVersion})
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -51,6 +51,7 @@
 
 type record struct {
 	Member
+	heard    time.Time // last datagram or exchange from the member itself
 	since    time.Time // time of the last change of state
 	deadline time.Time // a suspect member is declared dead then
 }
@@ -131,6 +132,23 @@
 	return heard
 }
 
+// Seen is another member and when it was last heard.
+type Seen struct {
+	Member
+	LastHeard time.Time // last datagram or exchange from the member itself; zero: never
+}
+
+// Others returns all other members, in no order.
+func (t *Table) Others() []Seen {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Seen, 0, len(t.records))
+	for _, r := range t.records {
+		list = append(list, Seen{r.Member, r.heard})
+	}
+	return list
+}
+
 // SetLoad sets the load that this member reports.
 func (t *Table) SetLoad(load float64) {
 	t.mu.Lock()
@@ -216,6 +234,9 @@
 		m.CatalogVersion = max(m.CatalogVersion, old.CatalogVersion)
 	}
 	r := &record{Member: m, since: now}
+	if old != nil {
+		r.heard = old.heard
+	}
 	if m.State == Suspect {
 		r.deadline = now.Add(t.suspicionTime())
 	}
