Decide health, size classes, admission and limits in the owner aggregate

Cause: every serving target counted as healthy, and the queue had no deadline.

Ruled out: fixed counts of failures in a row, which straggler pairs on targets with two slots reach hundreds of times an hour; a window of latencies alone, which hears nothing from a silent target.

Change: health (likelihood ratio against the other targets, evidence of one window counted as correlated, confirmation by probes, floor, doubling time out, trials), schedule (learned sizes, limits, choice of target, expected wait, rates), retry (hedge decision), and the owner aggregate over them.

Conclusion: table and property tests of registry and health pass; the aggregate has not been measured yet.

--- /dev/null
+++ b/internal/health/eject_test.go
@@ -0,0 +1,146 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Date(2025, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// Guards against an ejection that takes healthy capacity below the floor,
+// whatever the evidence, with and without the lease.
+func TestEjectionsKeepTheFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []Candidate
+		announced := 0
+		for i := range rapid.IntRange(0, 30).Draw(t, "targets") {
+			c := Candidate{
+				Address: fmt.Sprint(i),
+				Slots:   rapid.IntRange(1, 9).Draw(t, "slots"),
+				Out:     rapid.Bool().Draw(t, "out"),
+				Wanted:  rapid.Bool().Draw(t, "wanted"),
+				Score:   rapid.Float64Range(0, 20).Draw(t, "score"),
+			}
+			announced += c.Slots
+			candidates = append(candidates, c)
+		}
+		percent := rapid.IntRange(0, 100).Draw(t, "percent")
+		lease := rapid.Bool().Draw(t, "lease")
+		out := Ejections(candidates, percent, lease)
+		if !lease {
+			assert.Empty(t, out)
+		}
+		healthy := announced
+		for _, c := range candidates {
+			if contains(out, c.Address) {
+				healthy -= c.Slots
+				assert.True(t, c.Out || c.Wanted)
+			}
+		}
+		assert.GreaterOrEqual(t, healthy*100, announced*percent)
+	})
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against the least bad targets being ejected before the worst.
+func TestWorstTargetsGoFirst(t *testing.T) {
+	candidates := []Candidate{
+		{Address: "a", Slots: 2, Wanted: true, Score: 17},
+		{Address: "b", Slots: 2, Wanted: true, Score: 20},
+		{Address: "c", Slots: 2, Out: true, Score: 16},
+	}
+	assert.Equal(t, []string{"b"}, Ejections(candidates, 50, true))
+}
+
+// Guards against a target that flaps and returns each time after the first
+// time out, and against a return on fewer trials than required.
+func TestTimeOutDoublesForRelapses(t *testing.T) {
+	target := &Target{}
+	now := t0
+	for i, want := range []time.Duration{5, 10, 20, 40, 80, 120, 120} {
+		target.Eject(now)
+		assert.False(t, target.Advance(Peers{}, now.Add(want*time.Second-1)), "ejection %d", i)
+		now = now.Add(want * time.Second)
+		assert.True(t, target.Advance(Peers{}, now), "ejection %d", i)
+		for range allTrials - 1 {
+			returned, _ := target.EndTrial(Good, now)
+			assert.False(t, returned)
+		}
+		returned, _ := target.EndTrial(Good, now)
+		assert.True(t, returned)
+	}
+	now = now.Add(MaxTimeOut + 1)
+	target.Eject(now)
+	assert.True(t, target.Advance(Peers{}, now.Add(FirstTimeOut)), "after a long healthy time")
+}
+
+func TestEvidence(t *testing.T) {
+	cases := []struct {
+		desc      string
+		bad, good int // alternating, in one window of each step
+		base      float64
+		steps     int
+		condemned bool
+	}{
+		{"one straggler", 1, 0, 0.01, 1, false},
+		{"one pause that delays all slots", 40, 0, 0.01, 1, false},
+		{"two pauses", 40, 0, 0.01, 2, false},
+		{"always slow", 1, 0, 0.01, 5, true},
+		{"half of the requests fail", 2, 2, 0.01, 5, true},
+		{"as bad as the other targets", 1, 2, 0.35, 50, false},
+		{"one in a hundred", 1, 99, 0.01, 50, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			target := &Target{}
+			now := t0
+			for range tc.steps {
+				for range tc.good {
+					target.Observe(Good, now)
+				}
+				for range tc.bad {
+					target.Observe(Slow, now)
+				}
+				now = now.Add(WindowLength)
+				target.Advance(Peers{BadRate: tc.base}, now)
+			}
+			assert.Equal(t, tc.condemned, target.Condemned())
+		})
+	}
+}
+
+// Guards against an ejection for a fault of the path, which the owner cannot
+// mend by using the other targets of a cut off region.
+func TestPathFaultNeedsAnAnswerToAPeer(t *testing.T) {
+	target := &Target{}
+	target.Silence(t0)
+	assert.False(t, target.PathFault(t0))
+	target.PeerProbed(false, t0)
+	assert.False(t, target.PathFault(t0))
+	target.PeerProbed(true, t0)
+	assert.True(t, target.PathFault(t0))
+	assert.False(t, target.PathFault(t0.Add(peerValidity)))
+	target.Observe(Failed, t0)
+	assert.False(t, target.PathFault(t0), "the target answers")
+}
+
+// Guards against load that slows all targets being held against one of them.
+func TestSlownessOfAllIsNotOfOne(t *testing.T) {
+	const expected = 50 * time.Millisecond
+	assert.Equal(t, 200*time.Millisecond, SlowAfter(expected, Peers{Level: 1}))
+	assert.Equal(t, time.Second, SlowAfter(expected, Peers{Level: 5}))
+	assert.Equal(t, 3*time.Second, SilentAfter(expected, 1000, Peers{Level: 1}))
+	assert.Equal(t, time.Second, SilentAfter(expected, 1, Peers{Level: 1}))
+}
--- /dev/null
+++ b/internal/health/evidence.go
@@ -0,0 +1,76 @@
+// Package health decides from the evidence of real requests and probes which
+// targets of a service are at fault. Its types work on values only and are
+// not safe for concurrent use.
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// Evidence is what one attempt or probe says about its target.
+type Evidence int
+
+// The kinds of evidence.
+const (
+	Good        Evidence = iota
+	Slow                 // much slower than requests of its size on the other targets
+	Failed               // a whole answer that is an error, or a wrong or truncated one
+	Unreachable          // no connection or no answer
+	Overdue              // no answer yet, after the time from which a request is slow
+)
+
+// String returns the reason that the evidence gives for an ejection.
+func (e Evidence) String() string {
+	switch e {
+	case Slow, Overdue:
+		return "slow"
+	case Failed:
+		return "failing"
+	case Unreachable:
+		return "unreachable"
+	default:
+		return "good"
+	}
+}
+
+// Parameters of the test. A target is judged by the log-likelihood ratio of
+// "half of its requests go wrong" against "as many go wrong as on the other
+// targets", summed up and never below zero (CUSUM).
+const (
+	faultRate   = 0.5  // share of bad requests on a target at fault
+	minBaseRate = 0.02 // stragglers alone make 1% of requests bad
+	maxBaseRate = 0.3  // above it, the targets cannot be told apart
+
+	// WindowLength is the time within which evidence is taken as correlated:
+	// one pause of a process delays all requests in its slots.
+	WindowLength = 200 * time.Millisecond
+	windowBad    = 2 // bad requests of a window that count
+
+	suspectScore = 5  // two bad requests in a row
+	ejectScore   = 16 // five bad requests in a row: 1 in 10^8 with 2% bad
+	maxScore     = 20 // bounds the time to recover
+
+	silenceWeight   = 6 // a request that has heard nothing for the longest expected time
+	badProbeWeight  = 6
+	busyProbeWeight = 2 // the probe may have waited behind the requests in the slots
+	goodProbeWeight = 2 // probes may be answered while requests are not
+)
+
+// windowScore returns the log-likelihood ratio of the evidence of one window.
+// If more than windowBad requests were bad, the counts are scaled down to that
+// number, since they may have one cause.
+func windowScore(good, bad int, base float64) float64 {
+	base = max(base, minBaseRate)
+	if base >= maxBaseRate {
+		return 0
+	}
+	g, b := float64(good), float64(bad)
+	if bad > windowBad {
+		g *= windowBad / b
+		b = windowBad
+	}
+	return b*math.Log(faultRate/base) + g*math.Log((1-faultRate)/(1-base))
+}
+
+func clampScore(score float64) float64 { return min(max(score, 0), maxScore) }
--- /dev/null
+++ b/internal/health/target.go
@@ -0,0 +1,230 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// State is the health state of a target.
+type State string
+
+// The states.
+const (
+	Healthy State = "healthy"
+	Suspect State = "suspect" // used after healthy targets
+	Avoided State = "avoided" // the path to it is at fault; used last
+	Ejected State = "ejected" // gets no work
+	Trial   State = "trial"   // ejected, and gets one trial at a time
+)
+
+// Times of ejection and return.
+const (
+	FirstTimeOut = 5 * time.Second
+	MaxTimeOut   = 2 * time.Minute
+	probeRest    = time.Second // between good probes of a suspect
+	idleProbe    = 5 * time.Second
+	noRequests   = 5 * time.Second // after which a trial goes on with probes only
+	peerInterval = 2 * time.Second // between probes of a target by a peer
+	peerValidity = 3 * time.Second // how long the result of a peer's probe counts
+
+	// PeerProbeWait is how long an ejection waits for the probe of a peer.
+	PeerProbeWait = 500 * time.Millisecond
+)
+
+// Trials that must succeed, one after another, before a target returns.
+const (
+	probeTrials = 2
+	allTrials   = 4
+)
+
+// Target is the health of one target. The zero value is a healthy target
+// without evidence.
+type Target struct {
+	state  State
+	reason Evidence
+	score  float64 // score of the closed windows
+
+	good, bad  int // requests of the open window
+	windowFrom time.Time
+	peers      Peers
+
+	badRate  float64 // moving average, for comparison
+	level    float64 // moving median of ln(service time by expected time)
+	samples  int
+	heard    time.Time // last answer to a request or probe, good or bad
+	answered bool      // the last evidence was an answer
+
+	timeOut    time.Duration
+	retryAt    time.Time
+	trialSince time.Time
+	returnedAt time.Time
+	trials     int  // successful trials in a row
+	trialBusy  bool // a trial is under way
+
+	probing   bool
+	nextProbe time.Time
+	peerOK    time.Time // last good probe of a peer
+	peerAsked time.Time
+}
+
+// State returns the state.
+func (t *Target) State() State {
+	if t.state == "" {
+		return Healthy
+	}
+	return t.state
+}
+
+// Reason returns the last bad evidence.
+func (t *Target) Reason() Evidence { return t.reason }
+
+// Score returns how strong the evidence against the target is.
+func (t *Target) Score() float64 {
+	return clampScore(t.score + windowScore(t.good, t.bad, t.peers.BadRate))
+}
+
+// Peers returns what the target is compared with.
+func (t *Target) Peers() Peers { return t.peers }
+
+func (t *Target) out() bool { return t.state == Ejected || t.state == Trial }
+
+// Out reports whether the target is ejected.
+func (t *Target) Out() bool { return t.out() }
+
+// Observe takes in the evidence of a request. It reports whether the state
+// changed.
+func (t *Target) Observe(e Evidence, now time.Time) bool {
+	t.noteSample(e, now)
+	if t.out() {
+		return false
+	}
+	if e == Good {
+		t.good++
+	} else {
+		t.bad++
+		t.reason = e
+	}
+	return t.updateSuspicion(now)
+}
+
+// Recant takes back bad evidence of a request whose answer turned out good.
+func (t *Target) Recant(now time.Time) {
+	if t.out() {
+		return
+	}
+	if t.bad > 0 {
+		t.bad--
+	} else {
+		t.score = clampScore(t.score - windowScore(0, 1, t.peers.BadRate))
+	}
+	t.updateSuspicion(now)
+}
+
+// Silence takes in that a request has heard nothing for the time of
+// SilentAfter. It reports whether the state changed.
+func (t *Target) Silence(now time.Time) bool {
+	if t.out() {
+		return false
+	}
+	t.answered = false
+	t.reason = Unreachable
+	t.score = clampScore(t.score + silenceWeight)
+	return t.updateSuspicion(now)
+}
+
+// RecantSilence takes back a silence that ended with a whole answer.
+func (t *Target) RecantSilence(now time.Time) {
+	if t.out() {
+		return
+	}
+	t.score = clampScore(t.score - silenceWeight)
+	t.updateSuspicion(now)
+}
+
+// Latency takes in the service time of a whole answer by its expected time.
+func (t *Target) Latency(ratio float64) {
+	const step = 0.1
+	x := math.Log(max(ratio, 0.01))
+	if t.samples <= 1 {
+		t.level = x
+		return
+	}
+	if x > t.level {
+		t.level += step
+	} else {
+		t.level -= step
+	}
+}
+
+func (t *Target) noteSample(e Evidence, now time.Time) {
+	const weight = 1.0 / 32
+	t.samples++
+	value := 1.0
+	if e == Good {
+		value = 0
+	}
+	t.badRate += (value - t.badRate) * max(weight, 1/float64(t.samples))
+	t.answered = isAnswer(e)
+	if t.answered {
+		t.heard = now
+	}
+}
+
+func isAnswer(e Evidence) bool { return e != Unreachable && e != Overdue }
+
+func (t *Target) updateSuspicion(now time.Time) bool {
+	score := t.Score()
+	switch {
+	case t.State() == Healthy && score >= suspectScore:
+		t.state = Suspect
+		t.nextProbe = now
+		return true
+	case t.state == Suspect && score < 1:
+		t.state = Healthy
+		return true
+	case t.state == Avoided && score < 1:
+		t.state = Healthy
+		return true
+	}
+	return false
+}
+
+// Advance closes the window when its time has passed and takes in what the
+// other targets do. It reports whether the state changed.
+func (t *Target) Advance(peers Peers, now time.Time) bool {
+	t.peers = peers
+	if now.Sub(t.windowFrom) >= WindowLength {
+		t.score = t.Score()
+		t.good, t.bad = 0, 0
+		t.windowFrom = now
+	}
+	if t.state == Ejected && !now.Before(t.retryAt) {
+		t.state = Trial
+		t.trialSince = now
+		t.trials = 0
+		t.trialBusy = false
+		return true
+	}
+	if t.out() {
+		return false
+	}
+	return t.updateSuspicion(now)
+}
+
+// Condemned reports whether the evidence is enough for an ejection.
+func (t *Target) Condemned() bool { return !t.out() && t.Score() >= ejectScore }
+
+// PathFault reports whether the evidence is a lack of answers while a peer
+// gets answers from the target.
+func (t *Target) PathFault(now time.Time) bool {
+	return !t.answered && !t.peerOK.IsZero() && now.Sub(t.peerOK) < peerValidity
+}
+
+// AwaitsPeer reports whether the result of a peer's probe may still come and
+// tell a fault of the path from a fault of the target.
+func (t *Target) AwaitsPeer(now time.Time) bool {
+	return !t.answered && !t.peerAsked.IsZero() && now.Sub(t.peerAsked) < PeerProbeWait
+}
+
+// Avoid orders the target last because the path to it is at fault.
+func (t *Target) Avoid() { t.state = Avoided }
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sequoialane/sequoialane/internal/health"
 	"github.com/sequoialane/sequoialane/internal/upstream"
 )
 
@@ -15,7 +16,8 @@
 	Probe     ActionKind = "probe"      // probe the target on a fresh connection
 	PeerProbe ActionKind = "peer_probe" // ask another entry to probe the target
 	Suspected ActionKind = "suspected"
-	Cleared   ActionKind = "cleared" // a suspicion was not confirmed
+	Cleared   ActionKind = "cleared"    // a suspicion was not confirmed
+	PathFault ActionKind = "path_fault" // only the path to the target is at fault; it is ordered last
 	Ejected   ActionKind = "ejected"
 	Trying    ActionKind = "trying" // an ejected target gets trials
 	Returned  ActionKind = "returned"
@@ -31,31 +33,15 @@
 	Reason  string        // for changes of state
 }
 
-// ProbeResult reports the end of a probe. Kind OK means a whole answer with a
-// status below 500.
-func (s *Service) ProbeResult(probe uint64, o Outcome) {
-}
-
-// ExpectedWait returns how long the request would wait for a slot now. The
-// caller compares it with the deadline to decide on spill-over.
-func (s *Service) ExpectedWait(r Request) time.Duration {
-	return 0
-}
-
-// HedgeDelay returns how long an attempt of the request may hear nothing
-// before a fresh connection or a hedge is tried.
-func (s *Service) HedgeDelay(r Request) time.Duration {
-	return 500 * time.Millisecond
-}
-
 // TargetView is the state of a target for the operator API.
 type TargetView struct {
 	Address     string         `json:"address"`
 	DataCentre  string         `json:"data_centre"`
 	Incarnation uint64         `json:"incarnation"`
 	Announced   upstream.State `json:"announced"`
-	Health      string         `json:"health"`
-	Reason      string         `json:"reason,omitempty"`
+	Health      health.State   `json:"health"`
+	Reason      string         `json:"reason,omitempty"` // last evidence against it
+	Score       float64        `json:"score"`            // strength of that evidence
 	Slots       int            `json:"slots"`
 	Limit       int            `json:"limit"` // slots in use at most
 	InFlight    int            `json:"in_flight"`
@@ -66,7 +52,7 @@
 	Service       string       `json:"service"`
 	Region        string       `json:"region"`
 	FloorSlots    int          `json:"floor_slots"`
-	HealthySlots  int          `json:"healthy_slots"`
+	HealthySlots  int          `json:"healthy_slots"` // slots of serving targets that are not ejected
 	EjectionLease bool         `json:"ejection_lease"`
 	Queued        int          `json:"queued"`
 	Targets       []TargetView `json:"targets"`
@@ -76,18 +62,41 @@
 func (s *Service) Snapshot() View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	view := View{Service: s.cfg.Service, Region: s.cfg.Region, Queued: s.queue.Len()}
-	for _, a := range s.registry.Targets() {
-		view.Targets = append(view.Targets, TargetView{
-			Address:     a.Address,
-			DataCentre:  a.DataCentre,
-			Incarnation: a.Incarnation,
-			Announced:   s.registry.State(a.Address),
-			Health:      "healthy",
-			Slots:       a.Slots,
-			Limit:       a.Slots,
-			InFlight:    s.target(a.Address).inFlight,
-		})
+	now := s.cfg.Clock.Now()
+	view := View{
+		Service:       s.cfg.Service,
+		Region:        s.cfg.Region,
+		EjectionLease: s.holdsLease(now),
+		Queued:        s.queue.Len(),
+	}
+	announced := 0
+	for _, t := range s.targets {
+		if s.registry.Availability(t.record.Address, now) == upstream.Usable {
+			announced += t.record.Slots
+			if !t.health.Out() {
+				view.HealthySlots += t.record.Slots
+			}
+		}
+		view.Targets = append(view.Targets, s.targetView(t, now))
+	}
+	view.FloorSlots = health.FloorSlots(announced, s.cfg.FloorPercent)
+	return view
+}
+
+func (s *Service) targetView(t *target, now time.Time) TargetView {
+	view := TargetView{
+		Address:     t.record.Address,
+		DataCentre:  t.record.DataCentre,
+		Incarnation: t.record.Incarnation,
+		Announced:   s.registry.State(t.record.Address),
+		Health:      t.health.State(),
+		Score:       t.health.Score(),
+		Slots:       t.record.Slots,
+		Limit:       t.slots(now),
+		InFlight:    t.inFlight,
+	}
+	if t.health.Reason() != health.Good {
+		view.Reason = t.health.Reason().String()
 	}
 	return view
 }
--- /dev/null
+++ b/internal/owner/done.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/health"
+)
+
+// Done ends an attempt: it frees the slot and takes in the evidence. A second
+// call for the same attempt has no effect.
+func (s *Service) Done(g Grant, o Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done(g, o, s.cfg.Clock.Now())
+}
+
+func (s *Service) done(g Grant, o Outcome, now time.Time) {
+	a, ok := s.attempts[g.Attempt]
+	if !ok {
+		return
+	}
+	delete(s.attempts, g.Attempt)
+	held := now.Sub(a.started)
+	if o.ServiceTime <= 0 {
+		o.ServiceTime = held
+	}
+	s.followLimit(a, o, now)
+	s.judge(a, o, now)
+	a.target.inFlight--
+	a.ticket.live--
+	if a.long {
+		s.long--
+	}
+	s.account(a, o, held, now)
+	s.dispatch(now)
+}
+
+// account charges the slot time to the plan and learns the size.
+func (s *Service) account(a *attempt, o Outcome, held time.Duration, now time.Time) {
+	r := a.ticket.request
+	if a.hedge {
+		s.queue.Charge(r.Plan, held)
+	} else {
+		s.queue.Finished(r.Plan, a.ticket.job.Cost, held)
+	}
+	s.metrics.slotTime.Update(held.Seconds())
+	s.metrics.outcome(o.Kind)
+	if o.Kind != Canceled {
+		s.sizes.Occupied(r.Route, r.Plan, held)
+	}
+	if o.Kind == OK {
+		s.sizes.Learn(r.Route, r.Plan, o.ServiceTime, now)
+		s.budget.Success()
+	}
+}
+
+func (s *Service) followLimit(a *attempt, o Outcome, now time.Time) {
+	switch o.Kind {
+	case OK:
+		a.target.limit.Good(a.target.record.Slots, now)
+	case Shed:
+		a.target.limit.Shed(a.target.inFlight, now)
+	}
+}
+
+// judge takes in what the outcome says about the target.
+func (s *Service) judge(a *attempt, o Outcome, now time.Time) {
+	t := a.target
+	evidence, counts := s.evidence(a, o)
+	if a.trial {
+		s.endTrial(a, evidence, counts, now)
+		return
+	}
+	before := t.health.State()
+	whole := o.Kind == OK
+	if whole && a.silent {
+		t.health.RecantSilence(now)
+	}
+	if whole && a.overdue && evidence == health.Good {
+		t.health.Recant(now)
+	}
+	if counts {
+		t.health.Observe(evidence, now)
+	}
+	if whole {
+		t.health.Latency(o.ServiceTime.Seconds() / a.size.Typical.Seconds())
+	}
+	s.noteChange(t, before)
+}
+
+// evidence returns what the outcome says, and whether it counts. What went
+// wrong on another target before is the doing of the request.
+func (s *Service) evidence(a *attempt, o Outcome) (evidence health.Evidence, counts bool) {
+	slow := o.ServiceTime > health.SlowAfter(a.size.Typical, a.target.health.Peers())
+	t := a.ticket
+	switch o.Kind {
+	case OK:
+		if !slow {
+			return health.Good, true
+		}
+		counts = !a.overdue && !t.slow
+		t.slow = true
+		return health.Slow, counts
+	case Canceled:
+		counts = slow && !a.overdue && !t.slow
+		t.slow = t.slow || slow
+		return health.Slow, counts
+	case Timeout:
+		counts = slow && !a.overdue && !t.slow
+		t.slow = true
+		return health.Unreachable, counts
+	case UpstreamError, Truncated, WrongID:
+		counts = !t.failed
+		t.failed = true
+		return health.Failed, counts
+	case ConnectFailed:
+		return health.Unreachable, true
+	default:
+		return health.Good, false
+	}
+}
+
+func (s *Service) endTrial(a *attempt, evidence health.Evidence, counts bool, now time.Time) {
+	t := a.target
+	if !counts && evidence != health.Slow {
+		t.health.AbortTrial()
+		return
+	}
+	s.finishTrial(t, func() (bool, bool) { return t.health.EndTrial(evidence, now) })
+}
+
+// finishTrial runs end and reports a return or a new ejection. A target that
+// returns starts with a small share of its slots.
+func (s *Service) finishTrial(t *target, end func() (returned, changed bool)) {
+	before := t.health.State()
+	returned, _ := end()
+	if returned {
+		t.limit.Start(t.record.Slots, false)
+	}
+	s.noteChange(t, before)
+}
+
+// judgeOverdue takes in what attempts in flight say by hearing nothing.
+func (s *Service) judgeOverdue(now time.Time) {
+	for _, a := range s.attempts {
+		age := now.Sub(a.started)
+		peers := a.target.health.Peers()
+		if a.trial || age <= health.SlowAfter(a.size.Typical, peers) {
+			continue
+		}
+		before := a.target.health.State()
+		if !a.overdue {
+			s.markOverdue(a, now)
+		}
+		if !a.silent && age > health.SilentAfter(a.size.Typical, s.sizes.Tail(), peers) {
+			a.silent = true
+			a.target.health.Silence(now)
+		}
+		s.noteChange(a.target, before)
+	}
+}
+
+// markOverdue makes the attempt count as long work and as a slow request.
+func (s *Service) markOverdue(a *attempt, now time.Time) {
+	a.overdue = true
+	if !a.long {
+		a.long = true
+		s.long++
+	}
+	if a.ticket.slow {
+		return // it was slow on another target before
+	}
+	a.ticket.slow = true
+	a.target.health.Observe(health.Overdue, now)
+}
--- /dev/null
+++ b/internal/owner/metrics.go
@@ -0,0 +1,54 @@
+package owner
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+)
+
+// serviceMetrics holds the metrics of one service and region.
+type serviceMetrics struct {
+	labels      string
+	submitted   *metrics.Counter
+	granted     *metrics.Counter
+	retries     *metrics.Counter
+	hedges      *metrics.Counter
+	budgetSpent *metrics.Counter
+	probes      *metrics.Counter
+	expired     *metrics.Counter
+	queueWait   *metrics.Histogram
+	slotTime    *metrics.Histogram
+}
+
+func newServiceMetrics(service, region string) *serviceMetrics {
+	labels := fmt.Sprintf("service=%q,region=%q", service, region)
+	counter := func(name string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf("sequoialane_owner_%s_total{%s}", name, labels))
+	}
+	histogram := func(name string) *metrics.Histogram {
+		return metrics.GetOrCreateHistogram(fmt.Sprintf("sequoialane_owner_%s_seconds{%s}", name, labels))
+	}
+	return &serviceMetrics{
+		labels:      labels,
+		submitted:   counter("submitted"),
+		granted:     counter("granted"),
+		retries:     counter("retries"),
+		hedges:      counter("hedges"),
+		budgetSpent: counter("retries_over_budget"),
+		probes:      counter("probes"),
+		expired:     counter("targets_expired"),
+		queueWait:   histogram("queue_wait"),
+		slotTime:    histogram("slot"),
+	}
+}
+
+func (m *serviceMetrics) count(name, label, value string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("sequoialane_owner_%s_total{%s,%s=%q}", name, m.labels, label, value)).Inc()
+}
+
+func (m *serviceMetrics) refused(kind fault.Kind)  { m.count("refused", "kind", string(kind)) }
+func (m *serviceMetrics) outcome(kind OutcomeKind) { m.count("outcomes", "kind", string(kind)) }
+func (m *serviceMetrics) ejected(reason string)    { m.count("ejections", "reason", reason) }
+func (m *serviceMetrics) change(kind ActionKind)   { m.count("health_changes", "to", string(kind)) }
--- /dev/null
+++ b/internal/schedule/admit.go
@@ -0,0 +1,80 @@
+package schedule
+
+import "time"
+
+// Load is the work before a new request.
+type Load struct {
+	Slots    int           // slots that may be used
+	Free     int           // slots that are free now
+	Residual time.Duration // expected time until the next slot is free
+	Backlogs []Backlog
+}
+
+// Arrival is a request that asks for admission.
+type Arrival struct {
+	Plan        string
+	Weight      int
+	Concurrency int
+	Size        Size
+}
+
+// ExpectedWait returns how long the arrival would wait for a slot: the time
+// until its plan has been served up to it, while each other plan is served its
+// queued work or its share, whichever is less.
+func ExpectedWait(load Load, a Arrival) time.Duration {
+	own, inFlight := ownBacklog(load, a.Plan)
+	if load.Slots < 1 {
+		return time.Hour
+	}
+	limited := a.Concurrency > 0 && inFlight >= a.Concurrency
+	if load.Free > 0 && own.Queued == 0 && !limited {
+		return 0
+	}
+	slots := float64(load.Slots)
+	if a.Size.Class == Long {
+		slots = float64(LongSlots(load.Slots))
+	}
+	weight := float64(max(a.Weight, 1))
+	before := own.Work
+	for _, b := range load.Backlogs {
+		if b.Plan != a.Plan {
+			share := time.Duration(float64(own.Work+a.Size.Mean) * b.Weight / weight)
+			before += min(b.Work, share)
+		}
+	}
+	wait := time.Duration(float64(before)/slots) + load.Residual
+	if a.Concurrency > 0 {
+		wait = max(wait, concurrencyWait(own, inFlight, a))
+	}
+	return wait
+}
+
+func ownBacklog(load Load, plan string) (Backlog, int) {
+	for _, b := range load.Backlogs {
+		if b.Plan == plan {
+			return b, b.InFlight
+		}
+	}
+	return Backlog{}, 0
+}
+
+// concurrencyWait is the wait for the plan's own limit of concurrency.
+func concurrencyWait(own Backlog, inFlight int, a Arrival) time.Duration {
+	if inFlight < a.Concurrency && own.Queued == 0 {
+		return 0
+	}
+	return (own.Work + a.Size.Mean/2) / time.Duration(a.Concurrency)
+}
+
+// InTime reports whether a request that waits this long is answered before its
+// deadline in nine of ten cases. If not, it returns after which time a retry
+// may be admitted.
+func InTime(wait, left time.Duration, size Size) (ok bool, retryAfter time.Duration) {
+	needed := wait + size.High
+	if needed <= left {
+		return true, 0
+	}
+	return false, min(max(needed-left, minRetryAfter), wait+minRetryAfter)
+}
+
+const minRetryAfter = 50 * time.Millisecond
--- a/internal/schedule/fair.go
+++ b/internal/schedule/fair.go
@@ -64,15 +64,27 @@
 
 // Push appends the job to the work of its plan.
 func (q *FairQueue) Push(j *Job) {
+	p := q.prepare(j)
+	p.jobs[j.Class] = append(p.jobs[j.Class], j)
+}
+
+// PushFront puts the job before the other work of its plan and class. It is
+// meant for retries, which have waited before.
+func (q *FairQueue) PushFront(j *Job) {
+	p := q.prepare(j)
+	p.jobs[j.Class] = append([]*Job{j}, p.jobs[j.Class]...)
+}
+
+func (q *FairQueue) prepare(j *Job) *planQueue {
 	p := q.plan(j.Plan)
 	p.weight = float64(max(j.Weight, 1))
 	p.concurrency = j.Concurrency
 	if p.empty() && p.inFlight == 0 {
 		p.finish = max(p.finish, q.virtual)
 	}
-	p.jobs[j.Class] = append(p.jobs[j.Class], j)
 	p.backlog += j.Cost
 	q.length++
+	return p
 }
 
 // Remove takes the job out of the queue. It reports whether it was queued.
@@ -100,6 +112,7 @@
 	var best *planQueue
 	for _, p := range q.plans {
 		if p.head(allowLong) == nil || p.atLimit() {
+			p.finish = max(p.finish, q.virtual) // no credit for work that could not run
 			continue
 		}
 		if best == nil || p.finish < best.finish || (p.finish == best.finish && p.id < best.id) {
@@ -113,9 +126,8 @@
 	best.jobs[j.Class] = best.jobs[j.Class][1:]
 	best.backlog -= j.Cost
 	q.length--
-	start := max(best.finish, q.virtual)
-	q.virtual = start
-	best.finish = start + j.Cost.Seconds()/best.weight
+	q.virtual = max(q.virtual, best.finish)
+	best.finish += j.Cost.Seconds() / best.weight
 	best.inFlight++
 	return j
 }
@@ -189,14 +201,13 @@
 	Work     time.Duration // expected slot time of the queued jobs
 }
 
-// Backlogs returns the queued work by plan, in order of plan.
+// Backlogs returns the queued work by plan, in no order.
 func (q *FairQueue) Backlogs() []Backlog {
 	backlogs := make([]Backlog, 0, len(q.plans))
 	for _, p := range q.plans {
 		queued := len(p.jobs[Short]) + len(p.jobs[Long])
 		backlogs = append(backlogs, Backlog{p.id, p.weight, queued, p.inFlight, p.backlog})
 	}
-	sort.Slice(backlogs, func(i, j int) bool { return backlogs[i].Plan < backlogs[j].Plan })
 	return backlogs
 }
 
