--- /dev/null
+++ b/tools/load/config.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+// config is the settings file.
+type config struct {
+	Entries     []string          `json:"entries"` // caller addresses asked for addresses first
+	Region      string            `json:"region"`
+	Duration    settings.Duration `json:"duration"`
+	Seed        uint64            `json:"seed"`
+	MaxInFlight int               `json:"max_in_flight"` // arrivals beyond this are counted as dropped
+	Tries       int               `json:"tries"`         // addresses tried for each request
+	Streams     []stream          `json:"streams"`
+}
+
+// stream is a flow of like requests of one plan.
+type stream struct {
+	Name            string            `json:"name"`
+	Service         string            `json:"service"`
+	Method          string            `json:"method"`
+	Path            string            `json:"path"`
+	Token           string            `json:"token"` // of the plan
+	Rate            float64           `json:"rate"`  // arrivals per second
+	Swings          []swing           `json:"swings"`
+	Timeout         settings.Duration `json:"timeout"`
+	Keyed           bool              `json:"keyed"`
+	BodyBytes       int               `json:"body_bytes"`
+	AnswerBytes     int               `json:"answer_bytes"`
+	Work            settings.Duration `json:"work"` // service time asked of the upstream; 0: its own
+	StragglerShare  float64           `json:"straggler_share"`
+	StragglerFactor float64           `json:"straggler_factor"`
+}
+
+// swing changes the rate of a stream.
+type swing struct {
+	At   settings.Duration `json:"at"` // from the start
+	Rate float64           `json:"rate"`
+}
+
+func defaults() config {
+	return config{Duration: settings.Duration(10 * time.Second), Seed: 1, MaxInFlight: 5000, Tries: 3}
+}
+
+// Check implements settings.Checker.
+func (c *config) Check(report settings.Report) {
+	settings.RequireCount(report, "entries", len(c.Entries), 1, 10_000)
+	settings.RequireText(report, "region", c.Region)
+	settings.RequireRange(report, "duration", c.Duration, time.Millisecond, 24*time.Hour)
+	settings.RequireCount(report, "max_in_flight", c.MaxInFlight, 1, 100_000)
+	settings.RequireCount(report, "tries", c.Tries, 1, 10)
+	settings.RequireCount(report, "streams", len(c.Streams), 1, 1000)
+	for i := range c.Streams {
+		c.Streams[i].check(report, fmt.Sprintf("streams[%d].", i))
+	}
+}
+
+func (s *stream) check(report settings.Report, path string) {
+	if s.Method == "" {
+		s.Method = "GET"
+	}
+	if s.Path == "" {
+		s.Path = "/"
+	}
+	if s.Timeout == 0 {
+		s.Timeout = settings.Duration(2 * time.Second)
+	}
+	settings.RequireText(report, path+"name", s.Name)
+	settings.RequireText(report, path+"service", s.Service)
+	settings.RequireText(report, path+"token", s.Token)
+	settings.RequireRange(report, path+"timeout", s.Timeout, time.Millisecond, time.Minute)
+	settings.RequireCount(report, path+"body_bytes", s.BodyBytes, 0, 256<<20)
+	if s.Rate < 0 || s.Rate > 100_000 {
+		report(path+"rate", s.Rate, "want 0 to 100000 per second")
+	}
+	if s.StragglerShare < 0 || s.StragglerShare > 1 {
+		report(path+"straggler_share", s.StragglerShare, "want a number from 0 to 1")
+	}
+}
+
+// rateAt returns the arrivals per second at a time from the start.
+func (s *stream) rateAt(elapsed time.Duration) float64 {
+	rate := s.Rate
+	for _, w := range s.Swings {
+		if elapsed >= w.At.Std() {
+			rate = w.Rate
+		}
+	}
+	return rate
+}
--- /dev/null
+++ b/tools/load/resolver.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/sequoialane/sequoialane/internal/address"
+)
+
+const resolveTimeout = 2 * time.Second
+
+// resolver keeps the address answer of a service for its time to live.
+type resolver struct {
+	client  *http.Client
+	entries []string
+	service string
+	region  string
+
+	mu      sync.Mutex
+	answer  address.Answer
+	expires time.Time
+}
+
+// addresses returns the addresses in the order to try: one chosen by weight,
+// then the others.
+func (r *resolver) addresses(ctx context.Context, pick float64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().After(r.expires) {
+		r.refresh(ctx)
+	}
+	return ordered(r.answer.Addresses, pick)
+}
+
+// refresh asks the known addresses, then the configured entries. The old
+// answer is kept if none answers.
+func (r *resolver) refresh(ctx context.Context) {
+	var candidates []string
+	for _, a := range r.answer.Addresses {
+		candidates = append(candidates, a.Address)
+	}
+	entries := append([]string{}, r.entries...)
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	for _, entry := range append(candidates, entries...) {
+		answer, err := r.ask(ctx, entry)
+		if err != nil || len(answer.Addresses) == 0 {
+			continue
+		}
+		r.answer = answer
+		r.expires = time.Now().Add(time.Duration(answer.TimeToLiveMS) * time.Millisecond)
+		return
+	}
+}
+
+func (r *resolver) ask(ctx context.Context, entry string) (address.Answer, error) {
+	var answer address.Answer
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	query := url.Values{"service": {r.service}, "region": {r.region}}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+address.Path+"?"+query.Encode(), http.NoBody)
+	if err != nil {
+		return answer, trace.Wrap(err)
+	}
+	response, err := r.client.Do(q)
+	if err != nil {
+		return answer, trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return answer, trace.BadParameter("status %d", response.StatusCode)
+	}
+	return answer, trace.Wrap(json.NewDecoder(response.Body).Decode(&answer))
+}
+
+// ordered puts the address that pick, from 0 to 1, selects by weight first.
+func ordered(list []address.Entry, pick float64) []string {
+	total := 0
+	for _, a := range list {
+		total += a.Weight
+	}
+	first := 0
+	at := pick * float64(total)
+	for i, a := range list {
+		if at < float64(a.Weight) {
+			first = i
+			break
+		}
+		at -= float64(a.Weight)
+	}
+	var result []string
+	for i := range list {
+		result = append(result, list[(first+i)%len(list)].Address)
+	}
+	return result
+}
--- /dev/null
+++ b/tools/load/result.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+)
+
+// Range of recorded latencies, in microseconds.
+const (
+	minLatency = 1
+	maxLatency = 120_000_000
+	digits     = 3
+)
+
+// result collects the outcomes of a stream.
+type result struct {
+	name string
+
+	mu       sync.Mutex
+	sent     int
+	dropped  int
+	outcomes map[string]int
+	broken   int
+	resent   int
+	all      *hdrhistogram.Histogram // answers without an error
+	short    *hdrhistogram.Histogram // the same without stragglers
+	refused  *hdrhistogram.Histogram // errors of the fleet
+	keys     []usedKey
+}
+
+type usedKey struct {
+	key, outcome string
+	effect       fault.Effect
+}
+
+func newResult(name string) *result {
+	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(minLatency, maxLatency, digits) }
+	return &result{name: name, outcomes: map[string]int{}, all: histogram(), short: histogram(), refused: histogram()}
+}
+
+func (r *result) drop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	r.dropped++
+}
+
+func (r *result) add(o outcome, key string, p planned) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	r.outcomes[o.name]++
+	r.broken += o.broken
+	r.resent += max(o.tries-1, 0)
+	if key != "" {
+		r.keys = append(r.keys, usedKey{key, o.name, o.effect})
+	}
+	micros := min(max(o.latency.Microseconds(), minLatency), maxLatency)
+	switch {
+	case o.name == "ok" || o.name == "late":
+		_ = r.all.RecordValue(micros)
+		if !p.straggler {
+			_ = r.short.RecordValue(micros)
+		}
+	case o.refused:
+		_ = r.refused.RecordValue(micros)
+	}
+}
+
+// summary is printed at the end.
+type summary struct {
+	Streams []streamSummary `json:"streams"`
+}
+
+type streamSummary struct {
+	Name     string         `json:"name"`
+	Sent     int            `json:"sent"`
+	Dropped  int            `json:"dropped"` // not sent because too many were in flight
+	Outcomes map[string]int `json:"outcomes"`
+	Broken   int            `json:"broken"` // attempts cut after they were sent
+	Resent   int            `json:"resent"` // attempts beyond the first
+	Latency  latencies      `json:"latency_ms"`
+	Short    latencies      `json:"short_latency_ms"` // without stragglers
+	Refused  latencies      `json:"refused_latency_ms"`
+}
+
+type latencies struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) latencies {
+	at := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+	}
+	return latencies{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: at(100)}
+}
+
+func (g *generator) summary() summary {
+	var s summary
+	for _, r := range g.results {
+		r.mu.Lock()
+		s.Streams = append(s.Streams, streamSummary{
+			Name: r.name, Sent: r.sent, Dropped: r.dropped, Outcomes: r.outcomes, Broken: r.broken, Resent: r.resent,
+			Latency: quantiles(r.all), Short: quantiles(r.short), Refused: quantiles(r.refused),
+		})
+		r.mu.Unlock()
+	}
+	return s
+}
+
+// writeKeys writes a line "key outcome effect" for each keyed request.
+func (g *generator) writeKeys(name string) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer file.Close()
+	w := bufio.NewWriter(file)
+	for _, r := range g.results {
+		for _, k := range r.keys {
+			fmt.Fprintf(w, "%s %s %s\n", k.key, k.outcome, k.effect)
+		}
+	}
+	return trace.Wrap(w.Flush())
+}
