Add the catalog, the control process and the entry's follower

Cause: plans and entitlements need one place that accepts changes and a way to reach each entry.

Change: plan.Catalog applies changes atomically and keeps the result of each change id; plan.Machine feeds it from a consensus group; control serves the administration API and the change feed; configsync.Follower keeps an entry's copy. The group is a single member without a log until the consensus package exists. The error kind not_found (404) is new: a lookup of an absent plan had no kind.

Ruled out: map copies for each version (93,000 entries are copied for one changed plan); records are kept in 256 ordered shards that are copied on write. Content-Encoding for the feed: each waiting poll would hold a compressor; only the delta is compressed, with its length stated.

Failed first: the fields of an embedded unexported struct are not read by huma, so the page limit was 0 and a list request broke. TestListPages guards against that.

Shown by: go test -race ./internal/... and one control process that accepted a change and served it on the feed.

--- /dev/null
+++ b/cmd/sequoialane-control/wire.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+const (
+	processName        = "sequoialane-control"
+	traceFlushTimeout  = 2 * time.Second
+	idleConnectionTime = 30 * time.Second
+)
+
+// serve wires the process and runs it until ctx ends.
+func serve(ctx context.Context, l loaded) error {
+	flush, err := telemetry.SetupTracing(ctx, l.settings.Telemetry, processName)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer flushTraces(flush)
+	injector := newInjector(l)
+	process, err := do.Invoke[*control.Process](injector)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return process.Run(ctx)
+}
+
+func flushTraces(flush func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	_ = flush(ctx)
+}
+
+func newInjector(l loaded) do.Injector {
+	i := do.New()
+	do.ProvideValue[sys.Clock](i, sys.RealClock{})
+	do.ProvideValue(i, plan.NewMachine())
+	do.ProvideValue(i, newHTTPClient())
+	do.Provide(i, func(do.Injector) (*zap.Logger, error) {
+		log, err := telemetry.NewLogger(l.settings.Telemetry, processName)
+		if err != nil {
+			return nil, err
+		}
+		return log.With(zap.String("member", l.settings.Name)), nil
+	})
+	do.Provide(i, func(i do.Injector) (control.Group, error) {
+		return control.NewSolo(l.settings.Name, do.MustInvoke[*plan.Machine](i)), nil
+	})
+	do.Provide(i, func(i do.Injector) (*control.Process, error) { return newProcess(i, l) })
+	return i
+}
+
+func newProcess(i do.Injector, l loaded) (*control.Process, error) {
+	return control.NewProcess(control.ProcessOptions{
+		Settings:      l.settings,
+		Group:         do.MustInvoke[control.Group](i),
+		Catalog:       do.MustInvoke[*plan.Machine](i),
+		OperatorToken: l.operatorToken,
+		FleetToken:    l.fleetToken,
+		HTTP:          do.MustInvoke[*http.Client](i),
+		Clock:         do.MustInvoke[sys.Clock](i),
+		Log:           do.MustInvoke[*zap.Logger](i),
+	})
+}
+
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnectionTime}}
+}
--- /dev/null
+++ b/internal/catalogfeed/client.go
@@ -0,0 +1,142 @@
+package catalogfeed
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+// ErrSilent reports a source that sent nothing for the silence limit.
+var ErrSilent = errors.New("catalogfeed: source is silent")
+
+// errorBodyLimit bounds the part of an error answer that is read, in bytes.
+const errorBodyLimit = 4 << 10
+
+// Poll is one request for changes.
+type Poll struct {
+	Address string // IP address and port of the source
+	Path    string // ControlPath or PeerPath
+	After   uint64
+	Wait    time.Duration
+	Full    bool // asks for a full copy whatever After is
+}
+
+// Message is one line of the answer to a poll.
+type Message struct {
+	Contact bool        // whether the source is in contact with a leader
+	Version uint64      // version of the source's copy
+	Delta   *plan.Delta // nil while nothing has changed
+}
+
+// Client polls sources.
+type Client struct {
+	HTTP    *http.Client
+	Clock   sys.Clock
+	Token   string        // fleet token
+	Silence time.Duration // longest gap between two parts of an answer
+}
+
+// Do sends the poll and passes each message to handle, until the answer ends
+// or handle returns an error, which Do returns then.
+func (c *Client) Do(ctx context.Context, poll Poll, handle func(Message) error) error {
+	ctx, span := telemetry.Start(ctx, "poll catalog")
+	defer span.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := startWatch(ctx, cancel, c.Clock, c.Silence)
+	err := c.do(ctx, poll, watch, handle)
+	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
+		c.HTTP.CloseIdleConnections()
+		return cause
+	}
+	return err
+}
+
+func (c *Client) do(ctx context.Context, poll Poll, watch *watch, handle func(Message) error) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, poll.url(), nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", bearer+c.Token)
+	telemetry.Inject(ctx, request.Header)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.Body, errorBodyLimit))
+		return fault.Decode(body)
+	}
+	return readMessages(watch.reader(response.Body), handle)
+}
+
+func (p Poll) url() string {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(p.After, 10))
+	query.Set("wait", p.Wait.String())
+	if p.Full {
+		query.Set("full", "true")
+	}
+	return "http://" + p.Address + p.Path + "?" + query.Encode()
+}
+
+func readMessages(body io.Reader, handle func(Message) error) error {
+	reader := bufio.NewReaderSize(body, maxLineLength)
+	for {
+		next, err := readLine(reader)
+		if err != nil {
+			return err
+		}
+		message := Message{Contact: next.Contact, Version: next.Version}
+		if next.Type == lineDelta {
+			d, err := readPayload(reader, next.Bytes)
+			if err != nil {
+				return err
+			}
+			message.Delta = &d
+		}
+		if err := handle(message); err != nil {
+			return err
+		}
+		if next.Type != lineAlive {
+			return nil
+		}
+	}
+}
+
+func readLine(reader *bufio.Reader) (line, error) {
+	raw, err := reader.ReadSlice('\n')
+	if err != nil {
+		return line{}, fmt.Errorf("%w: answer breaks off: %w", ErrPayload, err)
+	}
+	var next line
+	if err := json.Unmarshal(raw, &next); err != nil {
+		return line{}, fmt.Errorf("%w: %w", ErrPayload, err)
+	}
+	switch next.Type {
+	case lineAlive, lineDelta, lineEnd:
+		return next, nil
+	default:
+		return line{}, fmt.Errorf("%w: line of type %q", ErrPayload, next.Type)
+	}
+}
+
+func readPayload(reader io.Reader, size int64) (plan.Delta, error) {
+	if size <= 0 || size > maxPayloadBytes {
+		return plan.Delta{}, fmt.Errorf("%w: %d bytes", ErrPayload, size)
+	}
+	return Decompress(io.LimitReader(reader, size))
+}
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/httpserver"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+const readinessInterval = 200 * time.Millisecond
+
+// Process serves a control member on its two addresses.
+type Process struct {
+	api   *httpserver.Server
+	peer  *httpserver.Server
+	group Group
+	clock sys.Clock
+	log   *zap.Logger
+	done  chan struct{}
+	drain time.Duration
+}
+
+// ProcessOptions configure a Process.
+type ProcessOptions struct {
+	Settings      *Settings
+	Group         Group
+	GroupHandler  http.Handler // messages of the consensus group; nil if it has none
+	Catalog       Catalog
+	OperatorToken string
+	FleetToken    string
+	HTTP          *http.Client // to other members
+	Clock         sys.Clock
+	Log           *zap.Logger
+}
+
+// NewProcess opens both listeners. Nothing is served before Run.
+func NewProcess(options ProcessOptions) (*Process, error) {
+	self, found := options.Settings.Self()
+	if !found {
+		return nil, trace.BadParameter("member %q is not in the settings", options.Settings.Name)
+	}
+	p := &Process{group: options.Group, clock: options.Clock, log: options.Log, done: make(chan struct{}), drain: options.Settings.DrainTimeout.Std()}
+	peers := Peers{Addresses: options.Settings.PeerAddresses(), HTTP: options.HTTP, Token: options.FleetToken}
+	submitter := NewSubmitter(options.Group, options.Catalog, peers, options.Clock, options.Log)
+	handler := NewHandler(Options{
+		Group:         options.Group,
+		Catalog:       options.Catalog,
+		Submitter:     submitter,
+		APIAddresses:  options.Settings.APIAddresses(),
+		OperatorToken: options.OperatorToken,
+		FleetToken:    options.FleetToken,
+		Clock:         options.Clock,
+		Done:          p.done,
+	})
+	var err error
+	if p.peer, err = httpserver.Listen(self.PeerAddress, peerHandler(submitter, options)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if p.api, err = httpserver.Listen(self.APIAddress, handler); err != nil {
+		_ = p.peer.Close()
+		return nil, trace.Wrap(err)
+	}
+	return p, nil
+}
+
+func peerHandler(submitter *Submitter, options ProcessOptions) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/internal/", NewInternalHandler(submitter, options.FleetToken))
+	if options.GroupHandler != nil {
+		mux.Handle("/", requireToken(options.FleetToken, "fleet token required", options.GroupHandler))
+	}
+	return mux
+}
+
+// Run serves until ctx ends, and then drains. It returns an error if a
+// listener fails.
+func (p *Process) Run(ctx context.Context) error {
+	p.peer.Start()
+	p.api.Start()
+	p.log.Info("control member serves", zap.String("api_address", p.api.Address()), zap.String("peer_address", p.peer.Address()))
+	ticker := p.clock.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for {
+		ready := p.group.Status().InContact
+		p.api.SetReady(ready)
+		p.peer.SetReady(ready)
+		select {
+		case <-ticker.C():
+		case err := <-p.api.Failed():
+			return trace.Wrap(err)
+		case err := <-p.peer.Failed():
+			return trace.Wrap(err)
+		case <-ctx.Done():
+			return p.shutdown()
+		}
+	}
+}
+
+// shutdown ends waiting polls and waits for requests in flight. The peer
+// address is served until the end, since those requests may need the group.
+func (p *Process) shutdown() error {
+	p.log.Info("control member drains")
+	ctx, cancel := context.WithTimeout(context.Background(), p.drain)
+	defer cancel()
+	close(p.done)
+	if err := p.api.Shutdown(ctx); err != nil {
+		p.log.Warn("requests in flight were cut at shutdown", zap.Error(err))
+		_ = p.api.Close()
+	}
+	if err := p.peer.Shutdown(ctx); err != nil {
+		_ = p.peer.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/reads.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"context"
+	"strings"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/plan"
+)
+
+// Page selects a part of a list. huma reads the fields of an embedded struct
+// only if its type is exported.
+type Page struct {
+	After string `query:"after" doc:"list only items after this one, in order"`
+	Limit int    `query:"limit" minimum:"1" maximum:"10000" default:"1000"`
+}
+
+type listPlansInput struct {
+	Page
+	Prefix string `query:"prefix" doc:"list only plans whose id starts with this"`
+}
+
+type planList struct {
+	Version uint64      `json:"version" doc:"catalog version that the list was read from"`
+	Plans   []plan.Plan `json:"plans"`
+	Next    string      `json:"next,omitempty" doc:"value of after for the next page; missing on the last page"`
+}
+
+type output[T any] struct{ Body T }
+
+func (a *api) listPlans(ctx context.Context, in *listPlansInput) (*output[planList], error) {
+	snapshot, failure := a.Submitter.Barrier(ctx)
+	if failure != nil {
+		return nil, newAPIError(failure)
+	}
+	list := planList{Version: snapshot.Version(), Plans: []plan.Plan{}}
+	for _, r := range snapshot.Records() {
+		if r.Plan.ID <= in.After || !strings.HasPrefix(r.Plan.ID, in.Prefix) {
+			continue
+		}
+		if len(list.Plans) == in.Limit {
+			list.Next = list.Plans[in.Limit-1].ID
+			break
+		}
+		list.Plans = append(list.Plans, r.Plan)
+	}
+	return &output[planList]{list}, nil
+}
+
+type getPlanInput struct {
+	ID string `path:"id"`
+}
+
+type planDetail struct {
+	Version      uint64             `json:"version" doc:"catalog version that the plan was read from"`
+	Plan         plan.Plan          `json:"plan"`
+	Entitlements []plan.Entitlement `json:"entitlements"`
+}
+
+func (a *api) getPlan(ctx context.Context, in *getPlanInput) (*output[planDetail], error) {
+	snapshot, failure := a.Submitter.Barrier(ctx)
+	if failure != nil {
+		return nil, newAPIError(failure)
+	}
+	r, found := snapshot.Record(in.ID)
+	if !found {
+		return nil, newVersionError(fault.NotFound, "no such plan", snapshot.Version())
+	}
+	detail := planDetail{Version: snapshot.Version(), Plan: r.Plan, Entitlements: r.Entitlements}
+	if detail.Entitlements == nil {
+		detail.Entitlements = []plan.Entitlement{}
+	}
+	return &output[planDetail]{detail}, nil
+}
+
+type listEntitlementsInput struct {
+	Page
+	Plan    string `query:"plan"`
+	Service string `query:"service"`
+}
+
+type entitlementList struct {
+	Version      uint64             `json:"version" doc:"catalog version that the list was read from"`
+	Entitlements []plan.Entitlement `json:"entitlements"`
+	Next         string             `json:"next,omitempty" doc:"value of after for the next page; missing on the last page"`
+}
+
+func (a *api) listEntitlements(ctx context.Context, in *listEntitlementsInput) (*output[entitlementList], error) {
+	snapshot, failure := a.Submitter.Barrier(ctx)
+	if failure != nil {
+		return nil, newAPIError(failure)
+	}
+	list := entitlementList{Version: snapshot.Version(), Entitlements: []plan.Entitlement{}}
+	afterPlan, afterService, _ := strings.Cut(in.After, "/")
+	for _, r := range snapshot.Records() {
+		if r.Plan.ID < afterPlan || (in.Plan != "" && r.Plan.ID != in.Plan) {
+			continue
+		}
+		for _, e := range r.Entitlements {
+			if in.Service != "" && e.Service != in.Service {
+				continue
+			}
+			if e.Plan == afterPlan && e.Service <= afterService {
+				continue
+			}
+			if len(list.Entitlements) == in.Limit {
+				last := list.Entitlements[in.Limit-1]
+				list.Next = last.Plan + "/" + last.Service
+				return &output[entitlementList]{list}, nil
+			}
+			list.Entitlements = append(list.Entitlements, e)
+		}
+	}
+	return &output[entitlementList]{list}, nil
+}
+
+type getEntitlementInput struct {
+	Plan    string `path:"plan"`
+	Service string `path:"service"`
+}
+
+type entitlementDetail struct {
+	Version     uint64           `json:"version" doc:"catalog version that the entitlement was read from"`
+	Entitlement plan.Entitlement `json:"entitlement"`
+}
+
+func (a *api) getEntitlement(ctx context.Context, in *getEntitlementInput) (*output[entitlementDetail], error) {
+	snapshot, failure := a.Submitter.Barrier(ctx)
+	if failure != nil {
+		return nil, newAPIError(failure)
+	}
+	e, found := snapshot.Entitlement(in.Plan, in.Service)
+	if !found {
+		return nil, newVersionError(fault.NotFound, "no such entitlement", snapshot.Version())
+	}
+	return &output[entitlementDetail]{entitlementDetail{Version: snapshot.Version(), Entitlement: e}}, nil
+}
--- a/internal/fault/kinds.go
+++ b/internal/fault/kinds.go
@@ -15,6 +15,7 @@
 	Unauthorized       Kind = "unauthorized"
 	NotEntitled        Kind = "not_entitled"
 	UnknownService     Kind = "unknown_service"
+	NotFound           Kind = "not_found"
 	SlowSender         Kind = "slow_sender"
 	VersionConflict    Kind = "version_conflict"
 	StillRunning       Kind = "still_running"
@@ -63,6 +64,7 @@
 	Unauthorized:       {http.StatusUnauthorized, NotRun, false},
 	NotEntitled:        {http.StatusForbidden, NotRun, false},
 	UnknownService:     {http.StatusNotFound, NotRun, false},
+	NotFound:           {http.StatusNotFound, NotRun, false},
 	SlowSender:         {http.StatusRequestTimeout, NotRun, true},
 	VersionConflict:    {http.StatusConflict, NotRun, false},
 	StillRunning:       {http.StatusConflict, Unknown, true},
--- /dev/null
+++ b/internal/plan/codec.go
@@ -0,0 +1,91 @@
+package plan
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxListLength bounds the counts that an encoded list may claim.
+const maxListLength = 1 << 22
+
+// ErrEncoding reports an encoded delta or snapshot that cannot be read.
+var ErrEncoding = errors.New("plan: encoded catalog cannot be read")
+
+// deltaHeader is the first line of an encoded delta. The counts tell a
+// complete delta from a truncated one.
+type deltaHeader struct {
+	Full    bool   `json:"full"`
+	From    uint64 `json:"from"`
+	To      uint64 `json:"to"`
+	Digest  uint64 `json:"digest,string"`
+	Records int    `json:"records"`
+	Removed int    `json:"removed"`
+}
+
+// Write encodes the delta as lines of JSON: a header, the records, and the
+// removed ids.
+func (d *Delta) Write(w io.Writer) error {
+	buffered := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffered)
+	header := deltaHeader{Full: d.Full, From: d.From, To: d.To, Digest: d.Digest, Records: len(d.Records), Removed: len(d.Removed)}
+	if err := encoder.Encode(header); err != nil {
+		return err
+	}
+	if err := encodeList(encoder, d.Records); err != nil {
+		return err
+	}
+	if err := encodeList(encoder, d.Removed); err != nil {
+		return err
+	}
+	return buffered.Flush()
+}
+
+// ReadDelta reads what Write wrote, record by record. It may read ahead of
+// the delta; the caller passes the decoder if more follows.
+func ReadDelta(decoder *json.Decoder) (Delta, error) {
+	var header deltaHeader
+	if err := decoder.Decode(&header); err != nil {
+		return Delta{}, fmt.Errorf("%w: header: %w", ErrEncoding, err)
+	}
+	records, err := decodeList[*Record](decoder, header.Records)
+	if err != nil {
+		return Delta{}, err
+	}
+	for _, r := range records {
+		if r == nil {
+			return Delta{}, fmt.Errorf("%w: null record", ErrEncoding)
+		}
+	}
+	removed, err := decodeList[string](decoder, header.Removed)
+	if err != nil {
+		return Delta{}, err
+	}
+	return Delta{Full: header.Full, From: header.From, To: header.To, Digest: header.Digest, Records: records, Removed: removed}, nil
+}
+
+func encodeList[T any](encoder *json.Encoder, list []T) error {
+	for _, item := range list {
+		if err := encoder.Encode(item); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeList[T any](decoder *json.Decoder, count int) ([]T, error) {
+	if count < 0 || count > maxListLength {
+		return nil, fmt.Errorf("%w: list of %d", ErrEncoding, count)
+	}
+	var list []T
+	for range count {
+		var item T
+		if err := decoder.Decode(&item); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
+		}
+		list = append(list, item)
+	}
+	return list, nil
+}
