--- a/internal/address/handler.go
+++ b/internal/address/handler.go
@@ -3,25 +3,19 @@
 import (
 	"encoding/json"
 	"net/http"
-	"regexp"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/plan"
 )
 
 // Path is the path of address answers on the caller port.
 const Path = "/v1/addresses"
 
-var (
-	answers     = metrics.NewCounter(`sequoialane_address_answers_total`)
-	serviceRule = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-)
-
-// ValidName reports whether text may name a service, region or data centre.
-func ValidName(text string) bool { return serviceRule.MatchString(text) }
+var answers = metrics.NewCounter(`sequoialane_address_answers_total`)
 
 // Members lists the members of the fleet.
 type Members interface {
@@ -37,8 +31,8 @@
 		if region == "" {
 			region = homeRegion
 		}
-		if !ValidName(service) || !ValidName(region) {
-			fault.Write(w, "", fault.New(fault.BadRequest, "want service and, optionally, region: lower-case letters, digits, '.', '_', '-'"))
+		if !plan.ValidName(service) || !plan.ValidName(region) {
+			fault.Write(w, "", fault.New(fault.BadRequest, "want service and, optionally, region: 1 to 64 letters, digits, '.', '_' or '-'"))
 			return
 		}
 		answers.Inc()
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -15,9 +15,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/sequoialane/sequoialane/internal/address"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/upstream"
 )
 
@@ -187,14 +187,14 @@
 func check(a upstream.Announcement) string {
 	at, err := netip.ParseAddrPort(a.Address)
 	switch {
-	case !address.ValidName(a.Service):
-		return "service: want lower-case letters, digits, '.', '_', '-'"
+	case !plan.ValidName(a.Service):
+		return "service: want 1 to 64 letters, digits, '.', '_' or '-'"
 	case err != nil || at.Port() == 0 || at.Addr().IsUnspecified():
 		return "address: want an IP address with a port"
-	case !address.ValidName(a.Region):
-		return "region: want lower-case letters, digits, '.', '_', '-'"
-	case !address.ValidName(a.DataCentre):
-		return "data_centre: want lower-case letters, digits, '.', '_', '-'"
+	case !plan.ValidName(a.Region):
+		return "region: want 1 to 64 letters, digits, '.', '_' or '-'"
+	case !plan.ValidName(a.DataCentre):
+		return "data_centre: want 1 to 64 letters, digits, '.', '_' or '-'"
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return "slots: want 1 to 10000"
 	case a.State != upstream.Serving && a.State != upstream.Draining && a.State != upstream.Leaving:
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/subtle"
 	"net/http"
 	"time"
@@ -45,8 +46,11 @@
 
 // requireToken lets requests with the bearer token through.
 func requireToken(token string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(token))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if token == "" || subtle.ConstantTimeCompare([]byte(bearer(r.Header)), []byte(token)) != 1 {
+		// Hashing first hides the length of the expected token.
+		got := sha256.Sum256([]byte(bearer(r.Header)))
+		if token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
 			fault.Write(w, "", fault.New(fault.Unauthorized, "the bearer token is missing or wrong"))
 			return
 		}
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/sequoialane/sequoialane/internal/address"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/plan"
 )
@@ -68,7 +67,7 @@
 		return "", "", fault.New(fault.UnknownService, "want a path /s/{service}/...")
 	}
 	service, path, _ = strings.Cut(rest, "/")
-	if !address.ValidName(service) {
+	if !plan.ValidName(service) {
 		return "", "", fault.New(fault.UnknownService, "no service of this name")
 	}
 	return service, "/" + path, nil
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/address"
+	"github.com/sequoialane/sequoialane/internal/claims"
+	"github.com/sequoialane/sequoialane/internal/configsync"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+const (
+	minFloorPercent = 1
+	maxFloorPercent = 100
+	minTimeToLive   = time.Second
+	maxCutGrace     = time.Hour
+	minKeyRetention = time.Minute
+	maxKeyRetention = 24 * time.Hour
+	minDrainLimit   = time.Second
+	maxDrainLimit   = time.Hour
+)
+
+// Settings of an entry process.
+type Settings struct {
+	Name              string                     `json:"name"` // VM name, stable over restarts
+	Region            string                     `json:"region"`
+	DataCentre        string                     `json:"data_centre"`
+	CallerAddress     string                     `json:"caller_address"` // IP address and port for callers
+	PeerAddress       string                     `json:"peer_address"`   // IP address and port for other entries
+	GossipAddress     string                     `json:"gossip_address"` // IP address and UDP port
+	DataFolder        string                     `json:"data_folder"`    // for the catalog copy; empty: none
+	FleetTokenFile    string                     `json:"fleet_token_file"`
+	UpstreamTokenFile string                     `json:"upstream_token_file"`
+	OperatorTokenFile string                     `json:"operator_token_file"`
+	Seeds             []string                   `json:"seeds"` // peer addresses of entries to join through
+	Control           []configsync.ControlMember `json:"control"`
+	DataCentres       []string                   `json:"data_centres"` // all data centres of the fleet
+	ClaimGroups       []claims.GroupSettings     `json:"claim_groups"` // the same list on all entries
+	KeyRetention      settings.Duration          `json:"key_retention"`
+	RegionCutGrace    settings.Duration          `json:"region_cut_grace"` // how long to serve while the region is cut off
+	TimeToLive        settings.Duration          `json:"time_to_live"`     // of address answers
+	DrainLimit        settings.Duration          `json:"drain_limit"`      // longest wait for requests in flight at shutdown
+	FloorPercent      int                        `json:"floor_percent"`    // healthy capacity that ejection leaves
+	Telemetry         telemetry.Settings         `json:"telemetry"`
+}
+
+// DefaultSettings returns the settings that a file is read into.
+func DefaultSettings() *Settings {
+	return &Settings{
+		Seeds:          []string{},
+		Control:        []configsync.ControlMember{},
+		DataCentres:    []string{},
+		ClaimGroups:    []claims.GroupSettings{},
+		KeyRetention:   settings.Duration(time.Hour),
+		RegionCutGrace: settings.Duration(configsync.DefaultRegionCutGrace),
+		TimeToLive:     settings.Duration(address.DefaultTimeToLive),
+		DrainLimit:     settings.Duration(10*time.Minute + address.DefaultTimeToLive),
+		FloorPercent:   50,
+		Telemetry:      telemetry.Defaults(),
+	}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(report settings.Report) {
+	requireName(report, "name", s.Name)
+	requireName(report, "region", s.Region)
+	requireName(report, "data_centre", s.DataCentre)
+	requireEndPoint(report, "caller_address", s.CallerAddress)
+	requireEndPoint(report, "peer_address", s.PeerAddress)
+	requireEndPoint(report, "gossip_address", s.GossipAddress)
+	if s.CallerAddress == s.PeerAddress {
+		report("peer_address", s.PeerAddress, "must differ from caller_address")
+	}
+	settings.RequireText(report, "fleet_token_file", s.FleetTokenFile)
+	settings.RequireText(report, "upstream_token_file", s.UpstreamTokenFile)
+	settings.RequireText(report, "operator_token_file", s.OperatorTokenFile)
+	s.checkLists(report)
+	settings.RequireRange(report, "key_retention", s.KeyRetention, minKeyRetention, maxKeyRetention)
+	settings.RequireRange(report, "region_cut_grace", s.RegionCutGrace, 0, maxCutGrace)
+	settings.RequireRange(report, "time_to_live", s.TimeToLive, minTimeToLive, address.MaxTimeToLive)
+	settings.RequireRange(report, "drain_limit", s.DrainLimit, minDrainLimit, maxDrainLimit)
+	settings.RequireCount(report, "floor_percent", s.FloorPercent, minFloorPercent, maxFloorPercent)
+	s.Telemetry.Check(func(path string, value any, allowed string) { report("telemetry."+path, value, allowed) })
+}
+
+func (s *Settings) checkLists(report settings.Report) {
+	for i, seed := range s.Seeds {
+		settings.RequireAddress(report, indexed("seeds", i), seed)
+	}
+	for i, centre := range s.DataCentres {
+		requireName(report, indexed("data_centres", i), centre)
+	}
+	for i, c := range s.Control {
+		requireName(report, indexed("control", i)+".name", c.Name)
+		settings.RequireText(report, indexed("control", i)+".region", c.Region)
+		settings.RequireAddress(report, indexed("control", i)+".address", c.Address)
+	}
+	if len(s.Control) == 0 && len(s.Seeds) == 0 {
+		report("control", s.Control, "want a control member or, in seeds, another entry; the entry has no other source of plans")
+	}
+	if len(s.ClaimGroups) == 0 && len(s.Seeds) > 0 {
+		report("claim_groups", s.ClaimGroups, "want at least one group; only a fleet of one entry keeps claims without a group")
+	}
+	claims.CheckGroups(report, "claim_groups", s.ClaimGroups)
+}
+
+func indexed(field string, i int) string { return field + "[" + strconv.Itoa(i) + "]" }
+
+func requireName(report settings.Report, path, value string) {
+	if !plan.ValidName(value) {
+		report(path, value, "want 1 to 64 letters, digits, '.', '_' or '-'")
+	}
+}
+
+// requireEndPoint reports an address that other processes cannot connect to.
+func requireEndPoint(report settings.Report, path, value string) {
+	at, err := netip.ParseAddrPort(value)
+	if err != nil || at.Port() == 0 || at.Addr().IsUnspecified() {
+		report(path, value, `want the IP address and port under which others reach this entry, such as "10.0.0.1:8080"`)
+	}
+}
--- a/tools/load/config.go
+++ b/internal/loadgen/config.go
@@ -1,4 +1,7 @@
-package main
+// Package loadgen sends requests to the fleet at times that do not depend on
+// the answers, checks each answer and counts outcomes. It is used by tests, demo
+// and bench.
+package loadgen
 
 import (
 	"fmt"
@@ -7,26 +10,26 @@
 	"github.com/sequoialane/sequoialane/internal/settings"
 )
 
-// config is the settings file.
-type config struct {
+// Config is the settings file of the load generator.
+type Config struct {
 	Entries     []string          `json:"entries"` // caller addresses asked for addresses first
 	Region      string            `json:"region"`
 	Duration    settings.Duration `json:"duration"`
 	Seed        uint64            `json:"seed"`
 	MaxInFlight int               `json:"max_in_flight"` // arrivals beyond this are counted as dropped
 	Tries       int               `json:"tries"`         // addresses tried for each request
-	Streams     []stream          `json:"streams"`
+	Streams     []Stream          `json:"streams"`
 }
 
-// stream is a flow of like requests of one plan.
-type stream struct {
+// Stream is a flow of like requests of one plan.
+type Stream struct {
 	Name            string            `json:"name"`
 	Service         string            `json:"service"`
 	Method          string            `json:"method"`
 	Path            string            `json:"path"`
 	Token           string            `json:"token"` // of the plan
 	Rate            float64           `json:"rate"`  // arrivals per second
-	Swings          []swing           `json:"swings"`
+	Swings          []Swing           `json:"swings"`
 	Timeout         settings.Duration `json:"timeout"`
 	Keyed           bool              `json:"keyed"`
 	BodyBytes       int               `json:"body_bytes"`
@@ -36,18 +39,19 @@
 	StragglerFactor float64           `json:"straggler_factor"`
 }
 
-// swing changes the rate of a stream.
-type swing struct {
+// Swing changes the rate of a stream.
+type Swing struct {
 	At   settings.Duration `json:"at"` // from the start
 	Rate float64           `json:"rate"`
 }
 
-func defaults() config {
-	return config{Duration: settings.Duration(10 * time.Second), Seed: 1, MaxInFlight: 5000, Tries: 3}
+// Defaults returns the settings that a file is read into.
+func Defaults() Config {
+	return Config{Duration: settings.Duration(10 * time.Second), Seed: 1, MaxInFlight: 5000, Tries: 3}
 }
 
 // Check implements settings.Checker.
-func (c *config) Check(report settings.Report) {
+func (c *Config) Check(report settings.Report) {
 	settings.RequireCount(report, "entries", len(c.Entries), 1, 10_000)
 	settings.RequireText(report, "region", c.Region)
 	settings.RequireRange(report, "duration", c.Duration, time.Millisecond, 24*time.Hour)
@@ -59,7 +63,7 @@
 	}
 }
 
-func (s *stream) check(report settings.Report, path string) {
+func (s *Stream) check(report settings.Report, path string) {
 	if s.Method == "" {
 		s.Method = "GET"
 	}
@@ -83,7 +87,7 @@
 }
 
 // rateAt returns the arrivals per second at a time from the start.
-func (s *stream) rateAt(elapsed time.Duration) float64 {
+func (s *Stream) rateAt(elapsed time.Duration) float64 {
 	rate := s.Rate
 	for _, w := range s.Swings {
 		if elapsed >= w.At.Std() {
--- a/tools/load/generator.go
+++ b/internal/loadgen/generator.go
@@ -1,4 +1,4 @@
-package main
+package loadgen
 
 import (
 	"context"
@@ -19,9 +19,9 @@
 	connectionIdle = 30 * time.Second
 )
 
-// generator runs all streams.
-type generator struct {
-	cfg       config
+// Generator runs all streams.
+type Generator struct {
+	cfg       Config
 	client    *http.Client
 	resolvers map[string]*resolver // by service
 	results   []*result            // for each stream
@@ -29,7 +29,8 @@
 	wg        sync.WaitGroup
 }
 
-func newGenerator(cfg config) *generator {
+// New returns a generator that has sent nothing.
+func New(cfg Config) *Generator {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -37,7 +38,7 @@
 		IdleConnTimeout:     connectionIdle,
 		DisableCompression:  true,
 	}
-	g := &generator{cfg: cfg, client: &http.Client{Transport: transport}, resolvers: map[string]*resolver{}}
+	g := &Generator{cfg: cfg, client: &http.Client{Transport: transport}, resolvers: map[string]*resolver{}}
 	for _, s := range cfg.Streams {
 		g.results = append(g.results, newResult(s.Name))
 		if g.resolvers[s.Service] == nil {
@@ -47,9 +48,9 @@
 	return g
 }
 
-// run sends all streams until the duration is over or ctx ends, and waits for
+// Run sends all streams until the duration is over or ctx ends, and waits for
 // the answers.
-func (g *generator) run(ctx context.Context) {
+func (g *Generator) Run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Duration.Std())
 	defer cancel()
 	var arrivals sync.WaitGroup
@@ -66,7 +67,7 @@
 
 // arrive starts the requests of a stream at exponential intervals. Latency
 // counts from the planned time, so a late start is not hidden.
-func (g *generator) arrive(ctx context.Context, index int) {
+func (g *Generator) arrive(ctx context.Context, index int) {
 	s := &g.cfg.Streams[index]
 	rng := rand.New(rand.NewPCG(g.cfg.Seed, uint64(index)))
 	start := time.Now()
@@ -97,7 +98,7 @@
 	seed      uint64 // of the body
 }
 
-func (g *generator) launch(s *stream, r *result, p planned) {
+func (g *Generator) launch(s *Stream, r *result, p planned) {
 	if g.inFlight.Load() >= int64(g.cfg.MaxInFlight) {
 		r.drop()
 		return
--- a/tools/load/resolver.go
+++ b/internal/loadgen/resolver.go
@@ -1,4 +1,4 @@
-package main
+package loadgen
 
 import (
 	"context"
--- a/tools/load/result.go
+++ b/internal/loadgen/result.go
@@ -1,19 +1,13 @@
-package main
+package loadgen
 
 import (
-	"bufio"
-	"fmt"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/gravitational/trace"
-
-	"github.com/sequoialane/sequoialane/internal/fault"
 )
 
-// Range of recorded latencies, in microseconds.
+// Range of recorded Latencies, in microseconds.
 const (
 	minLatency = 1
 	maxLatency = 120_000_000
@@ -33,12 +27,7 @@
 	all      *hdrhistogram.Histogram // answers without an error
 	short    *hdrhistogram.Histogram // the same without stragglers
 	refused  *hdrhistogram.Histogram // errors of the fleet
-	keys     []usedKey
-}
-
-type usedKey struct {
-	key, outcome string
-	effect       fault.Effect
+	keys     []UsedKey
 }
 
 func newResult(name string) *result {
@@ -61,7 +50,7 @@
 	r.broken += o.broken
 	r.resent += max(o.tries-1, 0)
 	if key != "" {
-		r.keys = append(r.keys, usedKey{key, o.name, o.effect})
+		r.keys = append(r.keys, UsedKey{key, o.name, o.effect})
 	}
 	micros := min(max(o.latency.Microseconds(), minLatency), maxLatency)
 	switch {
@@ -75,24 +64,26 @@
 	}
 }
 
-// summary is printed at the end.
-type summary struct {
-	Streams []streamSummary `json:"streams"`
+// Summary is what all streams saw.
+type Summary struct {
+	Streams []StreamSummary `json:"streams"`
 }
 
-type streamSummary struct {
+// StreamSummary is what one stream saw.
+type StreamSummary struct {
 	Name     string         `json:"name"`
 	Sent     int            `json:"sent"`
 	Dropped  int            `json:"dropped"` // not sent because too many were in flight
 	Outcomes map[string]int `json:"outcomes"`
 	Broken   int            `json:"broken"` // attempts cut after they were sent
 	Resent   int            `json:"resent"` // attempts beyond the first
-	Latency  latencies      `json:"latency_ms"`
-	Short    latencies      `json:"short_latency_ms"` // without stragglers
-	Refused  latencies      `json:"refused_latency_ms"`
+	Latency  Latencies      `json:"latency_ms"`
+	Short    Latencies      `json:"short_latency_ms"` // without stragglers
+	Refused  Latencies      `json:"refused_latency_ms"`
 }
 
-type latencies struct {
+// Latencies are quantiles in milliseconds.
+type Latencies struct {
 	Count int64   `json:"count"`
 	P50   float64 `json:"p50"`
 	P90   float64 `json:"p90"`
@@ -101,18 +92,19 @@
 	Max   float64 `json:"max"`
 }
 
-func quantiles(h *hdrhistogram.Histogram) latencies {
+func quantiles(h *hdrhistogram.Histogram) Latencies {
 	at := func(q float64) float64 {
 		return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
 	}
-	return latencies{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: at(100)}
+	return Latencies{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: at(100)}
 }
 
-func (g *generator) summary() summary {
-	var s summary
+// Summary returns what was seen so far.
+func (g *Generator) Summary() Summary {
+	var s Summary
 	for _, r := range g.results {
 		r.mu.Lock()
-		s.Streams = append(s.Streams, streamSummary{
+		s.Streams = append(s.Streams, StreamSummary{
 			Name: r.name, Sent: r.sent, Dropped: r.dropped, Outcomes: r.outcomes, Broken: r.broken, Resent: r.resent,
 			Latency: quantiles(r.all), Short: quantiles(r.short), Refused: quantiles(r.refused),
 		})
@@ -120,19 +112,3 @@
 	}
 	return s
 }
-
-// writeKeys writes a line "key outcome effect" for each keyed request.
-func (g *generator) writeKeys(name string) error {
-	file, err := os.Create(name)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer file.Close()
-	w := bufio.NewWriter(file)
-	for _, r := range g.results {
-		for _, k := range r.keys {
-			fmt.Fprintf(w, "%s %s %s\n", k.key, k.outcome, k.effect)
-		}
-	}
-	return trace.Wrap(w.Flush())
-}
--- a/tools/load/send.go
+++ b/internal/loadgen/send.go
@@ -1,4 +1,4 @@
-package main
+package loadgen
 
 import (
 	"bytes"
@@ -34,7 +34,7 @@
 }
 
 // send sends the request to one address after another until one answers.
-func (g *generator) send(s *stream, p planned, id, key string) outcome {
+func (g *Generator) send(s *Stream, p planned, id, key string) outcome {
 	deadline := p.at.Add(s.Timeout.Std())
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(deadlineSlack))
 	defer cancel()
@@ -62,7 +62,7 @@
 }
 
 // try sends one attempt. next tells whether another address may do better.
-func (g *generator) try(ctx context.Context, s *stream, p planned, at, id, key string, body []byte, deadline time.Time) (o outcome, next bool) {
+func (g *Generator) try(ctx context.Context, s *Stream, p planned, at, id, key string, body []byte, deadline time.Time) (o outcome, next bool) {
 	r, err := g.request(ctx, s, p, at, id, key, body, deadline)
 	if err != nil {
 		return outcome{name: "bad_settings: " + err.Error()}, false
@@ -79,7 +79,7 @@
 	return check(response, raw, s, id, body)
 }
 
-func (g *generator) request(ctx context.Context, s *stream, p planned, at, id, key string, body []byte, deadline time.Time) (*http.Request, error) {
+func (g *Generator) request(ctx context.Context, s *Stream, p planned, at, id, key string, body []byte, deadline time.Time) (*http.Request, error) {
 	query := url.Values{}
 	if work := s.Work.Std(); work > 0 {
 		if p.straggler {
@@ -112,7 +112,7 @@
 
 // failed judges an attempt without a whole answer. It is repeated elsewhere if
 // that cannot run the request twice.
-func failed(ctx context.Context, err error, s *stream, key string) (outcome, bool) {
+func failed(ctx context.Context, err error, s *Stream, key string) (outcome, bool) {
 	if ctx.Err() != nil {
 		return outcome{name: "no_answer", effect: fault.Unknown}, false
 	}
@@ -124,7 +124,7 @@
 	return outcome{name: "broken", effect: fault.Unknown, broken: 1}, repeatable
 }
 
-func check(response *http.Response, raw []byte, s *stream, id string, body []byte) (outcome, bool) {
+func check(response *http.Response, raw []byte, s *Stream, id string, body []byte) (outcome, bool) {
 	if response.Header.Get("X-Request-Id") != id {
 		return outcome{name: "wrong_id", effect: fault.Unknown}, false
 	}
--- a/tools/load/main.go
+++ b/tools/load/main.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/urfave/cli/v3"
 
+	"github.com/sequoialane/sequoialane/internal/loadgen"
 	"github.com/sequoialane/sequoialane/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "JSON file"},
 			&cli.StringFlag{Name: "keys", Usage: "file for the idempotency keys that were used, with their outcome"},
+			&cli.StringFlag{Name: "output", Usage: "file for the summary; default: standard output"},
 		},
 		Action: run,
 	}
@@ -35,18 +37,24 @@
 func run(ctx context.Context, c *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg := defaults()
+	cfg := loadgen.Defaults()
 	if err := settings.Load(c.String("settings"), &cfg); err != nil {
 		return trace.Wrap(err)
 	}
-	g := newGenerator(cfg)
-	g.run(ctx)
+	g := loadgen.New(cfg)
+	g.Run(ctx)
 	if file := c.String("keys"); file != "" {
-		if err := g.writeKeys(file); err != nil {
+		if err := g.WriteKeys(file); err != nil {
 			return trace.Wrap(err)
 		}
 	}
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	return trace.Wrap(encoder.Encode(g.summary()))
+	encoded, err := json.MarshalIndent(g.Summary(), "", "  ")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if file := c.String("output"); file != "" {
+		return trace.Wrap(os.WriteFile(file, encoded, 0o644))
+	}
+	_, err = fmt.Println(string(encoded))
+	return trace.Wrap(err)
 }
