Add the claims client and the API between entries

Cause: an entry that is not a member of a claim group must reach it.

Change: GroupClient asks the members by turns, follows the leader they name and repeats Complete, Release and MarkUnknown in the background. Server answers /peer/v1/claims/{group}/{call}. Only the leader stamps commands. Keys are refused up to twice the clock error after a fence, since the accepting leader and the fence may each be off by the clock error.

Ruled out: stamping at the asking entry. Leases would then be counted on the clocks of all entries in turn.

--- /dev/null
+++ b/internal/claims/ask.go
@@ -0,0 +1,113 @@
+package claims
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+var (
+	callsOK     = metrics.NewCounter(`sequoialane_claims_member_calls_total{result="ok"}`)
+	callsFailed = metrics.NewCounter(`sequoialane_claims_member_calls_total{result="failed"}`)
+	callSeconds = metrics.NewHistogram(`sequoialane_claims_member_call_seconds`)
+)
+
+// askOne calls one member, which may be this entry. The leader is set if the
+// member names another one.
+func (c *GroupClient) askOne(ctx context.Context, group GroupSettings, member MemberSettings, name string, call command, timeout time.Duration) (o outcome, leader string, err error) {
+	if name == callWait {
+		timeout += waitTurn
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	begin := c.cfg.Clock.Now()
+	local := c.cfg.Local.member(group.Name)
+	if member.Name == c.cfg.Self && local != nil {
+		o, leader, err = askLocal(ctx, local, name, call)
+	} else {
+		o, leader, err = c.askRemote(ctx, group.Name, member, name, call)
+	}
+	if err != nil {
+		callsFailed.Inc()
+		return o, leader, err
+	}
+	callsOK.Inc()
+	if name != callWait {
+		callSeconds.Update(c.cfg.Clock.Now().Sub(begin).Seconds())
+	}
+	return o, leader, nil
+}
+
+// waitLimit is how long a member may hold a wait, so that its answer arrives
+// before ctx ends.
+func waitLimit(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return waitTurn
+	}
+	return min(waitTurn, time.Until(deadline)/2)
+}
+
+func askLocal(ctx context.Context, m *Member, name string, call command) (o outcome, leader string, err error) {
+	if name == callWait {
+		o, err = m.wait(ctx, call, waitLimit(ctx))
+	} else {
+		o, err = m.call(ctx, call)
+	}
+	var other errNotLeader
+	if errors.As(err, &other) {
+		leader = other.leader
+	}
+	return o, leader, err
+}
+
+func (c *GroupClient) askRemote(ctx context.Context, group string, member MemberSettings, name string, call command) (outcome, string, error) {
+	request := toWire(call)
+	if name == callWait {
+		request.WaitMS = waitLimit(ctx).Milliseconds()
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return outcome{}, "", err
+	}
+	url := "http://" + member.Address + pathPrefix + group + "/" + name
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return outcome{}, "", err
+	}
+	post.Header.Set("Content-Type", "application/json")
+	telemetry.Inject(ctx, post.Header)
+	resp, err := c.http.Do(post)
+	if err != nil {
+		return outcome{}, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readOutcome(member.Name, resp)
+}
+
+func readOutcome(member string, resp *http.Response) (outcome, string, error) {
+	encoded, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBody))
+	if err != nil {
+		return outcome{}, "", err
+	}
+	var response wireResponse
+	known := resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusMisdirectedRequest
+	if known {
+		if err := json.Unmarshal(encoded, &response); err != nil {
+			return outcome{}, "", err
+		}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return outcome{}, response.Leader, fmt.Errorf("claims: entry %s answered with status %d", member, resp.StatusCode)
+	}
+	return response.outcome(), "", nil
+}
--- a/internal/claims/command.go
+++ b/internal/claims/command.go
@@ -14,7 +14,6 @@
 	opRelease
 	opUnknown
 	opLease
-	opFence
 )
 
 // stamp is the time of the leader that proposes a command. Wall time decides
@@ -38,7 +37,6 @@
 	Answer  *storedAnswer `cbor:"8,keyasint,omitempty"`
 	Lease   string        `cbor:"9,keyasint,omitempty"`
 	TTLMS   int64         `cbor:"10,keyasint,omitempty"`
-	FenceMS int64         `cbor:"11,keyasint,omitempty"`
 }
 
 // storedAnswer is an Answer in the log and in snapshots.
--- a/internal/claims/leases.go
+++ b/internal/claims/leases.go
@@ -19,7 +19,8 @@
 type leaseTable struct {
 	Source  string           `cbor:"1,keyasint"`
 	NowMS   int64            `cbor:"2,keyasint"`
-	BlockMS int64            `cbor:"3,keyasint"` // no lease is granted before; 0: no block
+	BlockMS int64            `cbor:"3,keyasint"` // no lease is granted before, if Blocked
+	Blocked bool             `cbor:"5,keyasint,omitempty"`
 	Leases  map[string]lease `cbor:"4,keyasint"`
 }
 
@@ -37,7 +38,7 @@
 		held.UntilMS = l.NowMS + held.TTLMS + leaseMargin.Milliseconds()
 		l.Leases[name] = held
 	}
-	if l.BlockMS != 0 {
+	if l.Blocked {
 		l.BlockMS = l.NowMS + (limits.MaxLeaseTTL + leaseMargin).Milliseconds()
 	}
 }
@@ -47,10 +48,10 @@
 	if c.TTLMS <= 0 || c.TTLMS > limits.MaxLeaseTTL.Milliseconds() {
 		return false
 	}
-	if l.BlockMS > l.NowMS {
+	if l.Blocked && l.BlockMS > l.NowMS {
 		return false
 	}
-	l.BlockMS = 0
+	l.Blocked = false
 	l.expire()
 	held, taken := l.Leases[c.Lease]
 	if taken && held.Holder != c.Holder {
@@ -69,8 +70,8 @@
 }
 
 // block refuses all leases until those that the group granted before it lost
-// its state have ended.
-func (l *leaseTable) block(at stamp, limits Limits) {
-	l.follow(at, limits)
-	l.BlockMS = l.NowMS + (limits.MaxLeaseTTL + leaseMargin).Milliseconds()
+// its state have ended. The time counts from the next command on.
+func (l *leaseTable) block() {
+	l.Blocked = true
+	l.Source = ""
 }
--- a/internal/claims/memory.go
+++ b/internal/claims/memory.go
@@ -33,8 +33,10 @@
 
 // Fence drops all claims, as a group does that formed anew.
 func (m *Memory) Fence(fence time.Time) {
-	c := command{Op: opFence, At: m.stamp(), FenceMS: fence.UnixMilli()}
-	m.table.Apply(0, encode(c))
+	if err := m.table.Restore(nil); err != nil {
+		panic("claims: empty state refused: " + err.Error())
+	}
+	m.table.SetFence(fence)
 }
 
 func (m *Memory) stamp() stamp {
--- a/internal/claims/snapshot.go
+++ b/internal/claims/snapshot.go
@@ -40,8 +40,15 @@
 	return mode.Marshal(s)
 }
 
-// Restore replaces the state.
+// Restore replaces the state. An empty snapshot stands for the initial state.
 func (t *Table) Restore(encoded []byte) error {
+	if len(encoded) == 0 {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.reset()
+		t.notifyAll()
+		return nil
+	}
 	var s snapshot
 	decoder, err := cbor.DecOptions{MaxArrayElements: maxSnapshotRecords}.DecMode()
 	if err != nil {
@@ -63,9 +70,7 @@
 	for _, saved := range s.Records {
 		t.restoreRecord(saved)
 	}
-	for key := range t.watchers {
-		t.notify(key)
-	}
+	t.notifyAll()
 	return nil
 }
 
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
@@ -98,9 +99,6 @@
 		return t.markUnknown(c)
 	case opLease:
 		return outcome{OK: t.leases.acquire(c, t.limits)}
-	case opFence:
-		t.fence(c)
-		return outcome{OK: true}
 	default:
 		return outcome{State: Undecided}
 	}
@@ -238,16 +236,23 @@
 	return outcome{State: Undecided, OK: true}
 }
 
-// fence empties the table of a group that was formed anew after it had lost
-// its state.
-func (t *Table) fence(c command) {
-	if c.FenceMS > t.fenceMS {
-		t.fenceMS = c.FenceMS
-	}
-	t.leases.block(c.At, t.limits)
-	for key := range t.watchers {
-		t.notify(key)
+// SetFence implements consensus.FenceSetter. It is called with the same time
+// on all members whenever the group has formed anew without its state, and
+// after each Restore, whose snapshot already has the fence.
+//
+// A claim was granted for a key at most ClockError ahead of its leader's
+// clock, and that clock was at most ClockError ahead of the clock of the
+// fence. So no key above fence + 2 ClockError was claimed before the fence.
+func (t *Table) SetFence(fence time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fenceMS := fence.Add(2 * t.limits.ClockError).UnixMilli()
+	if fenceMS <= t.fenceMS {
+		return
 	}
+	t.fenceMS = fenceMS
+	t.leases.block()
+	t.notifyAll()
 }
 
 func (t *Table) fenced(key uuid.UUID) bool { return Key{ID: key}.CreatedMS() < t.fenceMS }
--- a/internal/claims/tableparts.go
+++ b/internal/claims/tableparts.go
@@ -160,6 +160,12 @@
 	delete(t.watchers, key)
 }
 
+func (t *Table) notifyAll() {
+	for key := range t.watchers {
+		t.notify(key)
+	}
+}
+
 // Size returns the number of claims and the bytes of stored answers.
 func (t *Table) Size() (records int, answerBytes int64) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/claims/wire.go
@@ -0,0 +1,127 @@
+package claims
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/google/uuid"
+)
+
+// pathPrefix is the start of the paths between entries; the group and the call
+// follow.
+const pathPrefix = "/peer/v1/claims/"
+
+// Calls of the API between entries.
+const (
+	callClaim    = "claim"
+	callComplete = "complete"
+	callRelease  = "release"
+	callUnknown  = "unknown"
+	callWait     = "wait"
+	callLease    = "lease"
+)
+
+var opOfCall = map[string]op{
+	callClaim:    opClaim,
+	callComplete: opComplete,
+	callRelease:  opRelease,
+	callUnknown:  opUnknown,
+	callWait:     opClaim, // for the fields; a wait is never applied
+	callLease:    opLease,
+}
+
+// wireRequest is the JSON body of a call.
+type wireRequest struct {
+	Plan    string      `json:"plan,omitempty"`
+	Key     string      `json:"key,omitempty"`
+	Digest  string      `json:"digest,omitempty"` // hex
+	Attempt string      `json:"attempt,omitempty"`
+	Holder  string      `json:"holder,omitempty"`
+	Answer  *wireAnswer `json:"answer,omitempty"`
+	Lease   string      `json:"lease,omitempty"`
+	TTLMS   int64       `json:"ttl_ms,omitempty"`
+	WaitMS  int64       `json:"wait_ms,omitempty"` // longest time to wait for a change
+}
+
+type wireAnswer struct {
+	Status  int                 `json:"status"`
+	Header  map[string][]string `json:"header,omitempty"`
+	Body    []byte              `json:"body,omitempty"`
+	Omitted bool                `json:"body_omitted,omitempty"`
+}
+
+// wireResponse is the JSON body of the answer to a call.
+type wireResponse struct {
+	State  State       `json:"state,omitempty"`
+	Holder string      `json:"holder,omitempty"`
+	Answer *wireAnswer `json:"answer,omitempty"`
+	OK     bool        `json:"ok,omitempty"`
+	Leader string      `json:"leader,omitempty"` // set if another member leads the group
+}
+
+func toWire(c command) wireRequest {
+	w := wireRequest{
+		Plan:    c.Plan,
+		Attempt: c.Attempt,
+		Holder:  c.Holder,
+		Lease:   c.Lease,
+		TTLMS:   c.TTLMS,
+	}
+	if c.Op == opLease {
+		return w
+	}
+	w.Key = c.Key.String()
+	w.Digest = hex.EncodeToString(c.Digest[:])
+	w.Answer = answerToWire(c.Answer)
+	return w
+}
+
+func (w wireRequest) command(what op) (command, error) {
+	c := command{
+		Op:      what,
+		Plan:    w.Plan,
+		Attempt: w.Attempt,
+		Holder:  w.Holder,
+		Lease:   w.Lease,
+		TTLMS:   w.TTLMS,
+	}
+	if what == opLease {
+		return c, nil
+	}
+	key, err := ParseKey(w.Key)
+	if err != nil {
+		return command{}, err
+	}
+	c.Key = uuid.UUID(key.ID)
+	digest, err := hex.DecodeString(w.Digest)
+	if err != nil || len(digest) != len(c.Digest) {
+		return command{}, fmt.Errorf("claims: the digest is not 32 bytes in hex")
+	}
+	copy(c.Digest[:], digest)
+	if what == opComplete {
+		c.Answer = answerFromWire(w.Answer)
+	}
+	return c, nil
+}
+
+func answerToWire(a *storedAnswer) *wireAnswer {
+	if a == nil {
+		return nil
+	}
+	return &wireAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Omitted: a.Omitted}
+}
+
+func answerFromWire(w *wireAnswer) *storedAnswer {
+	if w == nil {
+		return nil
+	}
+	return &storedAnswer{Status: w.Status, Header: w.Header, Body: w.Body, Omitted: w.Omitted}
+}
+
+func (o outcome) wire() wireResponse {
+	return wireResponse{State: o.State, Holder: o.Holder, Answer: answerToWire(o.Answer), OK: o.OK}
+}
+
+func (w wireResponse) outcome() outcome {
+	return outcome{State: w.State, Holder: w.Holder, Answer: answerFromWire(w.Answer), OK: w.OK}
+}
