Test the queue, sizes, limits, choice of targets and retries

Change: table tests of each rule and a property test of plan shares under overload with a margin of 5%.

--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,47 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against retries that multiply the load of failing targets.
+func TestBudgetIsATenthOfSuccesses(t *testing.T) {
+	var b Budget
+	for range budgetStart {
+		assert.True(t, b.Take())
+	}
+	assert.False(t, b.Take())
+	for range 200 {
+		b.Success()
+	}
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	assert.InDelta(t, 20, taken, 1)
+}
+
+func TestNoRetryInTheLastTenth(t *testing.T) {
+	arrived := time.Unix(0, 0)
+	deadline := arrived.Add(time.Second)
+	assert.True(t, InTime(arrived.Add(899*time.Millisecond), arrived, deadline))
+	assert.False(t, InTime(arrived.Add(900*time.Millisecond), arrived, deadline))
+}
+
+func TestMayHedge(t *testing.T) {
+	good := HedgeCase{Idempotent: true, FreeSlots: 1, Attempts: 1}
+	assert.True(t, MayHedge(good))
+	for _, bad := range []HedgeCase{
+		{FreeSlots: 1, Attempts: 1},
+		{Idempotent: true, Waiting: 1, FreeSlots: 1, Attempts: 1},
+		{Idempotent: true, Attempts: 1},
+		{Idempotent: true, FreeSlots: 1, Attempts: 2},
+	} {
+		assert.False(t, MayHedge(bad), "%+v", bad)
+	}
+	assert.Equal(t, maxShortDelay, HedgeDelay(time.Minute, true))
+	assert.Equal(t, 2*time.Minute, HedgeDelay(time.Minute, false))
+}
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,208 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Date(2025, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// Guards against a plan that gets less than its due under overload because
+// others send more, longer or more variable requests. Margin: 5%.
+func TestSharesOfSlotTimeUnderOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), 2, 6).Draw(t, "weights")
+		q := NewFairQueue()
+		served := make([]float64, len(weights))
+		total, sum := 0.0, 0
+		for _, w := range weights {
+			sum += w
+		}
+		next := uint64(0)
+		for range 4000 {
+			for i, w := range weights {
+				for q.queued(name(i)) < 3 {
+					next++
+					q.Push(&Job{ID: next, Plan: name(i), Weight: w, Cost: time.Duration(i+1) * 10 * time.Millisecond})
+				}
+			}
+			j := q.Next(true)
+			used := time.Duration(random.ExpFloat64() * float64(j.Cost))
+			q.Finished(j.Plan, j.Cost, used)
+			served[j.Plan[0]-'a'] += used.Seconds()
+			total += used.Seconds()
+		}
+		for i, w := range weights {
+			due := total * float64(w) / float64(sum)
+			assert.InEpsilon(t, due, served[i], 0.05, "plan %d of %v", i, weights)
+		}
+	})
+}
+
+func name(i int) string { return string(rune('a' + i)) }
+
+func (q *FairQueue) queued(plan string) int {
+	p := q.plan(plan)
+	return len(p.jobs[Short]) + len(p.jobs[Long])
+}
+
+// Guards against an unused share that is not lent, against credit for it, and
+// against a plan that exceeds its limit of concurrency.
+func TestQueueIsWorkConservingWithinLimits(t *testing.T) {
+	q := NewFairQueue()
+	for i := range 100 {
+		q.Push(&Job{ID: uint64(i), Plan: "a", Weight: 1, Cost: time.Second})
+	}
+	for range 50 {
+		assert.Equal(t, "a", q.Next(true).Plan)
+	}
+	for i := range 10 {
+		q.Push(&Job{ID: uint64(200 + i), Plan: "b", Weight: 1, Concurrency: 2, Cost: time.Second})
+	}
+	got := map[string]int{}
+	for range 10 {
+		got[q.Next(true).Plan]++
+	}
+	assert.Equal(t, map[string]int{"a": 8, "b": 2}, got)
+	for range 42 {
+		q.Next(true)
+	}
+	assert.Nil(t, q.Next(true), "plan b is at its limit")
+}
+
+// Guards against long work in the slots kept for short work, and against short
+// work that waits behind long work of its plan.
+func TestShortWorkPassesLongWork(t *testing.T) {
+	q := NewFairQueue()
+	q.Push(&Job{ID: 1, Plan: "a", Class: Long, Cost: time.Second})
+	q.Push(&Job{ID: 2, Plan: "a", Class: Short, Cost: time.Millisecond})
+	assert.Equal(t, uint64(2), q.Next(false).ID)
+	assert.Nil(t, q.Next(false))
+	assert.Equal(t, uint64(1), q.Next(true).ID)
+	for slots, want := range map[int]int{0: 0, 1: 1, 2: 1, 3: 1, 24: 12} {
+		assert.Equal(t, want, LongSlots(slots), "slots %d", slots)
+	}
+}
+
+func TestExpectedWait(t *testing.T) {
+	size := Size{Mean: 100 * time.Millisecond, High: 200 * time.Millisecond}
+	busy := func(backlogs ...Backlog) Load { return Load{Slots: 10, Backlogs: backlogs} }
+	cases := []struct {
+		desc    string
+		load    Load
+		arrival Arrival
+		want    time.Duration
+	}{
+		{"free slot", Load{Slots: 10, Free: 1}, Arrival{Plan: "a", Size: size}, 0},
+		{"own work", busy(Backlog{Plan: "a", Weight: 1, Queued: 9, Work: time.Second}), Arrival{Plan: "a", Weight: 1, Size: size}, 100 * time.Millisecond},
+		{"much work of another plan", busy(Backlog{Plan: "b", Weight: 1, Queued: 99, Work: 90 * time.Second}), Arrival{Plan: "a", Weight: 1, Size: size}, 10 * time.Millisecond},
+		{"another plan of twice the weight", busy(Backlog{Plan: "b", Weight: 2, Queued: 99, Work: 90 * time.Second}), Arrival{Plan: "a", Weight: 1, Size: size}, 20 * time.Millisecond},
+		{"no slots", Load{}, Arrival{Plan: "a", Size: size}, time.Hour},
+		{"limit of concurrency", Load{Slots: 10, Free: 5, Backlogs: []Backlog{{Plan: "a", Weight: 1, Queued: 9, InFlight: 1, Work: time.Second}}}, Arrival{Plan: "a", Weight: 1, Concurrency: 1, Size: size}, 1050 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			assert.Equal(t, tc.want, ExpectedWait(tc.load, tc.arrival))
+		})
+	}
+	ok, after := InTime(time.Second, time.Second, size)
+	assert.False(t, ok)
+	assert.Equal(t, 200*time.Millisecond, after)
+}
+
+// Guards against a straggler that makes its whole route long, and against a
+// long route that is not recognised.
+func TestClassesAreLearnedForRouteAndPlan(t *testing.T) {
+	s := NewSizes()
+	for i := range 500 {
+		took := 10 * time.Millisecond
+		if i%100 == 0 {
+			took *= 20
+		}
+		s.Learn("GET /orders", "a", took, t0)
+		if i%10 == 0 {
+			s.Learn("GET /reports", "a", 200*time.Millisecond, t0)
+		}
+	}
+	assert.Equal(t, Short, s.Expect("GET /orders", "a").Class)
+	assert.Equal(t, Long, s.Expect("GET /reports", "a").Class)
+	assert.Equal(t, Long, s.Expect("GET /reports", "new plan").Class)
+	assert.Equal(t, Short, s.Expect("GET /unknown", "a").Class)
+	assert.InDelta(t, 10, s.Expect("GET /orders", "a").Typical.Milliseconds(), 1)
+	assert.GreaterOrEqual(t, s.Tail(), 15.0)
+}
+
+// Guards against full load on a target that starts cold or sheds work, and
+// against a target that attracts work because it sheds quickly.
+func TestLimitFollowsColdStartAndShedAnswers(t *testing.T) {
+	var l Limit
+	l.Start(8, false)
+	assert.Equal(t, 2, l.Slots(8, t0))
+	for range 9 {
+		l.Good(8, t0)
+	}
+	assert.Equal(t, 8, l.Slots(8, t0))
+	l.Shed(8, t0)
+	assert.Equal(t, 5, l.Slots(8, t0))
+	l.Good(8, t0)
+	assert.Equal(t, 5, l.Slots(8, t0), "no growth right after a shed answer")
+	l.Good(8, t0.Add(shedRecovery))
+	assert.Equal(t, 6, l.Slots(8, t0))
+	l.Shed(1, t0)
+	assert.Equal(t, 0, l.Slots(8, t0), "rests")
+	assert.Equal(t, 1, l.Slots(8, t0.Add(shedRest)))
+	l.Start(8, true)
+	assert.Equal(t, 8, l.Slots(8, t0))
+}
+
+func TestPick(t *testing.T) {
+	cases := []struct {
+		desc    string
+		options []Option
+		want    int // -1: none
+	}{
+		{"none free", []Option{{Limit: 2, InFlight: 2}, {}}, -1},
+		{"least share in use", []Option{{Limit: 2, InFlight: 1}, {Limit: 6, InFlight: 2}}, 1},
+		{"doubtful only when the others are full", []Option{{Order: Doubtful, Limit: 2}, {Limit: 2, InFlight: 1}}, 1},
+		{"doubtful before idle", []Option{{Order: Doubtful, Limit: 2}, {Limit: 2, InFlight: 2}}, 0},
+		{"last resort after poor", []Option{{Order: LastResort, Limit: 2}, {Order: Poor, Limit: 1}}, 1},
+		{"not tried before", []Option{{Tried: true, Limit: 2}, {Limit: 2, InFlight: 1}}, 1},
+		{"same data centre when equal", []Option{{Limit: 2}, {Limit: 2, SameDataCentre: true}}, 1},
+		{"less busy data centre otherwise", []Option{{Limit: 2}, {Limit: 2, InFlight: 1, SameDataCentre: true}}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			for _, random := range []float64{0, 0.5, 0.999} {
+				got, ok := Pick(tc.options, random)
+				assert.Equal(t, tc.want >= 0, ok)
+				if ok {
+					assert.Equal(t, tc.want, got)
+				}
+			}
+		})
+	}
+	equal := []Option{{Limit: 1}, {Limit: 1}}
+	first, _ := Pick(equal, 0.2)
+	second, _ := Pick(equal, 0.8)
+	assert.NotEqual(t, first, second, "equal options are drawn at random")
+}
+
+func TestRates(t *testing.T) {
+	r := NewRates()
+	ok, _ := r.Allow("a", 0, t0)
+	assert.True(t, ok, "no limit")
+	for range 2 {
+		ok, _ = r.Allow("a", 2, t0)
+		assert.True(t, ok)
+	}
+	ok, after := r.Allow("a", 2, t0)
+	assert.False(t, ok)
+	assert.Equal(t, 500*time.Millisecond, after)
+	ok, _ = r.Allow("a", 2, t0.Add(after))
+	assert.True(t, ok)
+}
