Wire claims and the catalog follower into the entry, add a process test

Cause: the parts of the entry had not run as a process.

Change: wiring of claims and follower; the first process tests of the fleet.

--- a/internal/entry/runhere.go
+++ b/internal/entry/runhere.go
@@ -35,7 +35,7 @@
 			return answer, refused
 		}
 	}
-	result := e.runner.Run(ctx, scheduler{s.service}, job)
+	result := e.runner.Run(ctx, dispatch.Owned(s.service), job)
 	countRequest(sideLocal, resultOutcome(result))
 	return e.settled(q, result)
 }
--- /dev/null
+++ b/internal/fleettest/fleet_test.go
@@ -0,0 +1,156 @@
+// Package fleettest runs whole fleets of processes on loopback.
+package fleettest
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/loadgen"
+	"github.com/sequoialane/sequoialane/internal/localfleet"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+const (
+	startLimit = 30 * time.Second
+	testLimit  = 90 * time.Second
+	service    = "consents"
+)
+
+var binDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sequoialane-bin")
+	if err != nil {
+		panic(err)
+	}
+	binDir = dir
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		panic(err)
+	}
+	if err := localfleet.Build(root, binDir); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// startFleet starts a fleet in which plan "council" is entitled to the
+// service.
+func startFleet(t *testing.T, o localfleet.Options) (*localfleet.Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	o.BinDir = binDir
+	o.WorkDir = t.TempDir()
+	starting, stop := context.WithTimeout(ctx, startLimit)
+	defer stop()
+	f, err := localfleet.Start(starting, o)
+	t.Cleanup(func() {
+		f.Close()
+		if t.Failed() {
+			showLogs(t, f)
+		}
+	})
+	require.NoError(t, err)
+	entitle(t, ctx, f, "council")
+	return f, ctx
+}
+
+func entitle(t *testing.T, ctx context.Context, f *localfleet.Fleet, planID string) {
+	t.Helper()
+	_, hash := localfleet.Token(planID)
+	version, err := f.Change(plan.Change{
+		SetPlans:        []plan.Plan{{ID: planID, Weight: 1, TokenSHA256: []string{hash}, HomeRegion: "north"}},
+		SetEntitlements: []plan.Entitlement{{Plan: planID, Service: service}},
+	})
+	require.NoError(t, err)
+	require.NoError(t, f.WaitCatalog(ctx, version, f.Entries...))
+}
+
+func showLogs(t *testing.T, f *localfleet.Fleet) {
+	for _, e := range f.Entries {
+		t.Logf("log of %s:\n%s", e.Name, tail(e.Log()))
+	}
+}
+
+func tail(text string) string {
+	const shown = 3000
+	if len(text) > shown {
+		return text[len(text)-shown:]
+	}
+	return text
+}
+
+func startUpstreams(t *testing.T, ctx context.Context, f *localfleet.Fleet, n int) {
+	t.Helper()
+	for i := range n {
+		_, err := f.StartUpstream(ctx, localfleet.UpstreamOptions{
+			Service: service, Slots: 4, ServiceTime: 5 * time.Millisecond, Idempotent: []string{"/uploads"}, Seed: uint64(i),
+		})
+		require.NoError(t, err)
+	}
+}
+
+// lookups and consents are an idempotent and a non-idempotent stream.
+func mixedLoad(d time.Duration, rate float64) loadgen.Config {
+	token, _ := localfleet.Token("council")
+	cfg := loadgen.Defaults()
+	cfg.Duration = settings.Duration(d)
+	cfg.Streams = []loadgen.Stream{
+		{Name: "lookups", Service: service, Path: "/orders", Token: token, Rate: rate, Timeout: settings.Duration(5 * time.Second)},
+		{Name: "consents", Service: service, Method: "POST", Path: "/consents", Token: token, Rate: rate / 2, Keyed: true, BodyBytes: 500, Timeout: settings.Duration(5 * time.Second)},
+		{Name: "surveys", Service: service, Method: "POST", Path: "/uploads", Token: token, Rate: rate / 10, BodyBytes: 200_000, AnswerBytes: 100_000, Timeout: settings.Duration(5 * time.Second)},
+	}
+	return cfg
+}
+
+// assertKeysRanOnce checks that no key took effect twice, that each answered
+// one took effect, and that none that was called not-run did.
+func assertKeysRanOnce(t *testing.T, f *localfleet.Fleet, load *localfleet.Load) {
+	t.Helper()
+	keys, err := load.Keys()
+	require.NoError(t, err)
+	require.NotEmpty(t, keys)
+	runs := map[string]int{}
+	for _, u := range f.Upstreams {
+		stats, err := f.Stats(u)
+		if err != nil {
+			continue
+		}
+		for key, n := range stats.Runs {
+			runs[key] += n
+		}
+	}
+	for _, k := range keys {
+		assert.LessOrEqual(t, runs[k.Key], 1, "key %s ran twice", k.Key)
+		if k.Outcome == "ok" {
+			assert.Equal(t, 1, runs[k.Key], "key %s was answered", k.Key)
+		}
+		if k.Effect == "not-run" {
+			assert.Zero(t, runs[k.Key], "key %s was called not-run", k.Key)
+		}
+	}
+}
+
+// Guards against the whole path not working together.
+func TestWholePath(t *testing.T) {
+	f, ctx := startFleet(t, localfleet.Options{Controls: 3, Entries: 4})
+	startUpstreams(t, ctx, f, 3)
+	load, err := f.StartLoad("load", mixedLoad(3*time.Second, 100))
+	require.NoError(t, err)
+	summary, err := load.Finish(ctx)
+	require.NoError(t, err)
+	for _, s := range summary.Streams {
+		assert.Equal(t, map[string]int{"ok": s.Sent}, s.Outcomes, s.Name)
+	}
+	assertKeysRanOnce(t, f, load)
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -252,7 +252,7 @@
 		g := claims.GroupSettings{Name: region, Region: region}
 		for _, s := range entries {
 			if s.Region == region && len(g.Members) < claimMembers {
-				g.Members = append(g.Members, s.Name)
+				g.Members = append(g.Members, claims.MemberSettings{Name: s.Name, Address: s.PeerAddress})
 			}
 		}
 		if len(g.Members)%2 == 0 && len(g.Members) > 0 {
