--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 	gofmt -l .
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# Runs a small fleet on loopback, disturbs it and prints what callers saw.
+demo: build
+	./bin/demo --bin bin
--- a/internal/loadgen/config.go
+++ b/internal/loadgen/config.go
@@ -12,7 +12,7 @@
 
 // Config is the settings file of the load generator.
 type Config struct {
-	Entries     []string          `json:"entries"` // caller addresses asked for addresses first
+	Entries     []string          `json:"entries,omitempty"` // caller addresses asked for addresses first
 	Region      string            `json:"region"`
 	Duration    settings.Duration `json:"duration"`
 	Seed        uint64            `json:"seed"`
@@ -29,7 +29,7 @@
 	Path            string            `json:"path"`
 	Token           string            `json:"token"` // of the plan
 	Rate            float64           `json:"rate"`  // arrivals per second
-	Swings          []Swing           `json:"swings"`
+	Swings          []Swing           `json:"swings,omitempty"`
 	Timeout         settings.Duration `json:"timeout"`
 	Keyed           bool              `json:"keyed"`
 	BodyBytes       int               `json:"body_bytes"`
--- /dev/null
+++ b/tools/demo/report.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/loadgen"
+	"github.com/sequoialane/sequoialane/internal/localfleet"
+)
+
+// report prints what callers saw. It returns an error if a promise was broken:
+// an answer that belongs to another request, or a key that ran twice.
+func (s *scenario) report(summary loadgen.Summary, load *localfleet.Load) error {
+	fmt.Println()
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "stream\tsent\tok\tother outcomes\tresent\tp50 ms\tp99 ms\tmax ms")
+	wrong := 0
+	for _, r := range summary.Streams {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%d\t%.1f\t%.1f\t%.1f\n",
+			r.Name, r.Sent, r.Outcomes["ok"], others(r.Outcomes), r.Resent, r.Latency.P50, r.Latency.P99, r.Latency.Max)
+		wrong += r.Outcomes["wrong_id"] + r.Outcomes["wrong_digest"] + r.Outcomes["wrong_body"]
+	}
+	if err := table.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	twice, untrue, err := s.checkKeys(load)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("\nanswers of other requests: %d, keys run twice: %d, keys called not-run that ran: %d\n", wrong, twice, untrue)
+	if wrong+twice+untrue > 0 {
+		return trace.BadParameter("the fleet broke a promise")
+	}
+	return nil
+}
+
+func others(outcomes map[string]int) string {
+	names := lo.Filter(lo.Keys(outcomes), func(name string, _ int) bool { return name != "ok" })
+	if len(names) == 0 {
+		return "-"
+	}
+	slices.Sort(names)
+	return strings.Join(lo.Map(names, func(name string, _ int) string { return fmt.Sprintf("%s %d", name, outcomes[name]) }), ", ")
+}
+
+// checkKeys compares the keys of the callers with what the upstreams ran. The
+// counts of the killed upstream are lost.
+func (s *scenario) checkKeys(load *localfleet.Load) (twice, untrue int, err error) {
+	runs := map[string]int{}
+	for _, u := range s.fleet.Upstreams {
+		stats, err := s.fleet.Stats(u)
+		if err != nil {
+			continue
+		}
+		for key, n := range stats.Runs {
+			runs[key] += n
+		}
+	}
+	keys, err := load.Keys()
+	if err != nil {
+		return 0, 0, trace.Wrap(err)
+	}
+	for _, k := range keys {
+		if runs[k.Key] > 1 {
+			twice++
+		}
+		if runs[k.Key] > 0 && k.Effect == fault.NotRun {
+			untrue++
+		}
+	}
+	return twice, untrue, nil
+}
