Test the catalog, and base contact with a leader on read barriers

Cause: the consensus package passes proposals and reads on to the leader itself, so forwarding in control was a second copy of it. The role that a group reports is out of date right after a pause of the process, so a member resumed after a pause could have called its copy current.

Change: forwarding is removed.

Shown by: go test -race ./internal/...

--- a/cmd/sequoialane-control/wire.go
+++ b/cmd/sequoialane-control/wire.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	processName        = "sequoialane-control"
-	traceFlushTimeout  = 2 * time.Second
-	idleConnectionTime = 30 * time.Second
+	processName       = "sequoialane-control"
+	traceFlushTimeout = 2 * time.Second
 )
 
 // serve wires the process and runs it until ctx ends.
@@ -46,7 +45,6 @@
 	i := do.New()
 	do.ProvideValue[sys.Clock](i, sys.RealClock{})
 	do.ProvideValue(i, plan.NewMachine())
-	do.ProvideValue(i, newHTTPClient())
 	do.Provide(i, func(do.Injector) (*zap.Logger, error) {
 		log, err := telemetry.NewLogger(l.settings.Telemetry, processName)
 		if err != nil {
@@ -68,12 +66,8 @@
 		Catalog:       do.MustInvoke[*plan.Machine](i),
 		OperatorToken: l.operatorToken,
 		FleetToken:    l.fleetToken,
-		HTTP:          do.MustInvoke[*http.Client](i),
+		GroupHandler:  http.NotFoundHandler(),
 		Clock:         do.MustInvoke[sys.Clock](i),
 		Log:           do.MustInvoke[*zap.Logger](i),
 	})
 }
-
-func newHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnectionTime}}
-}
--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,19 +31,23 @@
 type controlServer struct {
 	*httptest.Server
 	machine *plan.Machine
+	cut     atomic.Bool // pretends to be out of contact with a leader
 }
 
+func (s *controlServer) contact() bool { return !s.cut.Load() }
+
 func newControlServer(t *testing.T) *controlServer {
 	t.Helper()
 	machine := plan.NewMachine()
 	group := control.NewSolo("c1", machine)
-	submitter := control.NewSubmitter(group, machine, control.Peers{HTTP: http.DefaultClient}, sys.RealClock{}, zap.NewNop())
+	submitter := control.NewSubmitter(group, machine, sys.RealClock{}, zap.NewNop())
 	done := make(chan struct{})
+	s := &controlServer{machine: machine}
 	handler := control.NewHandler(control.Options{
-		Group: group, Catalog: machine, Submitter: submitter, OperatorToken: operatorToken,
+		Group: group, Catalog: machine, Submitter: submitter, OperatorToken: operatorToken, Contact: s.contact,
 		FleetToken: testToken, Clock: sys.RealClock{}, Done: done,
 	})
-	s := &controlServer{Server: httptest.NewServer(handler), machine: machine}
+	s.Server = httptest.NewServer(handler)
 	t.Cleanup(func() {
 		close(done)
 		s.CloseClientConnections()
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -27,6 +27,7 @@
 	Group         Group
 	Catalog       Catalog
 	Submitter     *Submitter
+	Contact       func() bool       // whether this member is in contact with a leader
 	APIAddresses  map[string]string // address of the administration API by member name
 	OperatorToken string
 	FleetToken    string
@@ -42,7 +43,7 @@
 func NewHandler(options Options) http.Handler {
 	feed := catalogfeed.NewServer(catalogfeed.ServerOptions{
 		Source:  options.Catalog,
-		Contact: func() bool { return options.Group.Status().InContact },
+		Contact: options.Contact,
 		Done:    options.Done,
 		Clock:   options.Clock,
 		Token:   options.FleetToken,
--- a/internal/control/api_test.go
+++ b/internal/control/api_test.go
@@ -21,15 +21,13 @@
 const testToken = "operator"
 
 // newTestHandler returns the handler of one member of a group.
-func newTestHandler(t *testing.T, group Group, machine *plan.Machine, peers Peers) http.Handler {
+func newTestHandler(t *testing.T, group Group, machine *plan.Machine) http.Handler {
 	t.Helper()
-	if peers.HTTP == nil {
-		peers.HTTP = http.DefaultClient
-	}
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
 	return NewHandler(Options{
-		Group: group, Catalog: machine, Submitter: NewSubmitter(group, machine, peers, sys.RealClock{}, zap.NewNop()),
+		Group: group, Catalog: machine, Submitter: NewSubmitter(group, machine, sys.RealClock{}, zap.NewNop()),
+		Contact:       func() bool { return true },
 		OperatorToken: testToken, FleetToken: "fleet", Clock: sys.RealClock{}, Done: done,
 	})
 }
@@ -37,7 +35,7 @@
 func newSoloHandler(t *testing.T) http.Handler {
 	t.Helper()
 	machine := plan.NewMachine()
-	return newTestHandler(t, NewSolo("c1", machine), machine, Peers{})
+	return newTestHandler(t, NewSolo("c1", machine), machine)
 }
 
 func call(t *testing.T, handler http.Handler, method, target, body string, out any) int {
--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -77,6 +77,7 @@
 // sees it. It is not a linearizable read, so that it works without a leader.
 type controlStatus struct {
 	GroupStatus
+	InContact      bool   `json:"in_contact" doc:"whether a leader confirmed lately that the answering member is up to date"`
 	CatalogVersion uint64 `json:"catalog_version" doc:"catalog version of the answering member"`
 	Plans          int    `json:"plans"`
 	Entitlements   int    `json:"entitlements"`
@@ -86,6 +87,7 @@
 	current := a.Catalog.Current()
 	body := controlStatus{
 		GroupStatus:    a.Group.Status(),
+		InContact:      a.Contact(),
 		CatalogVersion: current.Version(),
 		Plans:          current.Plans(),
 		Entitlements:   current.Entitlements(),
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -1,7 +1,7 @@
 // Package control is the administration of the catalog: it submits operators'
 // changes to the consensus group of the control members, answers reads, and
 // serves the change feed that entries follow. Each request may be sent to any
-// member; what only the leader can do is passed on to it.
+// member; the group passes on what only its leader can do.
 package control
 
 import (
@@ -16,8 +16,8 @@
 	// consensus.ErrNotLeader (not proposed), consensus.ErrUnknownOutcome (may
 	// be committed later) or consensus.ErrStopped.
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
-	// ReadBarrier returns once this member, as the leader, has applied every
-	// command committed before the call.
+	// ReadBarrier returns once this member has applied every command committed
+	// before the call, confirmed by a majority.
 	ReadBarrier(ctx context.Context) error
 	// Status returns the group as this member sees it.
 	Status() GroupStatus
@@ -27,7 +27,6 @@
 type GroupStatus struct {
 	Member       string        `json:"member" doc:"name of the member that answers"`
 	Leader       string        `json:"leader" doc:"name of the leader; empty if none is known"`
-	InContact    bool          `json:"in_contact" doc:"whether this member is, or recently heard from, a leader"`
 	Term         uint64        `json:"term"`
 	CommitIndex  uint64        `json:"commit_index"`
 	AppliedIndex uint64        `json:"applied_index"`
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -16,24 +16,23 @@
 
 // Process serves a control member on its two addresses.
 type Process struct {
-	api   *httpserver.Server
-	peer  *httpserver.Server
-	group Group
-	clock sys.Clock
-	log   *zap.Logger
-	done  chan struct{}
-	drain time.Duration
+	api     *httpserver.Server
+	peer    *httpserver.Server
+	contact *ContactMonitor
+	clock   sys.Clock
+	log     *zap.Logger
+	done    chan struct{}
+	drain   time.Duration
 }
 
 // ProcessOptions configure a Process.
 type ProcessOptions struct {
 	Settings      *Settings
 	Group         Group
-	GroupHandler  http.Handler // messages of the consensus group; nil if it has none
+	GroupHandler  http.Handler // messages of the consensus group
 	Catalog       Catalog
 	OperatorToken string
 	FleetToken    string
-	HTTP          *http.Client // to other members
 	Clock         sys.Clock
 	Log           *zap.Logger
 }
@@ -44,13 +43,13 @@
 	if !found {
 		return nil, trace.BadParameter("member %q is not in the settings", options.Settings.Name)
 	}
-	p := &Process{group: options.Group, clock: options.Clock, log: options.Log, done: make(chan struct{}), drain: options.Settings.DrainTimeout.Std()}
-	peers := Peers{Addresses: options.Settings.PeerAddresses(), HTTP: options.HTTP, Token: options.FleetToken}
-	submitter := NewSubmitter(options.Group, options.Catalog, peers, options.Clock, options.Log)
+	p := &Process{contact: NewContactMonitor(options.Group, options.Clock), clock: options.Clock, log: options.Log, done: make(chan struct{}), drain: options.Settings.DrainTimeout.Std()}
+	submitter := NewSubmitter(options.Group, options.Catalog, options.Clock, options.Log)
 	handler := NewHandler(Options{
 		Group:         options.Group,
 		Catalog:       options.Catalog,
 		Submitter:     submitter,
+		Contact:       p.contact.InContact,
 		APIAddresses:  options.Settings.APIAddresses(),
 		OperatorToken: options.OperatorToken,
 		FleetToken:    options.FleetToken,
@@ -58,7 +57,7 @@
 		Done:          p.done,
 	})
 	var err error
-	if p.peer, err = httpserver.Listen(self.PeerAddress, peerHandler(submitter, options)); err != nil {
+	if p.peer, err = httpserver.Listen(self.PeerAddress, options.GroupHandler); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if p.api, err = httpserver.Listen(self.APIAddress, handler); err != nil {
@@ -68,25 +67,19 @@
 	return p, nil
 }
 
-func peerHandler(submitter *Submitter, options ProcessOptions) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/internal/", NewInternalHandler(submitter, options.FleetToken))
-	if options.GroupHandler != nil {
-		mux.Handle("/", requireToken(options.FleetToken, "fleet token required", options.GroupHandler))
-	}
-	return mux
-}
-
 // Run serves until ctx ends, and then drains. It returns an error if a
 // listener fails.
 func (p *Process) Run(ctx context.Context) error {
 	p.peer.Start()
 	p.api.Start()
 	p.log.Info("control member serves", zap.String("api_address", p.api.Address()), zap.String("peer_address", p.peer.Address()))
+	monitored, stopMonitor := context.WithCancel(context.Background())
+	defer stopMonitor()
+	go p.contact.Run(monitored)
 	ticker := p.clock.NewTicker(readinessInterval)
 	defer ticker.Stop()
 	for {
-		ready := p.group.Status().InContact
+		ready := p.contact.InContact()
 		p.api.SetReady(ready)
 		p.peer.SetReady(ready)
 		select {
--- a/internal/control/solo.go
+++ b/internal/control/solo.go
@@ -36,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return GroupStatus{
-		Member: s.name, Leader: s.name, InContact: true, Term: 1, CommitIndex: s.index, AppliedIndex: s.index,
+		Member: s.name, Leader: s.name, Term: 1, CommitIndex: s.index, AppliedIndex: s.index,
 		Members: []GroupMember{{Name: s.name, Incarnation: 1, Voter: true}},
 	}
 }
--- a/internal/control/submitter.go
+++ b/internal/control/submitter.go
@@ -23,19 +23,17 @@
 	retryAfterHint = time.Second
 )
 
-// Submitter sends changes and read barriers to the leader of the group,
-// wherever it is.
+// Submitter submits changes to the group and makes reads linearizable.
 type Submitter struct {
 	group   Group
 	catalog Catalog
-	leader  *leaderClient
 	clock   sys.Clock
 	log     *zap.Logger
 }
 
 // NewSubmitter returns a Submitter for the member that group belongs to.
-func NewSubmitter(group Group, catalog Catalog, peers Peers, clock sys.Clock, log *zap.Logger) *Submitter {
-	return &Submitter{group: group, catalog: catalog, leader: newLeaderClient(peers), clock: clock, log: log}
+func NewSubmitter(group Group, catalog Catalog, clock sys.Clock, log *zap.Logger) *Submitter {
+	return &Submitter{group: group, catalog: catalog, clock: clock, log: log}
 }
 
 // Submit returns the result of the change once it is committed. Attempts are
@@ -69,19 +67,9 @@
 	return fault.New(fault.ControlUnavailable, "no leader of the control members can be reached").WithRetryAfter(retryAfterHint)
 }
 
-// attempt proposes the change at this member, or at the leader it knows.
 func (s *Submitter) attempt(ctx context.Context, ch plan.Change) (plan.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	result, err := s.ProposeHere(ctx, ch)
-	if !errors.Is(err, consensus.ErrNotLeader) {
-		return result, err
-	}
-	return s.leader.propose(ctx, s.group.Status(), ch)
-}
-
-// ProposeHere proposes the change if this member is the leader.
-func (s *Submitter) ProposeHere(ctx context.Context, ch plan.Change) (plan.Result, error) {
 	encoded, err := s.group.Propose(ctx, ch.Encode())
 	if err != nil {
 		return plan.Result{}, err
@@ -95,9 +83,7 @@
 }
 
 // notProposed reports whether the error proves that nothing was proposed.
-func notProposed(err error) bool {
-	return errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, errNoLeader)
-}
+func notProposed(err error) bool { return errors.Is(err, consensus.ErrNotLeader) }
 
 // Barrier returns a copy of the catalog that holds every change accepted
 // before the call.
@@ -105,9 +91,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for {
-		snapshot, err := s.tryBarrier(ctx)
-		if err == nil {
-			return snapshot, nil
+		if s.tryBarrier(ctx) == nil {
+			return s.catalog.Current(), nil
 		}
 		if s.clock.Sleep(ctx, retryPause) != nil {
 			detail := "no leader of the control members can be reached for a current read"
@@ -116,40 +101,8 @@
 	}
 }
 
-func (s *Submitter) tryBarrier(ctx context.Context) (*plan.Snapshot, error) {
+func (s *Submitter) tryBarrier(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	snapshot, err := s.BarrierHere(ctx)
-	if !errors.Is(err, consensus.ErrNotLeader) {
-		return snapshot, err
-	}
-	version, err := s.leader.readPoint(ctx, s.group.Status())
-	if err != nil {
-		return nil, err
-	}
-	return s.waitFor(ctx, version)
-}
-
-// BarrierHere is Barrier if this member is the leader.
-func (s *Submitter) BarrierHere(ctx context.Context) (*plan.Snapshot, error) {
-	if err := s.group.ReadBarrier(ctx); err != nil {
-		return nil, err
-	}
-	return s.catalog.Current(), nil
-}
-
-// waitFor returns the local copy once it has reached the version.
-func (s *Submitter) waitFor(ctx context.Context, version uint64) (*plan.Snapshot, error) {
-	for {
-		changed := s.catalog.Changed()
-		current := s.catalog.Current()
-		if current.Version() >= version {
-			return current, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
+	return s.group.ReadBarrier(ctx)
 }
--- a/internal/plan/machine.go
+++ b/internal/plan/machine.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"sync"
 )
 
@@ -115,18 +117,26 @@
 	return buffer.Bytes(), nil
 }
 
-// Restore replaces the catalog by an encoded one. The machine is unchanged if
-// it returns an error.
+// Restore replaces the catalog by an encoded one. An empty snapshot stands for
+// the empty catalog. The machine is unchanged if it returns an error.
 func (m *Machine) Restore(encoded []byte) error {
+	if len(encoded) == 0 {
+		m.replace(NewCatalog())
+		return nil
+	}
 	catalog, err := decodeCatalog(encoded)
 	if err != nil {
 		return err
 	}
+	m.replace(catalog)
+	return nil
+}
+
+func (m *Machine) replace(catalog *Catalog) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.catalog = catalog
 	m.notify()
-	return nil
 }
 
 func decodeCatalog(encoded []byte) (*Catalog, error) {
@@ -146,7 +156,10 @@
 	if c.current, err = Empty().Apply(full); err != nil {
 		return nil, err
 	}
-	return c, c.decodeRest(decoder, header)
+	if err := c.decodeRest(decoder, header); err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 func (c *Catalog) decodeRest(decoder *json.Decoder, header machineHeader) error {
@@ -171,5 +184,8 @@
 	for _, h := range homes {
 		c.homes.add(h)
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: data after the end", ErrEncoding)
+	}
 	return nil
 }
