Test the entry front with bad input; keep paths and refuse large headers

Cause: a ServeMux in httpserver redirected paths that are not in their shortest form, and net/http answered headers above 32 KiB outside the closed list.

Change: httpserver matches its three paths without a mux and leaves the limit of 32 KiB to the handler; net/http refuses above 64 KiB. The read deadline of a stalled body stays after the error, since net/http reads on to the end of a refused body.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -98,11 +98,11 @@
 	}
 	removeConnectionHeaders(h)
 	h.Set(headerRequestID, q.id)
-	if a.Length >= 0 && q.method != http.MethodHead {
+	if a.Length >= 0 && bodyAllowed(q.method, a.Status) {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	w.WriteHeader(a.Status)
-	if q.method == http.MethodHead {
+	if !bodyAllowed(q.method, a.Status) {
 		return 0, nil
 	}
 	out := &pacedWriter{target: w, control: http.NewResponseController(w)}
@@ -116,6 +116,12 @@
 	return written, nil
 }
 
+// bodyAllowed reports whether an answer may have a body. The Content-Length of
+// one that may not describes the body of another answer and is left as it is.
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 func copySize(a *Answer) int {
 	if a.Length >= 0 && a.Length < copyBuffer {
 		return max(int(a.Length), 512)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -63,6 +63,14 @@
 // replayable reports whether the body can still be sent from its start.
 func (b *body) replayable() bool { return b.stream == nil || !b.started.Load() }
 
+// limitRest bounds the time that net/http waits for the rest of a body that
+// was refused unread.
+func limitRest(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readPause))
+	}
+}
+
 // reader returns the whole body. A streamed body has one reader only.
 func (b *body) reader() io.Reader {
 	if b.stream == nil {
@@ -88,7 +96,9 @@
 }
 
 // pacedReader limits the time between two parts of the body. The limit is
-// lifted at the end, since net/http watches the connection for its end then.
+// lifted at the end of the body, since net/http watches the connection for its
+// end then. It stays after an error, so that net/http, which reads on to the
+// end of a refused body, does not wait for a stalled sender.
 type pacedReader struct {
 	source  io.Reader
 	control *http.ResponseController
@@ -97,13 +107,14 @@
 func (p *pacedReader) Read(b []byte) (int, error) {
 	_ = p.control.SetReadDeadline(time.Now().Add(readPause))
 	n, err := p.source.Read(b)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = p.control.SetReadDeadline(time.Time{})
+		return n, err
 	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil {
 		return n, bodyFault(err)
 	}
-	return n, err
+	return n, nil
 }
 
 // bodyFault maps an error of reading the caller's body.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -105,6 +105,7 @@
 		received: e.clock.Now(),
 	}
 	if err != nil {
+		limitRest(w, r)
 		return q, refuse(err)
 	}
 	for _, check := range []func() *fault.Error{
@@ -113,6 +114,7 @@
 		func() *fault.Error { return e.authorize(q, r) },
 	} {
 		if err := check(); err != nil {
+			limitRest(w, r)
 			return q, refuse(err)
 		}
 	}
--- /dev/null
+++ b/internal/entry/front_test.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/configsync"
+	"github.com/sequoialane/sequoialane/internal/fault"
+)
+
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// Guards against bad input that gets no error of the closed list, a wrong
+// effect, or stops the process.
+func TestBadInput(t *testing.T) {
+	c := newCluster(t, "north", "north")
+	c.addTarget(t, "north", echo)
+	malformed := map[string]string{headerKey: "not-a-uuid"}
+	version4 := map[string]string{headerKey: "9b2d7a56-3f0e-4c5d-8a11-2f9d6f1c0a77"}
+	withKey := func(more ...string) map[string]string {
+		h := map[string]string{headerKey: newKey()}
+		for i := 0; i < len(more); i += 2 {
+			h[more[i]] = more[i+1]
+		}
+		return h
+	}
+	long := strings.Repeat("x", 40<<10)
+	cases := []struct {
+		desc, method, path, body string
+		header                   map[string]string
+		kind                     fault.Kind
+		effect                   fault.Effect
+	}{
+		{"no service", "GET", "/nothing", "", nil, fault.UnknownService, fault.NotRun},
+		{"bad service name", "GET", "/s/a%20b/x", "", nil, fault.UnknownService, fault.NotRun},
+		{"service without entitlement", "GET", "/s/other/x", "", nil, fault.NotEntitled, fault.NotRun},
+		{"wrong token", "GET", "/s/consents/x", "", map[string]string{"Authorization": "Bearer wrong"}, fault.Unauthorized, fault.NotRun},
+		{"no bearer", "GET", "/s/consents/x", "", map[string]string{"Authorization": "Basic x"}, fault.Unauthorized, fault.NotRun},
+		{"wrong token with key", "POST", "/s/consents/x", "b", withKey("Authorization", "Bearer wrong"), fault.Unauthorized, fault.Unknown},
+		{"malformed key", "POST", "/s/consents/x", "b", malformed, fault.KeyInvalid, fault.NotRun},
+		{"key of another version", "POST", "/s/consents/x", "b", version4, fault.KeyInvalid, fault.NotRun},
+		{"no key", "POST", "/s/consents/x", "b", nil, fault.KeyRequired, fault.NotRun},
+		{"bad timeout", "GET", "/s/consents/x", "", map[string]string{headerTimeout: "5"}, fault.BadRequest, fault.NotRun},
+		{"long timeout", "GET", "/s/consents/x", "", map[string]string{headerTimeout: "2m"}, fault.BadRequest, fault.NotRun},
+		{"bad request id", "GET", "/s/consents/x", "", map[string]string{headerRequestID: "a b"}, fault.BadRequest, fault.NotRun},
+		{"large header", "GET", "/s/consents/x", "", map[string]string{"X-Long": long}, fault.HeaderTooLarge, fault.NotRun},
+		{"large header with key", "POST", "/s/consents/x", "b", withKey("X-Long", long), fault.HeaderTooLarge, fault.Unknown},
+		{"large body with key", "POST", "/s/consents/x", strings.Repeat("b", maxKeyedBody+1), withKey(), fault.BodyTooLarge, fault.Unknown},
+		{"method", "TRACE", "/s/consents/x", "", nil, fault.BadRequest, fault.NotRun},
+		{"no targets", "GET", "/s/idle/x", "", nil, fault.NoUpstream, fault.NotRun},
+		{"no targets with key", "POST", "/s/idle/x", "b", withKey(), fault.NoUpstream, fault.Unknown},
+	}
+	for _, tc := range cases {
+		for i, n := range c.nodes {
+			t.Run(fmt.Sprintf("%s at node %d", tc.desc, i), func(t *testing.T) {
+				g := n.call(t, tc.method, tc.path, tc.body, tc.header)
+				require.NotNil(t, g.err, "status %d", g.status)
+				assert.Equal(t, tc.kind, g.err.Kind, g.err.Detail)
+				assert.Equal(t, tc.effect, g.err.Effect)
+				assert.Equal(t, fault.AnswerOf(tc.kind).Status, g.status)
+				assert.NotEmpty(t, g.header.Get(headerRequestID))
+			})
+		}
+	}
+	for _, n := range c.nodes {
+		assert.Equal(t, http.StatusOK, n.call(t, "GET", "/s/consents/x", "", nil).status, "the process goes on")
+	}
+}
+
+// Guards against bodies, ids, queries and headers changing on the way, through
+// any entry.
+func TestRequestsPassUnchanged(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", func(w http.ResponseWriter, r *http.Request) {
+		assert.Empty(t, r.Header.Get("Authorization"))
+		assert.Empty(t, r.Header.Get(headerPlan))
+		w.Header().Set("X-Saw", r.URL.EscapedPath()+"?"+r.URL.RawQuery+" "+r.Header.Get("X-Own"))
+		w.WriteHeader(http.StatusTeapot)
+		echo(w, r)
+	})
+	for i, n := range c.nodes {
+		for _, size := range []int{0, 10, 70_000, 3 << 20} {
+			body := strings.Repeat("u", size)
+			header := map[string]string{headerRequestID: fmt.Sprintf("id-%d-%d", i, size), "X-Own": "v", headerPlan: "forged"}
+			g := n.call(t, "PUT", "/s/consents/uploads/a%2Fb//c?q=1&r=%20", body, header)
+			require.Nil(t, g.err)
+			assert.Equal(t, http.StatusTeapot, g.status)
+			assert.Equal(t, "/uploads/a%2Fb//c?q=1&r=%20 v", g.header.Get("X-Saw"))
+			assert.Equal(t, header[headerRequestID], g.header.Get(headerRequestID))
+			assert.True(t, body == g.body, "body of %d bytes", size)
+		}
+	}
+}
+
+// Guards against a stalled sender holding a request for ever.
+func TestSlowSender(t *testing.T) {
+	c := newCluster(t, "north")
+	c.addTarget(t, "north", echo)
+	conn, err := net.Dial("tcp", c.nodes[0].callers.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "PUT /s/consents/uploads HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\nabc", testToken)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(3*readPause)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	raw, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, fault.SlowSender, fault.Decode(raw).Kind)
+	assert.Equal(t, http.StatusOK, c.nodes[0].call(t, "GET", "/s/consents/x", "", nil).status)
+}
+
+// Guards against an entry that may hold outdated plans serving requests.
+func TestIsolatedRefuses(t *testing.T) {
+	c := newCluster(t, "north")
+	c.addTarget(t, "north", echo)
+	c.catalog.freshness.Store(configsync.Isolated)
+	g := c.nodes[0].call(t, "GET", "/s/consents/x", "", nil)
+	require.NotNil(t, g.err)
+	assert.Equal(t, fault.Isolated, g.err.Kind)
+	c.catalog.freshness.Store(configsync.RegionCut)
+	assert.Equal(t, http.StatusOK, c.nodes[0].call(t, "GET", "/s/consents/x", "", nil).status)
+}
+
+// Guards against the operator API, the peer API and announcements being open
+// to anyone.
+func TestTokensAreRequired(t *testing.T) {
+	c := newCluster(t, "north")
+	n := c.nodes[0]
+	for _, path := range []string{"/admin/v1/members", "/admin/v1/upstreams", "/admin/v1/status"} {
+		assert.Equal(t, fault.Unauthorized, n.call(t, "GET", path, "", nil).err.Kind)
+		g := n.call(t, "GET", path, "", map[string]string{"Authorization": "Bearer operator"})
+		assert.Equal(t, http.StatusOK, g.status)
+		assert.Contains(t, g.body, "{")
+	}
+	assert.Equal(t, fault.Unauthorized, n.call(t, "POST", "/v1/announcements", "{}", nil).err.Kind)
+	peer := &node{callers: n.peerServer}
+	assert.Equal(t, fault.Unauthorized, peer.call(t, "GET", "/peer/v1/requests/consents/x", "", nil).err.Kind)
+	assert.Equal(t, fault.Unauthorized, peer.call(t, "POST", "/peer/v1/announcements", "{}", nil).err.Kind)
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -17,11 +17,15 @@
 
 // Limits of a server.
 const (
-	MaxHeaderBytes    = 32 << 10 // bytes
+	MaxHeaderBytes    = 32 << 10 // bytes; a handler refuses larger ones with header_too_large
 	ReadHeaderTimeout = 5 * time.Second
 	IdleTimeout       = 60 * time.Second
 )
 
+// hardHeaderBytes is where net/http itself refuses a request, with an answer
+// outside the closed list of errors.
+const hardHeaderBytes = 2 * MaxHeaderBytes
+
 // Server is an HTTP server on one listener.
 type Server struct {
 	listener net.Listener
@@ -41,7 +45,7 @@
 	s := &Server{listener: listener, failed: make(chan error, 1)}
 	s.http = &http.Server{
 		Handler:           s.withStatus(handler),
-		MaxHeaderBytes:    MaxHeaderBytes,
+		MaxHeaderBytes:    hardHeaderBytes,
 		ReadHeaderTimeout: ReadHeaderTimeout,
 		IdleTimeout:       IdleTimeout,
 	}
@@ -84,18 +88,25 @@
 // Close cuts all connections at once.
 func (s *Server) Close() error { return trace.Wrap(s.http.Close()) }
 
+// withStatus adds the status end points. It uses no ServeMux, which would
+// redirect requests whose path is not in its shortest form.
 func (s *Server) withStatus(next http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.Handle("GET /metrics", telemetry.MetricsHandler())
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
-			w.Header().Set("Connection", "close")
+	metrics := telemetry.MetricsHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodGet && r.URL.Path == "/healthz":
+			w.WriteHeader(http.StatusOK)
+		case r.Method == http.MethodGet && r.URL.Path == "/readyz":
+			s.serveReady(w, r)
+		case r.Method == http.MethodGet && r.URL.Path == "/metrics":
+			metrics.ServeHTTP(w, r)
+		default:
+			if s.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			next.ServeHTTP(w, r)
 		}
-		next.ServeHTTP(w, r)
 	})
-	return mux
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -60,3 +60,14 @@
 	assert.Equal(t, "whole", <-answer)
 	assert.NoError(t, <-done)
 }
+
+// Guards against a path that is not in its shortest form being redirected
+// instead of reaching the upstream as it was sent.
+func TestPathIsKept(t *testing.T) {
+	s := startServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.EscapedPath()) })
+	for _, path := range []string{"/s/a//b", "/s/a/./b", "/s/a/b%2Fc"} {
+		status, body := get(t, "http://"+s.Address()+path)
+		assert.Equal(t, http.StatusOK, status)
+		assert.Equal(t, path, body)
+	}
+}
