--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,7 +97,7 @@
 		ttl:      o.TimeToLive,
 		version:  o.Version,
 		services: newServices(self.Region, self.DataCentre, o.FloorPercent, o.Clock),
-		peers:    newPeers(o.Tokens.Fleet, o.Clock),
+		peers:    newPeers(o.Clock),
 		spills:   newSpills(),
 		ready:    make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/entry/forward_test.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+)
+
+// freeze replaces the peer port of a node by one that accepts connections and
+// never answers.
+func (n *node) freeze(t *testing.T) {
+	t.Helper()
+	require.NoError(t, n.peerServer.Close())
+	l, err := net.Listen("tcp", n.peerServer.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+}
+
+// Guards against the loss of the owner reaching callers as an error, and
+// against a key running twice when it is sent again to the next owner.
+func TestOwnerLost(t *testing.T) {
+	cases := []struct {
+		desc string
+		lose func(t *testing.T, c *cluster, owner *node)
+	}{
+		{"process gone", func(t *testing.T, _ *cluster, owner *node) { require.NoError(t, owner.peerServer.Close()) }},
+		{"process frozen", func(t *testing.T, _ *cluster, owner *node) { owner.freeze(t) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			c := newCluster(t, "north", "north", "north")
+			var runs atomic.Int64
+			c.addTarget(t, "north", func(w http.ResponseWriter, r *http.Request) {
+				runs.Add(1)
+				echo(w, r)
+			})
+			ranked := c.ranked("north")
+			third := ranked[2]
+			require.Equal(t, "warm", third.call(t, "PUT", "/s/consents/uploads", "warm", nil).body)
+			runs.Store(0)
+			tc.lose(t, c, ranked[0])
+			g := third.call(t, "POST", "/s/consents/x", "once", map[string]string{headerKey: newKey()})
+			require.Nil(t, g.err)
+			assert.Equal(t, "once", g.body)
+			assert.EqualValues(t, 1, runs.Load())
+			assert.Equal(t, "again", third.call(t, "PUT", "/s/consents/uploads", "again", nil).body)
+		})
+	}
+}
+
+// Guards against a path that is cut between two entries only making the owner
+// unreachable.
+func TestRelayAroundACutPath(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", echo)
+	ranked := c.ranked("north")
+	owner, from := ranked[0], ranked[2]
+	from.peers.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == owner.self.PeerAddress {
+			return nil, os.ErrDeadlineExceeded
+		}
+		return dialPeer(ctx, network, address)
+	}
+	before := relayed.Get()
+	g := from.call(t, "POST", "/s/consents/x", "relayed", map[string]string{headerKey: newKey()})
+	require.Nil(t, g.err)
+	assert.Equal(t, "relayed", g.body)
+	assert.Equal(t, before+1, relayed.Get())
+}
+
+// stallingConn is a connection whose device in between loses its state: bytes
+// are accepted and nothing arrives.
+type stallingConn struct {
+	net.Conn
+	stalled chan struct{}
+}
+
+func (s *stallingConn) Write(b []byte) (int, error) {
+	select {
+	case <-s.stalled:
+		return len(b), nil
+	default:
+		return s.Conn.Write(b)
+	}
+}
+
+// Guards against a silent connection costing more than a second, or the
+// caller's request.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", echo)
+	ranked := c.ranked("north")
+	from := ranked[2]
+	var mu sync.Mutex
+	stalled := make(chan struct{})
+	from.peers.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialPeer(ctx, network, address)
+		mu.Lock()
+		defer mu.Unlock()
+		return &stallingConn{Conn: conn, stalled: stalled}, err
+	}
+	require.Equal(t, "warm", from.call(t, "PUT", "/s/consents/uploads", "warm", nil).body)
+	mu.Lock()
+	close(stalled)
+	stalled = make(chan struct{})
+	mu.Unlock()
+	before, relayedBefore := noAckReused.Get(), relayed.Get()
+	g := from.call(t, "POST", "/s/consents/x", "kept", map[string]string{headerKey: newKey()})
+	require.Nil(t, g.err)
+	assert.Equal(t, "kept", g.body)
+	assert.Equal(t, before+1, noAckReused.Get())
+	assert.Equal(t, relayedBefore, relayed.Get())
+	assert.False(t, from.peers.get(ranked[0].self.PeerAddress).avoided(from.clock.Now()), "the owner is not blamed")
+}
+
+// Guards against a region without targets refusing what another region can
+// run, and against overflow wandering between regions.
+func TestSpillOver(t *testing.T) {
+	c := newCluster(t, "north", "north", "south")
+	c.addTarget(t, "south", echo)
+	for _, n := range c.nodes {
+		assert.Equal(t, "spilled", n.call(t, "PUT", "/s/consents/uploads", "spilled", nil).body)
+		key := newKey()
+		for range 2 {
+			assert.Equal(t, "keyed", n.call(t, "POST", "/s/consents/x", "keyed", map[string]string{headerKey: key}).body)
+		}
+	}
+	g := c.nodes[0].call(t, "GET", "/s/idle/x", "", nil)
+	require.NotNil(t, g.err)
+	assert.Equal(t, fault.NoUpstream, g.err.Kind)
+}
+
+// Guards against an entry that restarted, and knows no targets yet, refusing
+// requests for a service that it owns again.
+func TestOwnerWithoutRecordsUsesTheSecond(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", echo)
+	for i, n := range c.ranked("north") {
+		c.ranked("north")[0].services.drop(testService)
+		g := n.call(t, "POST", "/s/consents/x", "found", map[string]string{headerKey: newKey()})
+		assert.Equal(t, "found", g.body, "through rank %d", i)
+	}
+}
+
+// Guards against records not being handed over when an owner drains, which
+// would leave its successor without targets until the next announcements.
+func TestRecordsAreHandedOver(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", echo)
+	ranked := c.ranked("north")
+	for _, n := range ranked[:2] {
+		n.watchRanks(context.Background())
+	}
+	require.Nil(t, ranked[2].services.get(testService))
+	ranked[0].table.Drain()
+	ranked[0].watchRanks(context.Background())
+	require.Eventually(t, func() bool {
+		s := ranked[2].services.get(testService)
+		return s != nil && s.hasTargets()
+	}, waitLimit, pollStep)
+}
+
+// Guards against an answer that breaks off reaching the caller as a short
+// success.
+func TestBrokenAnswerIsNotShort(t *testing.T) {
+	c := newCluster(t, "north", "north")
+	c.addTarget(t, "north", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1000000")
+		_, _ = io.WriteString(w, strings.Repeat("x", 500_000))
+		panic(http.ErrAbortHandler)
+	})
+	for _, n := range c.nodes {
+		r, err := http.NewRequest(http.MethodGet, "http://"+n.callers.Address()+"/s/consents/x", http.NoBody)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+testToken)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		assert.Error(t, err)
+		_ = response.Body.Close()
+	}
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -47,27 +47,34 @@
 
 // peers holds the connections to other entries.
 type peers struct {
-	token string // fleet token
 	clock sys.Clock
+	dial  dialFunc
 
 	mu     sync.Mutex
 	byAddr map[string]*peer
 }
 
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 type peer struct {
+	dial      dialFunc
 	transport atomic.Pointer[http.Transport]
 	avoid     atomic.Int64 // Unix nanoseconds
 	lastUsed  time.Time    // under the lock of peers
 }
 
-func newPeers(token string, clock sys.Clock) *peers {
-	return &peers{token: token, clock: clock, byAddr: map[string]*peer{}}
+func newPeers(clock sys.Clock) *peers {
+	return &peers{clock: clock, dial: dialPeer, byAddr: map[string]*peer{}}
 }
 
-func newPeerTransport() *http.Transport {
+func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbe, Control: setUserTimeout}
+	return dialer.DialContext(ctx, network, address)
+}
+
+func newPeerTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		IdleConnTimeout:     peerIdleLimit,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		DisableCompression:  true,
@@ -79,8 +86,8 @@
 	defer p.mu.Unlock()
 	known := p.byAddr[address]
 	if known == nil {
-		known = &peer{}
-		known.transport.Store(newPeerTransport())
+		known = &peer{dial: p.dial}
+		known.transport.Store(newPeerTransport(p.dial))
 		p.byAddr[address] = known
 	}
 	known.lastUsed = p.clock.Now()
@@ -110,7 +117,7 @@
 // renew drops all idle connections of the peer: a device that lost the state
 // of one connection has probably lost that of all.
 func (p *peer) renew(old *http.Transport) {
-	if p.transport.CompareAndSwap(old, newPeerTransport()) {
+	if p.transport.CompareAndSwap(old, newPeerTransport(p.dial)) {
 		old.CloseIdleConnections()
 	}
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -106,4 +106,4 @@
 
 // NewTransport returns a transport for the system's own links: it notices
 // bytes that are not acknowledged within 700 ms.
-func NewTransport() *http.Transport { return newPeerTransport() }
+func NewTransport() *http.Transport { return newPeerTransport(dialPeer) }
