--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -48,7 +48,7 @@
 		t.heard(q.From, now)
 	}
 	for _, m := range q.Members {
-		t.merge(m, now)
+		t.mergeFrom(m, now, exchanged)
 	}
 	return answer, nil
 }
@@ -66,7 +66,7 @@
 		t.heard(r.From, now)
 	}
 	for _, m := range r.Members {
-		t.merge(m, now)
+		t.mergeFrom(m, now, exchanged)
 	}
 	push.Digests = t.digests()
 	return push, nil
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// sampleTries is the number of random tries for each member wanted.
+const sampleTries = 8
+
 type probe struct {
 	name     string
 	sequence uint64
@@ -25,7 +28,10 @@
 func (t *Table) Tick(now time.Time) []Packet {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire(now)
+	if !now.Before(t.nextExpiry) {
+		t.nextExpiry = now.Add(expiryPeriod)
+		t.expire(now)
+	}
 	out := t.continueProbe(now)
 	if !now.Before(t.nextProbe) {
 		t.nextProbe = now.Add(ProbePeriod)
@@ -150,18 +156,22 @@
 	suspect := r.Member
 	suspect.State = Suspect
 	t.store(suspect, now)
+	t.queue.add(suspect)
 	return nil
 }
 
 func (t *Table) expire(now time.Time) {
-	for name, r := range t.records {
+	for _, name := range slices.Clone(t.names) {
+		r := t.records[name]
 		switch {
 		case r.State == Suspect && !now.Before(r.deadline):
 			dead := r.Member
 			dead.State = Dead
 			t.store(dead, now)
+			t.queue.add(dead)
 		case !r.Present() && now.Sub(r.since) > retention:
 			delete(t.records, name)
+			t.names = slices.DeleteFunc(t.names, func(n string) bool { return n == name })
 			t.epoch++
 		}
 	}
@@ -176,6 +186,9 @@
 // lately, since freshness of the catalog copy depends on the data centres
 // heard within 10 s.
 func (t *Table) probeQuietCentre(now time.Time) []Packet {
+	if t.allCentresHeard(now) {
+		return nil
+	}
 	for _, r := range t.sample(1, func(r *record) bool {
 		return r.Present() && now.Sub(t.lastHeard[r.DataCentre]) > quietCentre
 	}) {
@@ -185,6 +198,25 @@
 	return nil
 }
 
+// allCentresHeard reports whether each data centre was heard lately.
+func (t *Table) allCentresHeard(now time.Time) bool {
+	if t.centresEpoch != t.epoch {
+		t.centresEpoch = t.epoch
+		t.centres = map[string]bool{}
+		for _, r := range t.records {
+			if r.Present() {
+				t.centres[r.DataCentre] = true
+			}
+		}
+	}
+	for centre := range t.centres {
+		if now.Sub(t.lastHeard[centre]) > quietCentre {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) probeDead() []Packet {
 	for _, r := range t.sample(1, func(r *record) bool { return r.State == Dead }) {
 		t.sequence++
@@ -222,17 +254,29 @@
 
 // sample returns up to n random members that match.
 func (t *Table) sample(n int, match func(*record) bool) []*record {
-	var names []string
-	for name, r := range t.records {
-		if match(r) {
-			names = append(names, name)
+	var chosen []*record
+	if len(t.names) == 0 {
+		return nil
+	}
+	// Random tries find a few members of a large table without a scan.
+	for range sampleTries * n {
+		r := t.records[t.names[t.rng.IntN(len(t.names))]]
+		if match(r) && !slices.Contains(chosen, r) {
+			chosen = append(chosen, r)
+		}
+		if len(chosen) == n {
+			return chosen
 		}
 	}
-	slices.Sort(names)
-	t.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	var chosen []*record
-	for _, name := range names[:min(n, len(names))] {
-		chosen = append(chosen, t.records[name])
+	offset := t.rng.IntN(len(t.names))
+	for i := range t.names {
+		r := t.records[t.names[(offset+i)%len(t.names)]]
+		if match(r) && !slices.Contains(chosen, r) {
+			chosen = append(chosen, r)
+		}
+		if len(chosen) == n {
+			break
+		}
 	}
 	return chosen
 }
@@ -248,9 +292,8 @@
 				return name, true
 			}
 		}
-		for _, r := range t.sample(len(t.records), func(r *record) bool { return r.Present() }) {
-			t.ring = append(t.ring, r.Name)
-		}
+		t.ring = slices.DeleteFunc(slices.Clone(t.names), func(name string) bool { return !t.records[name].Present() })
+		t.rng.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
 	}
 	return "", false
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -15,8 +15,9 @@
 	directTimeout  = 300 * time.Millisecond // direct answer awaited before indirect probes; round trips are 30 ms
 	suspicionBase  = 3 * time.Second        // multiplied by the logarithm of the fleet size
 	retention      = 10 * time.Minute       // dead and left members are remembered so that old news does not revive them
-	reconnectEvery = 10 * time.Second       // a dead member is probed this often, so that healed partitions merge
-	quietCentre    = 3 * time.Second        // a data centre not heard for this long is probed next
+	expiryPeriod   = 500 * time.Millisecond
+	reconnectEvery = 10 * time.Second // a dead member is probed this often, so that healed partitions merge
+	quietCentre    = 3 * time.Second  // a data centre not heard for this long is probed next
 	indirectProbes = 3
 	urgentTargets  = 8 // members told at once of a change of this member
 )
@@ -36,16 +37,21 @@
 	rng       *rand.Rand
 	self      Member
 	records   map[string]*record // other members by name
+	names     []string           // keys of records, in a fixed order for random choice
 	epoch     uint64
 	queue     broadcasts
 	highest   version
 	lastHeard map[string]time.Time // by data centre, other members only
 
+	centres      map[string]bool // data centres of present members
+	centresEpoch uint64          // epoch for which centres holds
+
 	sequence      uint64
 	ring          []string // names in probe order
 	probe         *probe
 	nextProbe     time.Time
 	nextReconnect time.Time
+	nextExpiry    time.Time
 	relays        map[uint64]relay
 }
 
@@ -203,6 +209,18 @@
 
 // merge takes in a record learned from another member.
 func (t *Table) merge(m Member, now time.Time) {
+	t.mergeFrom(m, now, gossiped)
+}
+
+// origin says how a record was learned.
+type origin int
+
+const (
+	gossiped  origin = iota // from a datagram, or from the member itself
+	exchanged               // from another member's table
+)
+
+func (t *Table) mergeFrom(m Member, now time.Time, from origin) {
 	if m.Name == t.self.Name {
 		t.defend(m)
 		return
@@ -213,7 +231,11 @@
 			return
 		}
 		t.store(m, now)
+		t.names = append(t.names, m.Name)
 		t.insertIntoRing(m.Name)
+		if from == gossiped {
+			t.queue.add(m)
+		}
 		return
 	}
 	if !supersedes(m, known.Member) {
@@ -223,8 +245,13 @@
 		return
 	}
 	t.store(m, now)
+	t.queue.add(m)
 }
 
+// store replaces the record of another member. The caller queues it for
+// spreading, except when it is new to this member only: the members that were
+// asked for their table know it already, and passing it on would send the
+// whole table again after each start.
 func (t *Table) store(m Member, now time.Time) {
 	old := t.records[m.Name]
 	if m.State == Suspect && old != nil && old.State == Draining {
@@ -242,7 +269,6 @@
 	}
 	t.records[m.Name] = r
 	t.epoch++
-	t.queue.add(m)
 	t.noteVersion(version{m.Name, m.Incarnation, m.CatalogVersion})
 }
 
