--- /dev/null
+++ b/internal/catalogfeed/feed_test.go
@@ -0,0 +1,224 @@
+package catalogfeed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+const testSilence = 5 * time.Second
+
+func addPlan(t testing.TB, m *plan.Machine, n int) {
+	t.Helper()
+	ch := plan.Change{
+		ID: fmt.Sprintf("change-%d", n), BaseVersion: m.Current().Version(),
+		SetPlans: []plan.Plan{{ID: fmt.Sprintf("plan-%d", n), Weight: 1, TokenSHA256: []string{fmt.Sprintf("%064x", n)}}},
+	}
+	m.Apply(0, ch.Encode())
+}
+
+func startServer(t *testing.T, m *plan.Machine, done chan struct{}) (address string) {
+	t.Helper()
+	server := httptest.NewServer(NewServer(ServerOptions{
+		Source: m, Contact: func() bool { return true }, Done: done, Clock: sys.RealClock{}, Token: "fleet",
+	}))
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func newClient(token string) *Client {
+	return &Client{HTTP: &http.Client{Transport: &http.Transport{}}, Clock: sys.RealClock{}, Token: token, Silence: testSilence}
+}
+
+func collect(t *testing.T, c *Client, poll Poll) ([]Message, error) {
+	t.Helper()
+	var messages []Message
+	err := c.Do(context.Background(), poll, func(m Message) error {
+		messages = append(messages, m)
+		return nil
+	})
+	return messages, err
+}
+
+func TestPollAnswers(t *testing.T) {
+	m := plan.NewMachine()
+	for n := range 3 {
+		addPlan(t, m, n)
+	}
+	address := startServer(t, m, make(chan struct{}))
+	cases := []struct {
+		desc      string
+		poll      Poll
+		wantDelta bool
+		wantFull  bool
+		records   int
+	}{
+		{"delta", Poll{After: 2}, true, false, 1},
+		{"full copy on request", Poll{After: 3, Full: true}, true, true, 3},
+		{"nothing new", Poll{After: 3}, false, false, 0},
+		{"source is behind", Poll{After: 9}, false, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			tc.poll.Address, tc.poll.Path = address, ControlPath
+			messages, err := collect(t, newClient("fleet"), tc.poll)
+			require.NoError(t, err)
+			last := messages[len(messages)-1]
+			assert.Equal(t, uint64(3), last.Version)
+			assert.True(t, last.Contact)
+			require.Equal(t, tc.wantDelta, last.Delta != nil)
+			if tc.wantDelta {
+				assert.Equal(t, tc.wantFull, last.Delta.Full)
+				assert.Len(t, last.Delta.Records, tc.records)
+			}
+		})
+	}
+}
+
+// Guards against a waiting poll that misses a change, and against one that
+// delays a shutdown.
+func TestWaitingPollEndsOnChangeAndOnShutdown(t *testing.T) {
+	m := plan.NewMachine()
+	done := make(chan struct{})
+	address := startServer(t, m, done)
+	poll := Poll{Address: address, Path: ControlPath, Wait: MaxWait}
+	var last Message
+	err := newClient("fleet").Do(context.Background(), poll, func(message Message) error {
+		if last = message; message.Version == 0 {
+			addPlan(t, m, 1)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	require.NotNil(t, last.Delta)
+	poll.After = 1
+	err = newClient("fleet").Do(context.Background(), poll, func(message Message) error {
+		if last = message; done != nil {
+			close(done)
+			done = nil
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	assert.Nil(t, last.Delta)
+}
+
+func TestRefusedPolls(t *testing.T) {
+	address := startServer(t, plan.NewMachine(), make(chan struct{}))
+	_, err := collect(t, newClient("wrong"), Poll{Address: address, Path: ControlPath})
+	assert.Equal(t, fault.Unauthorized, fault.From(err).Kind)
+	for _, query := range []string{"", "after=-1", "after=x", "after=0&wait=5", "after=0&wait=61s", "after=0&wait=-1s", "after=0&full=maybe"} {
+		request := httptest.NewRequest(http.MethodGet, ControlPath+"?"+query, nil)
+		_, bad := parseRequest(request)
+		require.NotNil(t, bad, query)
+		assert.Equal(t, fault.BadRequest, bad.Kind)
+	}
+}
+
+// Guards against a follower that waits on a connection that became silent.
+func TestSilentSourceIsLeft(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	accepted := make(chan struct{})
+	go func() {
+		connection, err := listener.Accept()
+		if err == nil {
+			defer connection.Close()
+		}
+		<-accepted
+	}()
+	defer close(accepted)
+	clock := sys.NewManualClock(time.Unix(0, 0))
+	c := newClient("fleet")
+	c.Clock = clock
+	result := make(chan error, 1)
+	go func() {
+		result <- c.Do(context.Background(), Poll{Address: listener.Addr().String(), Path: ControlPath, Wait: MaxWait}, func(Message) error { return nil })
+	}()
+	for {
+		select {
+		case err := <-result:
+			assert.ErrorIs(t, err, ErrSilent)
+			return
+		default:
+			clock.Advance(testSilence)
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against a truncated or damaged answer that is taken for a whole one.
+// Only damage that leaves the content as it was may pass, such as damage to
+// the time in the header of the compressed part.
+func TestDamagedAnswersAreRefused(t *testing.T) {
+	m := plan.NewMachine()
+	for n := range 5 {
+		addPlan(t, m, n)
+	}
+	whole := answer(t, m)
+	ignore := func(Message) error { return nil }
+	require.NoError(t, readMessages(bytes.NewReader(whole), ignore))
+	for length := range len(whole) {
+		require.Error(t, readMessages(bytes.NewReader(whole[:length]), ignore), "cut at %d", length)
+	}
+	start := bytes.IndexByte(whole, '\n') + 1
+	passed := 0
+	for i := start; i < len(whole); i += 7 {
+		damaged := bytes.Clone(whole)
+		damaged[i] ^= 0x10
+		err := readMessages(bytes.NewReader(damaged), func(message Message) error {
+			got, err := plan.Empty().Apply(*message.Delta)
+			if err == nil {
+				require.Equal(t, m.Current().Records(), got.Records(), "damaged at %d", i)
+			}
+			return err
+		})
+		passed += lo.Ternary(err == nil, 1, 0)
+	}
+	assert.LessOrEqual(t, passed, 1, "at most one probe falls on a byte without meaning")
+}
+
+// answer returns the bytes of an answer with a full copy.
+func answer(t testing.TB, m *plan.Machine) []byte {
+	t.Helper()
+	payload, err := compress(m.Current().FullDelta())
+	require.NoError(t, err)
+	var buffer bytes.Buffer
+	require.NoError(t, json.NewEncoder(&buffer).Encode(line{Type: lineDelta, Version: 5, Bytes: int64(len(payload))}))
+	buffer.Write(payload)
+	return buffer.Bytes()
+}
+
+func FuzzReadMessages(f *testing.F) {
+	m := plan.NewMachine()
+	addPlan(f, m, 1)
+	f.Add(answer(f, m))
+	f.Add([]byte("{\"type\":\"alive\"}\n{\"type\":\"end\"}\n"))
+	f.Add([]byte("{\"type\":\"delta\",\"bytes\":-1}\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		_ = readMessages(bytes.NewReader(raw), func(message Message) error {
+			if message.Delta != nil {
+				_, _ = plan.Empty().Apply(*message.Delta)
+			}
+			return nil
+		})
+	})
+}
--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -119,3 +122,178 @@
 	assert.True(t, found)
 	assert.Equal(t, Fresh, f.Freshness())
 }
+
+// fleet is the membership as the test states it.
+type fleet struct {
+	mu    sync.Mutex
+	peers []Peer
+}
+
+func (f *fleet) list() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := slices.Clone(f.peers)
+	for i := range list {
+		list[i].LastHeard = time.Now()
+	}
+	return list
+}
+
+func (f *fleet) set(peers ...Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers = peers
+}
+
+// servePeer serves the copy of a follower to others.
+func servePeer(t *testing.T, name, dataCentre string, f *Follower) Peer {
+	t.Helper()
+	done := make(chan struct{})
+	server := httptest.NewServer(f.PeerHandler(done))
+	t.Cleanup(func() {
+		close(done)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return Peer{Member: membership.Member{
+		Name: name, DataCentre: dataCentre, PeerAddress: server.Listener.Addr().String(),
+		State: membership.Alive, CatalogVersion: f.Version(),
+	}}
+}
+
+// closedAddress returns an address at which connections are refused.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := server.Listener.Addr().String()
+	server.Close()
+	return address
+}
+
+// Guards against an entry that cannot start while control is away for hours,
+// and against a copy that stays behind what peers are known to hold.
+func TestFollowerStartsFromPeersWhileControlIsAway(t *testing.T) {
+	server := newControlServer(t)
+	first := runFollower(t, Options{Name: "e1", DataCentre: "a", Control: []ControlMember{{Name: "c1", Address: server.address()}}})
+	awaitVersion(t, first, server.addPlan(t, 1))
+	peer := servePeer(t, "e1", "a", first)
+	var known fleet
+	known.set(peer)
+	second := runFollower(t, Options{
+		Name: "e2", DataCentre: "b", Peers: known.list,
+		Control: []ControlMember{{Name: "c1", Address: closedAddress(t)}},
+	})
+	awaitVersion(t, second, 1)
+	assert.Equal(t, Fresh, second.Freshness())
+	awaitVersion(t, first, server.addPlan(t, 2))
+	peer.CatalogVersion = 2
+	known.set(peer)
+	awaitVersion(t, second, 2)
+}
+
+// Guards against an entry that starts from peers in too few data centres.
+func TestFollowerWaitsForAMajorityOfDataCentres(t *testing.T) {
+	server := newControlServer(t)
+	first := runFollower(t, Options{Name: "e1", DataCentre: "a", Control: []ControlMember{{Name: "c1", Address: server.address()}}})
+	awaitVersion(t, first, server.addPlan(t, 1))
+	var known fleet
+	known.set(servePeer(t, "e1", "a", first))
+	second := runFollower(t, Options{Name: "e2", DataCentre: "b", DataCentres: []string{"a", "b", "c", "d"}, Peers: known.list})
+	require.Eventually(t, func() bool { return second.Version() == 1 }, waitLimit, pollStep)
+	require.Eventually(t, func() bool {
+		second.mu.Lock()
+		defer second.mu.Unlock()
+		return second.controlTried
+	}, waitLimit, pollStep)
+	second.evaluate()
+	assert.Nil(t, second.Current())
+	assert.Equal(t, Isolated, second.Freshness())
+	known.set(append(known.list(), Peer{Member: membership.Member{Name: "e3", DataCentre: "c", State: membership.Alive, CatalogVersion: 1}})...)
+	awaitVersion(t, second, 1)
+}
+
+// Guards against a follower that stays with a control member that lost contact
+// with the leader, and against taking its answers for contact with control.
+func TestFollowerLeavesAControlMemberWithoutContact(t *testing.T) {
+	cut, good := newControlServer(t), newControlServer(t)
+	cut.cut.Store(true)
+	version := good.addPlan(t, 1)
+	members := []ControlMember{{Name: "c1", Region: "near", Address: cut.address()}, {Name: "c2", Region: "far", Address: good.address()}}
+	f := runFollower(t, Options{Name: "e1", Region: "near", DataCentre: "a", DataCentres: []string{"a", "b"}, Control: members})
+	awaitVersion(t, f, version)
+	assert.Equal(t, Fresh, f.Freshness())
+	lone := runFollower(t, Options{Name: "e2", DataCentre: "a", DataCentres: []string{"a", "b"}, Control: members[:1]})
+	require.Eventually(t, func() bool {
+		lone.mu.Lock()
+		defer lone.mu.Unlock()
+		return lone.controlTried
+	}, waitLimit, pollStep)
+	assert.Nil(t, lone.Current())
+	assert.Equal(t, Isolated, lone.Freshness())
+}
+
+// Guards against a copy that goes back when its source was restored from an
+// older state or lags.
+func TestFollowerNeverGoesToALowerVersion(t *testing.T) {
+	ahead, behind := newControlServer(t), newControlServer(t)
+	for n := range 3 {
+		ahead.addPlan(t, n)
+	}
+	behind.addPlan(t, 9)
+	f := runFollower(t, Options{Name: "e1", DataCentre: "a", Control: []ControlMember{
+		{Name: "c1", Region: "", Address: ahead.address()}, {Name: "c2", Region: "far", Address: behind.address()},
+	}})
+	awaitVersion(t, f, 3)
+	ahead.cut.Store(true)
+	ahead.CloseClientConnections()
+	f.mu.Lock()
+	f.needFull = true
+	f.mu.Unlock()
+	refused := func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.failed[behind.address()].pause > 0
+	}
+	require.Eventually(t, refused, waitLimit, pollStep)
+	assert.Equal(t, uint64(3), f.Version())
+	_, found := f.Current().Plan("plan-9")
+	assert.False(t, found)
+}
+
+// Guards against changes that are lost when a follower was away for hundreds
+// of them, whether it gets a delta or a full copy.
+func TestFollowerCatchesUpAfterHundredsOfChanges(t *testing.T) {
+	server := newControlServer(t)
+	f := runFollower(t, Options{Name: "e1", DataCentre: "a", Control: []ControlMember{{Name: "c1", Address: server.address()}}})
+	awaitVersion(t, f, server.addPlan(t, 0))
+	held := f.replica.Current()
+	for n := range 400 {
+		ch := plan.Change{ID: fmt.Sprintf("c-%d", n), BaseVersion: uint64(n + 1), SetPlans: []plan.Plan{{ID: fmt.Sprintf("plan-%d", n%150+1), Weight: n + 1, TokenSHA256: []string{fmt.Sprintf("%064x", n+1)}}}}
+		server.machine.Apply(uint64(n+2), ch.Encode())
+	}
+	require.Equal(t, uint64(401), server.machine.Current().Version())
+	awaitVersion(t, f, 401)
+	assert.Equal(t, server.machine.Current().Records(), f.Current().Records())
+	assert.Equal(t, 1, held.Plans(), "a snapshot in use must not change")
+	late := runFollower(t, Options{Name: "e2", DataCentre: "a", Control: []ControlMember{{Name: "c1", Address: server.address()}}})
+	awaitVersion(t, late, 401)
+	assert.Equal(t, f.Current().Digest(), late.Current().Digest())
+}
+
+// Guards against a follower that cannot leave a wrong copy: a delta whose
+// digest differs must be followed by a full copy.
+func TestFollowerReplacesAWrongCopy(t *testing.T) {
+	server, wrong := newControlServer(t), newControlServer(t)
+	wrong.addPlan(t, 5)
+	server.addPlan(t, 1)
+	f := New(Options{Name: "e1", DataCentre: "a", Peers: func() []Peer { return nil }, Clock: sys.RealClock{}, Log: zap.NewNop()})
+	require.NoError(t, f.replica.Apply(wrong.machine.Current().FullDelta()))
+	server.addPlan(t, 2)
+	d := server.machine.DeltaSince(1)
+	require.ErrorIs(t, f.absorb(&d), plan.ErrDeltaDigest)
+	require.True(t, f.needFull)
+	full := server.machine.Current().FullDelta()
+	require.NoError(t, f.absorb(&full))
+	assert.False(t, f.needFull)
+	assert.Equal(t, server.machine.Current().Digest(), f.replica.Current().Digest())
+}
