Add the operator's command line

Cause: operators had no client for the administration API.

Change: sequoialane-ctl lists, shows, sets and removes plans and entitlements, shows differences, applies a file, and shows members, upstreams and the state of control. A change id is printed before the change leaves; a resend to another address carries the same id. The bodies of the API are in internal/controlapi, shared by both sides. Each kind of failure has its own exit code.

Ruled out: one change for a file of any size, since the log keeps each change in one entry; above 5000 items a file is sent in parts, each of which takes effect as a whole.

Shown by: go test -race ./cmd/... with a control member whose answers to changes are lost.

--- /dev/null
+++ b/cmd/sequoialane-ctl/main_test.go
@@ -0,0 +1,220 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/ctl"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// bench is a control member and the files a command needs.
+type bench struct {
+	t         *testing.T
+	handler   http.Handler
+	machine   *plan.Machine
+	address   string
+	tokenFile string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	machine := plan.NewMachine()
+	group := control.NewSolo("c1", machine)
+	handler := control.NewHandler(control.Options{
+		Group: group, Catalog: machine, Submitter: control.NewSubmitter(group, machine, sys.RealClock{}, zap.NewNop()),
+		Contact: func() bool { return true }, OperatorToken: "operator", FleetToken: "fleet", Clock: sys.RealClock{},
+	})
+	b := &bench{t: t, handler: handler, machine: machine, address: serve(t, handler)}
+	b.tokenFile = b.file("operator.token", "operator\n")
+	return b
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (b *bench) file(name, content string) string {
+	b.t.Helper()
+	path := filepath.Join(b.t.TempDir(), name)
+	require.NoError(b.t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// run executes a command against the given control addresses.
+func (b *bench) run(addresses string, args ...string) (code int, stdout, stderr string) {
+	b.t.Helper()
+	var out, errors bytes.Buffer
+	all := append([]string{"sequoialane-ctl", "--control", addresses, "--token-file", b.tokenFile}, args...)
+	code = execute(context.Background(), all, &out, &errors)
+	return code, out.String(), errors.String()
+}
+
+func hash(n int) string { return fmt.Sprintf("%064x", n) }
+
+func TestCommandsChangeAndShowTheLists(t *testing.T) {
+	b := newBench(t)
+	steps := []struct {
+		args []string
+		want string // in the output
+	}{
+		{[]string{"plans", "set", "camara-norte", "--weight", "7", "--home-region", "norte", "--plan-token-file", b.file("plan.token", "secret")}, "accepted"},
+		{[]string{"plans", "set", "camara-sul", "--token-sha256", hash(2)}, "accepted"},
+		{[]string{"plans", "set", "camara-norte", "--weight", "9"}, "accepted"},
+		{[]string{"plans", "list"}, "camara-norte  9       norte        2bb80d53"},
+		{[]string{"entitlements", "set", "camara-norte", "orders", "--concurrency", "4"}, "accepted"},
+		{[]string{"entitlements", "set", "camara-norte", "orders", "--requests-per-second", "2.5"}, "accepted"},
+		{[]string{"entitlements", "list", "--plan", "camara-norte"}, "camara-norte  orders   2.5         4"},
+		{[]string{"entitlements", "show", "camara-norte", "orders", "-o", "json"}, `"concurrency": 4`},
+		{[]string{"plans", "show", "camara-norte"}, "orders"},
+		{[]string{"diff", "--after", "4"}, "set     entitlement  camara-norte/orders"},
+		{[]string{"entitlements", "remove", "camara-norte", "orders"}, "accepted"},
+		{[]string{"plans", "remove", "camara-sul"}, "accepted"},
+		{[]string{"status"}, "c1"},
+		{[]string{"status", "-o", "json"}, `"catalog_version": 7`},
+	}
+	for _, step := range steps {
+		code, stdout, stderr := b.run(b.address, step.args...)
+		require.Equal(t, ctl.ExitOK, code, "%v: %s", step.args, stderr)
+		require.Contains(t, stdout, step.want, "%v", step.args)
+	}
+	_, found := b.machine.Current().Authenticate("secret")
+	assert.True(t, found)
+}
+
+func TestExitCodes(t *testing.T) {
+	b := newBench(t)
+	code, _, _ := b.run(b.address, "plans", "set", "p", "--token-sha256", hash(1))
+	require.Equal(t, ctl.ExitOK, code)
+	refused := serve(t, http.NotFoundHandler())
+	cases := []struct {
+		desc, addresses string
+		args            []string
+		want            int
+	}{
+		{"unknown flag", b.address, []string{"plans", "list", "--wrong"}, ctl.ExitUsage},
+		{"missing argument", b.address, []string{"plans", "show"}, ctl.ExitUsage},
+		{"wrong output", b.address, []string{"plans", "list", "-o", "xml"}, ctl.ExitUsage},
+		{"missing file", b.address, []string{"apply", "-f", "/absent.json"}, ctl.ExitUsage},
+		{"unknown field in file", b.address, []string{"apply", "-f", b.file("f.json", `{"plan":[]}`)}, ctl.ExitUsage},
+		{"version conflict", b.address, []string{"plans", "set", "p", "--weight", "2", "--base-version", "0"}, ctl.ExitVersionConflict},
+		{"invalid change", b.address, []string{"plans", "set", "p", "--weight", "2000"}, ctl.ExitInvalidChange},
+		{"home region", b.address, []string{"plans", "set", "p", "--home-region", "sul"}, ctl.ExitInvalidChange},
+		{"nobody answers", "127.0.0.1:1", []string{"plans", "list"}, ctl.ExitUnavailable},
+		{"status, nobody answers", "127.0.0.1:1", []string{"status"}, ctl.ExitUnavailable},
+		{"not found", b.address, []string{"plans", "show", "absent"}, ctl.ExitNotFound},
+		{"not a control member", refused, []string{"plans", "list"}, ctl.ExitUnavailable},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			code, _, stderr := b.run(tc.addresses, tc.args...)
+			assert.Equal(t, tc.want, code, stderr)
+		})
+	}
+	b.tokenFile = b.file("wrong.token", "wrong")
+	code, _, _ = b.run(b.address, "plans", "list")
+	assert.Equal(t, ctl.ExitUnauthorized, code)
+}
+
+// Guards against a change that takes effect twice, or is reported as failed,
+// when the answer of the first control member is lost.
+func TestLostAnswerIsAskedForAgainWithTheSameID(t *testing.T) {
+	b := newBench(t)
+	lossy := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			b.handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		b.handler.ServeHTTP(w, r)
+	}))
+	code, stdout, stderr := b.run(lossy+","+b.address, "plans", "set", "p", "--token-sha256", hash(1), "-o", "json")
+	require.Equal(t, ctl.ExitOK, code, stderr)
+	var printed acceptedChange
+	require.NoError(t, json.Unmarshal([]byte(stdout), &printed))
+	assert.Equal(t, uint64(1), printed.Version)
+	assert.Equal(t, uint64(1), b.machine.Current().Version())
+	assert.Contains(t, stderr, "change id "+printed.ChangeID+", base version 0")
+
+	code, _, stderr = b.run(lossy, "plans", "set", "p", "--weight", "5", "--change-id", "by-hand")
+	assert.Equal(t, ctl.ExitCommitUnknown, code)
+	assert.Contains(t, stderr, "--change-id by-hand --base-version 1")
+	assert.Equal(t, uint64(2), b.machine.Current().Version())
+	code, stdout, _ = b.run(b.address, "plans", "set", "p", "--weight", "5", "--change-id", "by-hand", "--base-version", "1")
+	assert.Equal(t, ctl.ExitOK, code)
+	assert.Contains(t, stdout, "accepted")
+	assert.Equal(t, uint64(2), b.machine.Current().Version())
+}
+
+// Guards against an apply that removes what the file does not name without
+// being told to, and against parts of a large file that are lost.
+func TestApply(t *testing.T) {
+	b := newBench(t)
+	lists := ctl.Lists{}
+	for n := range 5100 {
+		id := fmt.Sprintf("p%d", n)
+		lists.Plans = append(lists.Plans, plan.Plan{ID: id, Weight: 1, TokenSHA256: []string{hash(n)}})
+		lists.Entitlements = append(lists.Entitlements, plan.Entitlement{Plan: id, Service: "orders"})
+	}
+	write := func(l ctl.Lists) string {
+		encoded, err := json.Marshal(l)
+		require.NoError(t, err)
+		return b.file("lists.json", string(encoded))
+	}
+	code, _, stderr := b.run(b.address, "apply", "-f", write(lists))
+	require.Equal(t, ctl.ExitOK, code, stderr)
+	assert.Equal(t, 5100, b.machine.Current().Plans())
+	assert.Equal(t, 5100, b.machine.Current().Entitlements())
+	assert.Equal(t, 4, strings.Count(stderr, "part "))
+	fewer := ctl.Lists{Plans: lists.Plans[:5099], Entitlements: lists.Entitlements[:5098]}
+	code, _, stderr = b.run(b.address, "apply", "-f", write(fewer))
+	require.Equal(t, ctl.ExitOK, code)
+	assert.Contains(t, stderr, "nothing to change")
+	code, stdout, _ := b.run(b.address, "diff", "--prune", "-f", write(fewer))
+	require.Equal(t, ctl.ExitOK, code)
+	assert.Contains(t, stdout, "remove  plan         p5099")
+	assert.Contains(t, stdout, "remove  entitlement  p5098/orders")
+	code, _, _ = b.run(b.address, "apply", "--prune", "-f", write(fewer))
+	require.Equal(t, ctl.ExitOK, code)
+	assert.Equal(t, 5099, b.machine.Current().Plans())
+	assert.Equal(t, 5098, b.machine.Current().Entitlements())
+}
+
+func TestFleetCommandsReadAnEntry(t *testing.T) {
+	b := newBench(t)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/v1/members", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `[{"name":"e1","region":"norte","data_centre":"n1","state":"alive","catalog_version":3}]`)
+	})
+	mux.HandleFunc("GET /admin/v1/upstreams", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"services":[{"service":"orders","owner":true,"targets":[{"address":"10.0.0.9:80","health":"in"}]}]}`)
+	})
+	entry := serve(t, mux)
+	for args, want := range map[string]string{"members": "e1     norte   n1           alive", "upstreams": "10.0.0.9:80"} {
+		code, stdout, stderr := b.run("127.0.0.1:1", args, "--entry", entry)
+		require.Equal(t, ctl.ExitOK, code, stderr)
+		assert.Contains(t, stdout, want)
+	}
+}
+
+func TestShellCompletion(t *testing.T) {
+	var out, errors bytes.Buffer
+	require.Equal(t, ctl.ExitOK, execute(context.Background(), []string{"sequoialane-ctl", "completion", "bash"}, &out, &errors), errors.String())
+	assert.Contains(t, out.String(), "sequoialane-ctl")
+}
--- /dev/null
+++ b/cmd/sequoialane-ctl/session.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/sequoialane/sequoialane/internal/ctl"
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+const (
+	flagControl   = "control"
+	flagEntry     = "entry"
+	flagTokenFile = "token-file"
+	flagOutput    = "output"
+	outputTable   = "table"
+	outputJSON    = "json"
+)
+
+func globalFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: flagControl, Usage: "control members as `IP:PORT`, tried in order; comma-separated or repeated", Sources: cli.EnvVars("SEQUOIALANE_CONTROL")},
+		&cli.StringSliceFlag{Name: flagEntry, Usage: "entries as `IP:PORT`, for members and upstreams", Sources: cli.EnvVars("SEQUOIALANE_ENTRY")},
+		&cli.StringFlag{Name: flagTokenFile, Usage: "`FILE` with the operators' token", Sources: cli.EnvVars("SEQUOIALANE_TOKEN_FILE")},
+		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "table or json"},
+	}
+}
+
+// session holds what the global flags say.
+type session struct {
+	client *ctl.Client
+	stdout io.Writer
+	stderr io.Writer
+	json   bool
+}
+
+// newSession reads the global flags. addresses names the flag that lists the
+// addresses the command talks to.
+func newSession(command *cli.Command, addresses string) (*session, error) {
+	list := command.StringSlice(addresses)
+	if len(list) == 0 {
+		return nil, usagef("--%s is required", addresses)
+	}
+	output := command.String(flagOutput)
+	if output != outputTable && output != outputJSON {
+		return nil, usagef("--%s %q: want table or json", flagOutput, output)
+	}
+	file := command.String(flagTokenFile)
+	if file == "" {
+		return nil, usagef("--%s is required", flagTokenFile)
+	}
+	token, err := settings.ReadToken(file)
+	if err != nil {
+		return nil, err
+	}
+	root := command.Root()
+	return &session{client: ctl.NewClient(list, token), stdout: root.Writer, stderr: root.ErrWriter, json: output == outputJSON}, nil
+}
+
+// print writes value as JSON or as the table.
+func (s *session) print(value any, heading []string, rows [][]string) error {
+	if s.json {
+		return ctl.WriteJSON(s.stdout, value)
+	}
+	return ctl.WriteTable(s.stdout, heading, rows)
+}
+
+func usagef(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ctl.ErrUsage, fmt.Sprintf(format, args...))
+}
+
+// arguments returns the positional arguments, of which there must be as many
+// as names.
+func arguments(command *cli.Command, names ...string) ([]string, error) {
+	got := command.Args().Slice()
+	if len(got) != len(names) {
+		return nil, usagef("%s: want %s", command.FullName(), strings.Join(names, " "))
+	}
+	return got, nil
+}
--- a/internal/control/api_test.go
+++ b/internal/control/api_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/controlapi"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -66,11 +67,11 @@
 func TestListPages(t *testing.T) {
 	handler := newSoloHandler(t)
 	require.Equal(t, http.StatusOK, call(t, handler, "POST", "/v1/changes", changeBody("c", 0, testPlan(1), testPlan(2), testPlan(3)), nil))
-	var page planList
+	var page controlapi.PlanList
 	require.Equal(t, http.StatusOK, call(t, handler, "GET", "/v1/plans?limit=2", "", &page))
 	assert.Len(t, page.Plans, 2)
 	assert.Equal(t, "plan-002", page.Next)
-	page = planList{}
+	page = controlapi.PlanList{}
 	require.Equal(t, http.StatusOK, call(t, handler, "GET", "/v1/plans?limit=2&after=plan-002", "", &page))
 	assert.Len(t, page.Plans, 1)
 	assert.Empty(t, page.Next)
@@ -99,7 +100,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.desc, func(t *testing.T) {
-			var body apiError
+			var body controlapi.Error
 			assert.Equal(t, tc.status, call(t, handler, tc.method, tc.target, tc.body, &body))
 			assert.Equal(t, tc.kind, body.Kind)
 			assert.Equal(t, tc.version, body.CurrentVersion)
--- a/internal/control/changes.go
+++ b/internal/control/changes.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/sequoialane/sequoialane/internal/controlapi"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/plan"
 )
@@ -14,7 +15,7 @@
 func (a *api) submitChange(ctx context.Context, in *submitInput) (*output[plan.Result], error) {
 	result, failure := a.Submitter.Submit(ctx, in.Body)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
 	return answerOf(result)
 }
@@ -38,7 +39,7 @@
 func (a *api) getChange(ctx context.Context, in *getChangeInput) (*output[plan.Result], error) {
 	snapshot, failure := a.Submitter.Barrier(ctx)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
 	result, found := a.Catalog.Result(in.ID)
 	if !found {
@@ -51,50 +52,31 @@
 	After uint64 `query:"after" doc:"catalog version to compare with the current one"`
 }
 
-// catalogDiff lists what changed. Set records are shown as they are now.
-type catalogDiff struct {
-	From    uint64        `json:"from"`
-	Version uint64        `json:"version" doc:"current catalog version"`
-	Full    bool          `json:"full" doc:"whether the whole catalog is listed, because the history does not reach back"`
-	Set     []plan.Record `json:"set" doc:"plans that were added or changed, with their entitlements"`
-	Removed []string      `json:"removed" doc:"ids of removed plans"`
-}
-
-func (a *api) diff(ctx context.Context, in *diffInput) (*output[catalogDiff], error) {
+func (a *api) diff(ctx context.Context, in *diffInput) (*output[controlapi.Diff], error) {
 	if _, failure := a.Submitter.Barrier(ctx); failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
 	d := a.Catalog.DeltaSince(in.After)
-	body := catalogDiff{From: in.After, Version: d.To, Full: d.Full, Removed: d.Removed}
+	body := controlapi.Diff{From: in.After, Version: d.To, Full: d.Full, Removed: d.Removed}
 	body.Set = lo.Map(d.Records, func(r *plan.Record, _ int) plan.Record { return *r })
 	if body.Removed == nil {
 		body.Removed = []string{}
 	}
-	return &output[catalogDiff]{body}, nil
-}
-
-// controlStatus is the state of the control members as the answering member
-// sees it. It is not a linearizable read, so that it works without a leader.
-type controlStatus struct {
-	GroupStatus
-	InContact      bool   `json:"in_contact" doc:"whether a leader confirmed lately that the answering member is up to date"`
-	CatalogVersion uint64 `json:"catalog_version" doc:"catalog version of the answering member"`
-	Plans          int    `json:"plans"`
-	Entitlements   int    `json:"entitlements"`
+	return &output[controlapi.Diff]{body}, nil
 }
 
-func (a *api) status(context.Context, *struct{}) (*output[controlStatus], error) {
+func (a *api) status(context.Context, *struct{}) (*output[controlapi.Status], error) {
 	current := a.Catalog.Current()
-	body := controlStatus{
+	body := controlapi.Status{
 		GroupStatus:    a.Group.Status(),
 		InContact:      a.Contact(),
 		CatalogVersion: current.Version(),
 		Plans:          current.Plans(),
 		Entitlements:   current.Entitlements(),
 	}
-	body.Members = lo.Map(body.Members, func(m GroupMember, _ int) GroupMember {
+	body.Members = lo.Map(body.Members, func(m controlapi.GroupMember, _ int) controlapi.GroupMember {
 		m.Address = a.APIAddresses[m.Name]
 		return m
 	})
-	return &output[controlStatus]{body}, nil
+	return &output[controlapi.Status]{body}, nil
 }
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 
+	"github.com/sequoialane/sequoialane/internal/controlapi"
 	"github.com/sequoialane/sequoialane/internal/plan"
 )
 
@@ -20,25 +21,7 @@
 	// before the call, confirmed by a majority.
 	ReadBarrier(ctx context.Context) error
 	// Status returns the group as this member sees it.
-	Status() GroupStatus
-}
-
-// GroupStatus describes a consensus group.
-type GroupStatus struct {
-	Member       string        `json:"member" doc:"name of the member that answers"`
-	Leader       string        `json:"leader" doc:"name of the leader; empty if none is known"`
-	Term         uint64        `json:"term"`
-	CommitIndex  uint64        `json:"commit_index"`
-	AppliedIndex uint64        `json:"applied_index"`
-	Members      []GroupMember `json:"members"`
-}
-
-// GroupMember is a member of the group's configuration.
-type GroupMember struct {
-	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
-	Voter       bool   `json:"voter"`
-	Address     string `json:"address,omitempty" doc:"IP address and port of its administration API"`
+	Status() controlapi.GroupStatus
 }
 
 // Catalog is the copy of the catalog that the group feeds. *plan.Machine
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 
+	"github.com/sequoialane/sequoialane/internal/controlapi"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/plan"
 )
@@ -20,20 +21,14 @@
 	Prefix string `query:"prefix" doc:"list only plans whose id starts with this"`
 }
 
-type planList struct {
-	Version uint64      `json:"version" doc:"catalog version that the list was read from"`
-	Plans   []plan.Plan `json:"plans"`
-	Next    string      `json:"next,omitempty" doc:"value of after for the next page; missing on the last page"`
-}
-
 type output[T any] struct{ Body T }
 
-func (a *api) listPlans(ctx context.Context, in *listPlansInput) (*output[planList], error) {
+func (a *api) listPlans(ctx context.Context, in *listPlansInput) (*output[controlapi.PlanList], error) {
 	snapshot, failure := a.Submitter.Barrier(ctx)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
-	list := planList{Version: snapshot.Version(), Plans: []plan.Plan{}}
+	list := controlapi.PlanList{Version: snapshot.Version(), Plans: []plan.Plan{}}
 	for _, r := range snapshot.Records() {
 		if r.Plan.ID <= in.After || !strings.HasPrefix(r.Plan.ID, in.Prefix) {
 			continue
@@ -44,33 +39,27 @@
 		}
 		list.Plans = append(list.Plans, r.Plan)
 	}
-	return &output[planList]{list}, nil
+	return &output[controlapi.PlanList]{list}, nil
 }
 
 type getPlanInput struct {
 	ID string `path:"id"`
 }
 
-type planDetail struct {
-	Version      uint64             `json:"version" doc:"catalog version that the plan was read from"`
-	Plan         plan.Plan          `json:"plan"`
-	Entitlements []plan.Entitlement `json:"entitlements"`
-}
-
-func (a *api) getPlan(ctx context.Context, in *getPlanInput) (*output[planDetail], error) {
+func (a *api) getPlan(ctx context.Context, in *getPlanInput) (*output[controlapi.PlanDetail], error) {
 	snapshot, failure := a.Submitter.Barrier(ctx)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
 	r, found := snapshot.Record(in.ID)
 	if !found {
 		return nil, newVersionError(fault.NotFound, "no such plan", snapshot.Version())
 	}
-	detail := planDetail{Version: snapshot.Version(), Plan: r.Plan, Entitlements: r.Entitlements}
+	detail := controlapi.PlanDetail{Version: snapshot.Version(), Plan: r.Plan, Entitlements: r.Entitlements}
 	if detail.Entitlements == nil {
 		detail.Entitlements = []plan.Entitlement{}
 	}
-	return &output[planDetail]{detail}, nil
+	return &output[controlapi.PlanDetail]{detail}, nil
 }
 
 type listEntitlementsInput struct {
@@ -79,18 +68,12 @@
 	Service string `query:"service"`
 }
 
-type entitlementList struct {
-	Version      uint64             `json:"version" doc:"catalog version that the list was read from"`
-	Entitlements []plan.Entitlement `json:"entitlements"`
-	Next         string             `json:"next,omitempty" doc:"value of after for the next page; missing on the last page"`
-}
-
-func (a *api) listEntitlements(ctx context.Context, in *listEntitlementsInput) (*output[entitlementList], error) {
+func (a *api) listEntitlements(ctx context.Context, in *listEntitlementsInput) (*output[controlapi.EntitlementList], error) {
 	snapshot, failure := a.Submitter.Barrier(ctx)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
-	list := entitlementList{Version: snapshot.Version(), Entitlements: []plan.Entitlement{}}
+	list := controlapi.EntitlementList{Version: snapshot.Version(), Entitlements: []plan.Entitlement{}}
 	afterPlan, afterService, _ := strings.Cut(in.After, "/")
 	for _, r := range snapshot.Records() {
 		if r.Plan.ID < afterPlan || (in.Plan != "" && r.Plan.ID != in.Plan) {
@@ -106,12 +89,12 @@
 			if len(list.Entitlements) == in.Limit {
 				last := list.Entitlements[in.Limit-1]
 				list.Next = last.Plan + "/" + last.Service
-				return &output[entitlementList]{list}, nil
+				return &output[controlapi.EntitlementList]{list}, nil
 			}
 			list.Entitlements = append(list.Entitlements, e)
 		}
 	}
-	return &output[entitlementList]{list}, nil
+	return &output[controlapi.EntitlementList]{list}, nil
 }
 
 type getEntitlementInput struct {
@@ -119,19 +102,14 @@
 	Service string `path:"service"`
 }
 
-type entitlementDetail struct {
-	Version     uint64           `json:"version" doc:"catalog version that the entitlement was read from"`
-	Entitlement plan.Entitlement `json:"entitlement"`
-}
-
-func (a *api) getEntitlement(ctx context.Context, in *getEntitlementInput) (*output[entitlementDetail], error) {
+func (a *api) getEntitlement(ctx context.Context, in *getEntitlementInput) (*output[controlapi.EntitlementDetail], error) {
 	snapshot, failure := a.Submitter.Barrier(ctx)
 	if failure != nil {
-		return nil, newAPIError(failure)
+		return nil, controlapi.NewError(failure)
 	}
 	e, found := snapshot.Entitlement(in.Plan, in.Service)
 	if !found {
 		return nil, newVersionError(fault.NotFound, "no such entitlement", snapshot.Version())
 	}
-	return &output[entitlementDetail]{entitlementDetail{Version: snapshot.Version(), Entitlement: e}}, nil
+	return &output[controlapi.EntitlementDetail]{controlapi.EntitlementDetail{Version: snapshot.Version(), Entitlement: e}}, nil
 }
--- a/internal/control/solo.go
+++ b/internal/control/solo.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/sequoialane/sequoialane/internal/consensus"
+	"github.com/sequoialane/sequoialane/internal/controlapi"
 )
 
 // Solo is a group of one member without a log.
@@ -32,11 +33,11 @@
 func (s *Solo) ReadBarrier(context.Context) error { return nil }
 
 // Status implements Group.
-func (s *Solo) Status() GroupStatus {
+func (s *Solo) Status() controlapi.GroupStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return GroupStatus{
+	return controlapi.GroupStatus{
 		Member: s.name, Leader: s.name, Term: 1, CommitIndex: s.index, AppliedIndex: s.index,
-		Members: []GroupMember{{Name: s.name, Incarnation: 1, Voter: true}},
+		Members: []controlapi.GroupMember{{Name: s.name, Incarnation: 1, Voter: true}},
 	}
 }
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,67 @@
+// Package ctl is the client side of operators' commands: it talks to control
+// members and entries, builds changes, and prints results.
+package ctl
+
+import (
+	"errors"
+
+	"github.com/sequoialane/sequoialane/internal/controlapi"
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK              = 0
+	ExitFailure         = 1 // any other failure
+	ExitUsage           = 2 // wrong use, or a wrong file
+	ExitVersionConflict = 3 // another change was accepted first; nothing was changed
+	ExitInvalidChange   = 4 // the change breaks a rule; nothing was changed
+	ExitUnavailable     = 5 // no address answered, or no leader is known; nothing was changed
+	ExitCommitUnknown   = 6 // the change may or may not be in force; resend it with the same id
+	ExitNotFound        = 7
+	ExitUnauthorized    = 8
+)
+
+// ErrUsage is wrapped by errors in the use of the command.
+var ErrUsage = errors.New("wrong use")
+
+// ErrUnreachable is returned if no address answered.
+var ErrUnreachable = errors.New("no address answered")
+
+// ExitCode returns the exit code for an error.
+func ExitCode(err error) int {
+	var refused *controlapi.Error
+	var wrongFile *settings.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &refused):
+		return exitCodeOf(refused.Kind)
+	case errors.Is(err, ErrUsage), errors.As(err, &wrongFile):
+		return ExitUsage
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnavailable
+	default:
+		return ExitFailure
+	}
+}
+
+func exitCodeOf(kind fault.Kind) int {
+	switch kind {
+	case fault.VersionConflict:
+		return ExitVersionConflict
+	case fault.InvalidChange, fault.BadRequest, fault.BodyTooLarge:
+		return ExitInvalidChange
+	case fault.ControlUnavailable:
+		return ExitUnavailable
+	case fault.CommitUnknown:
+		return ExitCommitUnknown
+	case fault.NotFound:
+		return ExitNotFound
+	case fault.Unauthorized:
+		return ExitUnauthorized
+	default:
+		return ExitFailure
+	}
+}
