--- a/internal/claims/memory.go
+++ b/internal/claims/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	clock   sys.Clock
 	start   time.Time
 	offline atomic.Bool
+	mu      sync.Mutex // keeps commands out while Fence replaces the state
 }
 
 var (
@@ -33,6 +35,8 @@
 
 // Fence drops all claims, as a group does that formed anew.
 func (m *Memory) Fence(fence time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if err := m.table.Restore(nil); err != nil {
 		panic("claims: empty state refused: " + err.Error())
 	}
@@ -51,6 +55,8 @@
 	if m.offline.Load() {
 		return outcome{}, unavailable("claims are offline")
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	c.At = m.stamp()
 	return decodeOutcome(m.table.Apply(0, encode(c)))
 }
--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,12 +19,16 @@
 	"github.com/sequoialane/sequoialane/internal/owner"
 )
 
-// refusingAddress returns an address that refuses connections.
+// refusingAddress returns an address that refuses connections. The port stays
+// bound, so that no other test gets it.
 func refusingAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
 
 // silentAddress returns an address that accepts connections and never answers.
