Wire claim groups into the entry

Cause: claims kept in the memory of one entry hold back no resend through another one.

Change: each entry runs its members of the claim groups over the peer port and is ready once each group counts it as a voter. Setting clock_error (30 s): the fence of a new group makes keys older than the fence plus this error unknown, which refuses every keyed request of a fleet on loopback for its first 30 s.

--- a/cmd/sequoialane-entry/claims.go
+++ b/cmd/sequoialane-entry/claims.go
@@ -1,32 +1,32 @@
 package main
 
 import (
-	"net/http"
-
 	"github.com/samber/do/v2"
+	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/claims"
+	"github.com/sequoialane/sequoialane/internal/entry"
+	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/workerpool"
 )
 
-// claimParts are the claims client of this entry and its group members.
-type claimParts struct {
-	client   claims.Client
-	leases   claims.Leases
-	handlers map[string]http.Handler // of the peer port, by pattern
-	ready    chan struct{}
+func newClaims(i do.Injector) (*entry.Claims, error) {
+	l := do.MustInvoke[loaded](i)
+	return entry.StartClaims(entry.ClaimOptions{
+		Groups: l.settings.ClaimGroups,
+		Self:   do.MustInvoke[*membership.Table](i).Self(),
+		Token:  l.tokens.Fleet,
+		Limits: limits(l),
+		Clock:  do.MustInvoke[sys.Clock](i),
+		Pool:   do.MustInvoke[*workerpool.Pool](i),
+		Log:    do.MustInvoke[*zap.Logger](i),
+	})
 }
 
-// Ready implements entry.ClaimMembers.
-func (c *claimParts) Ready() <-chan struct{} { return c.ready }
-
-// Stop implements entry.ClaimMembers.
-func (c *claimParts) Stop() {}
-
-func newClaims(i do.Injector) (*claimParts, error) {
-	l := do.MustInvoke[loaded](i)
-	ready := make(chan struct{})
-	close(ready)
-	memory := claims.NewMemory(do.MustInvoke[sys.Clock](i), limits(l))
-	return &claimParts{client: memory, leases: memory, ready: ready}, nil
+func limits(l loaded) claims.Limits {
+	limits := claims.DefaultLimits()
+	limits.Retention = l.settings.KeyRetention.Std()
+	limits.ClockError = l.settings.ClockError.Std()
+	return limits
 }
--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -153,7 +154,7 @@
 	table := do.MustInvoke[*membership.Table](i)
 	clock := do.MustInvoke[sys.Clock](i)
 	return dispatch.New(dispatch.Config{
-		Claims:     do.MustInvoke[*claimParts](i).client,
+		Claims:     do.MustInvoke[*entry.Claims](i).Client,
 		Sender:     upstreamclient.New(clock),
 		Clock:      clock,
 		Log:        do.MustInvoke[*zap.Logger](i),
@@ -164,12 +165,6 @@
 	}), nil
 }
 
-func limits(l loaded) claims.Limits {
-	limits := claims.DefaultLimits()
-	limits.Retention = l.settings.KeyRetention.Std()
-	return limits
-}
-
 func newEntry(i do.Injector) (*entry.Entry, error) {
 	l := do.MustInvoke[loaded](i)
 	return entry.New(entry.Options{
@@ -177,7 +172,7 @@
 		Gossip:       do.MustInvoke[*membership.Driver](i),
 		Catalog:      do.MustInvoke[*configsync.Follower](i),
 		Runner:       do.MustInvoke[*dispatch.Dispatcher](i),
-		Leases:       do.MustInvoke[*claimParts](i).leases,
+		Leases:       do.MustInvoke[*entry.Claims](i).Leases,
 		Tokens:       l.tokens,
 		Clock:        do.MustInvoke[sys.Clock](i),
 		Pool:         do.MustInvoke[*workerpool.Pool](i),
@@ -191,12 +186,10 @@
 func newProcess(i do.Injector) (*entry.Process, error) {
 	l := do.MustInvoke[loaded](i)
 	e := do.MustInvoke[*entry.Entry](i)
-	parts := do.MustInvoke[*claimParts](i)
+	parts := do.MustInvoke[*entry.Claims](i)
 	done := do.MustInvoke[draining](i)
 	further := map[string]http.Handler{"GET " + catalogfeed.PeerPath: do.MustInvoke[*configsync.Follower](i).PeerHandler(done)}
-	for pattern, handler := range parts.handlers {
-		further[pattern] = e.RequireFleet(handler)
-	}
+	maps.Copy(further, parts.Handlers)
 	peers, err := httpserver.Listen(l.settings.PeerAddress, e.PeerHandler(further))
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -18,6 +18,8 @@
 	maxFloorPercent = 100
 	minTimeToLive   = time.Second
 	maxCutGrace     = time.Hour
+	minClockError   = 10 * time.Millisecond
+	maxClockError   = 5 * time.Minute
 	minKeyRetention = time.Minute
 	maxKeyRetention = 24 * time.Hour
 	minDrainLimit   = time.Second
@@ -41,6 +43,7 @@
 	DataCentres       []string                   `json:"data_centres"` // all data centres of the fleet
 	ClaimGroups       []claims.GroupSettings     `json:"claim_groups"` // the same list on all entries
 	KeyRetention      settings.Duration          `json:"key_retention"`
+	ClockError        settings.Duration          `json:"clock_error"`      // largest difference between the clocks of two VMs, callers' included
 	RegionCutGrace    settings.Duration          `json:"region_cut_grace"` // how long to serve while the region is cut off
 	TimeToLive        settings.Duration          `json:"time_to_live"`     // of address answers
 	DrainLimit        settings.Duration          `json:"drain_limit"`      // longest wait for requests in flight at shutdown
@@ -56,6 +59,7 @@
 		DataCentres:    []string{},
 		ClaimGroups:    []claims.GroupSettings{},
 		KeyRetention:   settings.Duration(time.Hour),
+		ClockError:     settings.Duration(claims.DefaultLimits().ClockError),
 		RegionCutGrace: settings.Duration(configsync.DefaultRegionCutGrace),
 		TimeToLive:     settings.Duration(address.DefaultTimeToLive),
 		DrainLimit:     settings.Duration(10*time.Minute + address.DefaultTimeToLive),
@@ -80,6 +84,7 @@
 	settings.RequireText(report, "operator_token_file", s.OperatorTokenFile)
 	s.checkLists(report)
 	settings.RequireRange(report, "key_retention", s.KeyRetention, minKeyRetention, maxKeyRetention)
+	settings.RequireRange(report, "clock_error", s.ClockError, minClockError, maxClockError)
 	settings.RequireRange(report, "region_cut_grace", s.RegionCutGrace, 0, maxCutGrace)
 	settings.RequireRange(report, "time_to_live", s.TimeToLive, minTimeToLive, address.MaxTimeToLive)
 	settings.RequireRange(report, "drain_limit", s.DrainLimit, minDrainLimit, maxDrainLimit)
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -20,7 +20,8 @@
 
 const (
 	pollPeriod    = 50 * time.Millisecond
-	claimMembers  = 5 // of a claim group, if the region has as many entries
+	clockError    = 100 * time.Millisecond // all processes share one clock; keys made before a claim group formed count as unknown for this long
+	claimMembers  = 5                      // of a claim group, if the region has as many entries
 	fleetToken    = "fleet-token-of-a-local-fleet"
 	upstreamToken = "upstream-token-of-a-local-fleet"
 	operatorToken = "operator-token-of-a-local-fleet"
@@ -226,6 +227,7 @@
 	s.UpstreamTokenFile = f.path("upstream.token")
 	s.OperatorTokenFile = f.path("operator.token")
 	s.TimeToLive = settings.Duration(f.options.TimeToLive)
+	s.ClockError = settings.Duration(clockError)
 	for _, c := range f.Controls {
 		self, _ := c.Settings.Self()
 		s.Control = append(s.Control, configsync.ControlMember{Name: self.Name, Region: self.Region, Address: self.APIAddress})
--- a/internal/membership/cost_test.go
+++ b/internal/membership/cost_test.go
@@ -9,12 +9,13 @@
 )
 
 // BenchmarkGossip measures what gossip costs a node in a steady fleet. One
-// iteration is one simulated second of all nodes.
+// iteration is one simulated second of all nodes. A change is one member that
+// becomes isolated.
 func BenchmarkGossip(b *testing.B) {
 	for _, n := range []int{50, 200, 800} {
 		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
 			f := newFleet(1, n)
-			f.run(20 * time.Second)
+			f.settle()
 			f.sent, f.bytes = 0, 0
 			b.ResetTimer()
 			started := time.Now()
@@ -26,10 +27,34 @@
 			b.ReportMetric(float64(f.sent)/nodeSeconds, "packets/s/node")
 			b.ReportMetric(time.Since(started).Seconds()/nodeSeconds*100, "cpu_percent/node")
 			b.ReportMetric(float64(exchangeBytes(f, 0, 1)), "exchange_B")
+			b.StopTimer()
+			b.ReportMetric(changeBytes(f, float64(f.bytes)/float64(b.N)), "change_B/node")
 		})
 	}
 }
 
+// settle makes all tables equal, as in a fleet that has been running for long.
+func (f *fleet) settle() {
+	for _, at := range f.order {
+		f.exchange(f.nodes[at], f.nodes[f.order[0]])
+	}
+	for _, at := range f.order {
+		f.exchange(f.nodes[at], f.nodes[f.order[0]])
+		f.nodes[at].queue.items = nil
+	}
+	f.run(3 * time.Second)
+}
+
+// changeBytes is what one change costs each node beyond the steady traffic, in
+// bytes for each simulated second.
+func changeBytes(f *fleet, steady float64) float64 {
+	const seconds = 30
+	f.bytes = 0
+	f.send(f.order[1], f.nodes[f.order[1]].SetIsolated(true))
+	f.run(seconds * time.Second)
+	return (float64(f.bytes) - steady*seconds) / float64(len(f.order))
+}
+
 // exchangeBytes is the size of a full exchange between two nodes.
 func exchangeBytes(f *fleet, i, j int) int {
 	a, c := f.nodes[address(i)], f.nodes[address(j)]
