--- a/internal/claims/key.go
+++ b/internal/claims/key.go
@@ -73,7 +73,7 @@
 	ClockError    time.Duration // largest difference between two clocks
 	CallLimit     time.Duration // longest upstream call
 	AnswerBytes   int64         // bytes of stored answers in a group; the oldest are dropped first
-	MaxLeaseTTL   time.Duration // longest lease
+	MaxLeaseTTL   time.Duration // longest lease; a re-formed group grants none for as long
 	MaxAnswerSize int           // bytes of one stored answer
 }
 
@@ -84,7 +84,7 @@
 		ClockError:    30 * time.Second,
 		CallLimit:     10 * time.Minute,
 		AnswerBytes:   64 << 20,
-		MaxLeaseTTL:   10 * time.Second,
+		MaxLeaseTTL:   5 * time.Second,
 		MaxAnswerSize: 64 << 10,
 	}
 }
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -26,6 +26,7 @@
 
 // record is a stored claim.
 type record struct {
+	ID        id            `cbor:"0,keyasint"`
 	Status    status        `cbor:"1,keyasint"`
 	Digest    [32]byte      `cbor:"2,keyasint"`
 	Attempt   string        `cbor:"3,keyasint"`
@@ -34,6 +35,7 @@
 	ByHolder  bool          `cbor:"6,keyasint,omitempty"` // the holder itself marked the claim unknown
 	Answer    *storedAnswer `cbor:"7,keyasint,omitempty"`
 	GivenUp   []string      `cbor:"8,keyasint,omitempty"` // attempts that never get the claim
+	Completed uint64        `cbor:"9,keyasint,omitempty"` // number in the order of completions
 }
 
 // Table is the state machine of a claim group. Apply is deterministic: all
@@ -41,17 +43,13 @@
 type Table struct {
 	limits Limits
 
-	mu       sync.Mutex
-	wallMS   int64 // latest wall time of a command; never goes back
-	fenceMS  int64 // keys created before are unknown unless a record says otherwise
-	records  map[id]*record
-	expiry   map[int64][]id // records by minute of creation
-	oldest   int64          // no bucket of expiry is older than this minute
-	answers  []id           // completed claims with a stored answer, oldest first
-	bytes    int64          // bytes of stored answers
-	names    map[string]string
-	leases   leaseTable
-	watchers map[id][]chan struct{}
+	mu        sync.Mutex
+	wallMS    int64 // latest wall time of a command; never goes back
+	fenceMS   int64 // keys created before are unknown unless a record says otherwise
+	completed uint64
+	store     recordStore
+	leases    leaseTable
+	watchers  map[id][]chan struct{}
 }
 
 // NewTable returns an empty table.
@@ -65,12 +63,8 @@
 func (t *Table) reset() {
 	t.wallMS = 0
 	t.fenceMS = 0
-	t.records = map[id]*record{}
-	t.expiry = map[int64][]id{}
-	t.oldest = 0
-	t.answers = nil
-	t.bytes = 0
-	t.names = map[string]string{}
+	t.completed = 0
+	t.store = newRecordStore(t.limits)
 	t.leases = leaseTable{Leases: map[string]lease{}}
 }
 
@@ -108,7 +102,7 @@
 	if refused := t.limits.keyState(Key{ID: c.Key}.CreatedMS(), t.wallMS); refused != "" {
 		return outcome{State: refused}
 	}
-	r := t.records[c.id()]
+	r := t.store.get(c.id())
 	if r != nil && slices.Contains(r.GivenUp, c.Attempt) {
 		return outcome{State: Released}
 	}
@@ -130,15 +124,15 @@
 
 func (t *Table) grant(c command, r *record) {
 	if r == nil {
-		r = t.insert(c)
+		r = t.newRecord(c)
 	}
 	r.Status = running
 	r.Digest = c.Digest
 	r.Attempt = c.Attempt
-	r.Holder = t.intern(c.Holder)
+	r.Holder = c.Holder
 	r.ClaimedMS = t.wallMS
 	r.ByHolder = false
-	t.notify(c.id())
+	t.put(r)
 }
 
 // complete is also accepted without a record if the fence covers the key: the
@@ -148,16 +142,13 @@
 	if c.Answer == nil || t.expired(c.Key) {
 		return outcome{State: Expired}
 	}
-	r := t.records[c.id()]
+	r := t.store.get(c.id())
 	if r == nil {
 		if !t.fenced(c.Key) {
 			return outcome{State: Released}
 		}
-		r = t.insert(c)
+		r = t.newRecord(c)
 		r.Status = unknown
-		r.Digest = c.Digest
-		r.Attempt = c.Attempt
-		r.Holder = t.intern(c.Holder)
 	}
 	if r.Attempt != c.Attempt {
 		return t.view(r)
@@ -165,8 +156,10 @@
 	if r.Status == running || r.Status == unknown {
 		r.Status = completed
 		r.GivenUp = nil
-		t.keepAnswer(c.id(), r, c.Answer)
-		t.notify(c.id())
+		t.completed++
+		r.Completed = t.completed
+		r.Answer = t.kept(c.Answer)
+		t.put(r)
 	}
 	return outcome{State: t.view(r).State, OK: r.Status == completed}
 }
@@ -178,12 +171,12 @@
 	if t.expired(c.Key) {
 		return outcome{State: Expired, OK: true}
 	}
-	r := t.records[c.id()]
+	r := t.store.get(c.id())
 	if r == nil {
 		if t.fenced(c.Key) {
 			return outcome{State: Undecided, OK: true}
 		}
-		r = t.insert(c)
+		r = t.newRecord(c)
 		r.Status = released
 	}
 	held := r.Attempt == c.Attempt
@@ -193,12 +186,12 @@
 	if held && r.Status != released {
 		r.Status = released
 		r.Attempt = ""
-		t.notify(c.id())
 	}
 	if r.Status != completed && !slices.Contains(r.GivenUp, c.Attempt) {
 		r.GivenUp = append(r.GivenUp, c.Attempt)
 		r.GivenUp = r.GivenUp[max(0, len(r.GivenUp)-maxGivenUp):]
 	}
+	t.put(r)
 	return outcome{State: t.view(r).State, OK: true}
 }
 
@@ -206,7 +199,7 @@
 	if t.expired(c.Key) {
 		return outcome{State: Expired, OK: true}
 	}
-	r := t.records[c.id()]
+	r := t.store.get(c.id())
 	if r == nil {
 		return t.markMissing(c)
 	}
@@ -214,11 +207,11 @@
 	byWitness := c.Attempt == "" && r.Holder == c.Holder
 	if r.Status == running && (byHolder || byWitness) {
 		r.Status = unknown
-		t.notify(c.id())
 	}
 	if r.Status == unknown && byHolder {
 		r.ByHolder = true
 	}
+	t.put(r)
 	return outcome{State: t.view(r).State, OK: true}
 }
 
@@ -226,12 +219,10 @@
 // key is not granted again.
 func (t *Table) markMissing(c command) outcome {
 	if c.Attempt != "" && !t.fenced(c.Key) {
-		r := t.insert(c)
+		r := t.newRecord(c)
 		r.Status = unknown
-		r.Digest = c.Digest
-		r.Attempt = c.Attempt
-		r.Holder = t.intern(c.Holder)
 		r.ByHolder = true
+		t.put(r)
 	}
 	return outcome{State: Undecided, OK: true}
 }
--- a/internal/claims/tableparts.go
+++ b/internal/claims/tableparts.go
@@ -1,108 +1,45 @@
 package claims
 
-import (
-	"strings"
-	"time"
-)
-
-const minuteMS = int64(time.Minute / time.Millisecond)
-
-// insert adds an empty record for the key of the command.
-func (t *Table) insert(c command) *record {
-	r := &record{ClaimedMS: t.wallMS}
-	key := id{Plan: t.intern(c.Plan), Key: c.Key}
-	t.records[key] = r
-	t.enlist(key)
-	return r
-}
-
-func (t *Table) enlist(key id) {
-	minute := Key{ID: key.Key}.CreatedMS() / minuteMS
-	t.expiry[minute] = append(t.expiry[minute], key)
-	if t.oldest == 0 || minute < t.oldest {
-		t.oldest = minute
+// newRecord returns a record for the attempt of the command. It is not stored
+// yet.
+func (t *Table) newRecord(c command) *record {
+	return &record{
+		ID:        c.id(),
+		Digest:    c.Digest,
+		Attempt:   c.Attempt,
+		Holder:    c.Holder,
+		ClaimedMS: t.wallMS,
 	}
 }
 
-// intern returns one shared copy of a name, so that the plans and holders of
-// many records take memory once.
-func (t *Table) intern(name string) string {
-	if known, ok := t.names[name]; ok {
-		return known
-	}
-	name = strings.Clone(name)
-	t.names[name] = name
-	return name
+// put stores a record and wakes those that wait for its claim.
+func (t *Table) put(r *record) {
+	t.store.put(r)
+	t.notify(r.ID)
 }
 
-// advance moves the group time forward and drops the records of keys that are
+// advance moves the group time forward and drops some records of keys that are
 // now refused as expired.
 func (t *Table) advance(wallMS int64) {
-	if wallMS <= t.wallMS {
-		return
-	}
-	t.wallMS = wallMS
-	keepMS := wallMS - (t.limits.Retention + t.limits.ClockError).Milliseconds()
-	for len(t.expiry) > 0 && (t.oldest+1)*minuteMS <= keepMS {
-		t.dropMinute(t.oldest)
-		t.oldest = t.nextMinute()
-	}
-}
-
-func (t *Table) nextMinute() int64 {
-	var next int64
-	for minute := range t.expiry {
-		if next == 0 || minute < next {
-			next = minute
-		}
-	}
-	return next
-}
-
-func (t *Table) dropMinute(minute int64) {
-	for _, key := range t.expiry[minute] {
-		if r := t.records[key]; r != nil {
-			t.bytes -= r.Answer.size()
-		}
-		delete(t.records, key)
+	t.wallMS = max(t.wallMS, wallMS)
+	keepMS := t.wallMS - (t.limits.Retention + t.limits.ClockError).Milliseconds()
+	for _, key := range t.store.expire(keepMS) {
 		t.notify(key)
 	}
-	delete(t.expiry, minute)
-	t.trimAnswers()
 }
 
-// keepAnswer stores the answer and drops the oldest stored ones beyond the
-// limit of the group. A dropped answer leaves its status.
-func (t *Table) keepAnswer(key id, r *record, a *storedAnswer) {
+// kept returns what is stored of an answer.
+func (t *Table) kept(a *storedAnswer) *storedAnswer {
 	if a.Omitted || a.size() > int64(t.limits.MaxAnswerSize)+maxStoredHeader {
-		r.Answer = &storedAnswer{Status: a.Status, Omitted: true}
-		return
+		return &storedAnswer{Status: a.Status, Omitted: true}
 	}
-	r.Answer = a
-	t.bytes += a.size()
-	t.answers = append(t.answers, key)
-	t.trimAnswers()
+	return a
 }
 
 // maxStoredHeader bounds the header of a stored answer, in bytes. It equals the
 // limit for headers of requests and responses.
 const maxStoredHeader = 32 << 10
 
-func (t *Table) trimAnswers() {
-	for len(t.answers) > 0 {
-		r := t.records[t.answers[0]]
-		gone := r == nil || r.Answer == nil || r.Answer.Omitted
-		if !gone && t.bytes <= t.limits.AnswerBytes {
-			return
-		}
-		if !gone {
-			t.bytes -= r.Answer.size()
-			r.Answer = &storedAnswer{Status: r.Answer.Status, Omitted: true}
-		}
-		t.answers = t.answers[1:]
-	}
-}
-
 // lookup returns the state of a claim for a waiting attempt at the given time
 // of the leader.
 func (t *Table) lookup(c command) outcome {
@@ -112,7 +49,7 @@
 	if refused := t.limits.keyState(Key{ID: c.Key}.CreatedMS(), now); refused != "" {
 		return outcome{State: refused}
 	}
-	r := t.records[c.id()]
+	r := t.store.get(c.id())
 	if r == nil && t.fenced(c.Key) {
 		return outcome{State: Undecided}
 	}
@@ -170,5 +107,5 @@
 func (t *Table) Size() (records int, answerBytes int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records), t.bytes
+	return len(t.store.slots), t.store.bytes
 }
