End the processes of a fleet that failed to start

Cause: staticcheck reports a deferred Close before the error check in the demo. Ruled out: an exception for the check, since the caller should not need to know that a failed Start leaves processes behind.

Change: Start ends its processes itself after an error and still returns the fleet, whose logs the tests print.

--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -64,9 +64,18 @@
 	Settings *entry.Settings
 }
 
-// Start starts control members and entries and waits until all are ready. The
-// fleet must be closed, also after an error.
+// Start starts control members and entries and waits until all are ready. After
+// an error the processes are ended, and the fleet is returned for its logs.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f := newFleet(o)
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return f, trace.Wrap(err)
+	}
+	return f, nil
+}
+
+func newFleet(o Options) *Fleet {
 	f := &Fleet{options: o, client: &http.Client{Timeout: requestTimeout}}
 	if len(f.options.Regions) == 0 {
 		f.options.Regions = []string{"north"}
@@ -74,26 +83,30 @@
 	if f.options.TimeToLive == 0 {
 		f.options.TimeToLive = time.Second
 	}
+	return f
+}
+
+func (f *Fleet) start(ctx context.Context) error {
 	if err := f.prepare(); err != nil {
-		return f, trace.Wrap(err)
+		return trace.Wrap(err)
 	}
 	f.ports.release()
 	for _, p := range f.processes() {
 		if err := p.Start(); err != nil {
-			return f, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 	}
 	for _, c := range f.Controls {
 		if err := f.WaitReady(ctx, c.Process, c.APIAddress); err != nil {
-			return f, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 	}
 	for _, e := range f.Entries {
 		if err := f.WaitReady(ctx, e.Process, e.Settings.CallerAddress); err != nil {
-			return f, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 	}
-	return f, nil
+	return nil
 }
 
 func (f *Fleet) processes() []*Process {
