Run control on the consensus group

Cause: control used a group of one member without a log.

Change: a control process starts a member of the group "control" on its data folder, serves it on the peer address, and ends with an error if a storage error has stopped it. The stand-in group is gone; tests use the consensus package on the fake disk.

Shown by: go test -race ./internal/control ./cmd/sequoialane-control. Three processes form a group, and keep a change over a restart of all three.

--- /dev/null
+++ b/cmd/sequoialane-control/main_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/plan"
+)
+
+const (
+	waitLimit = 30 * time.Second
+	waitStep  = 50 * time.Millisecond
+)
+
+func runCommand(args ...string) (code int, stdout, stderr string) {
+	var out, errors bytes.Buffer
+	code = execute(context.Background(), append([]string{processName}, args...), &out, &errors)
+	return code, out.String(), errors.String()
+}
+
+func writeFile(t *testing.T, folder, name string, content []byte) string {
+	t.Helper()
+	path := filepath.Join(folder, name)
+	require.NoError(t, os.WriteFile(path, content, 0o600))
+	return path
+}
+
+// freeAddress returns an address with a port that the kernel chose.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// writeSettings writes the settings of a group of three and returns the files.
+func writeSettings(t *testing.T) ([]string, []control.MemberSettings) {
+	t.Helper()
+	folder := t.TempDir()
+	s := control.DefaultSettings()
+	s.OperatorTokenFile = writeFile(t, folder, "operator.token", []byte("operator\n"))
+	s.FleetTokenFile = writeFile(t, folder, "fleet.token", []byte("fleet\n"))
+	for n := range 3 {
+		s.Members = append(s.Members, control.MemberSettings{
+			Name: fmt.Sprintf("c%d", n), Region: "norte", DataCentre: "n1", APIAddress: freeAddress(t), PeerAddress: freeAddress(t),
+		})
+	}
+	var files []string
+	for _, m := range s.Members {
+		s.Name = m.Name
+		s.DataFolder = filepath.Join(folder, m.Name)
+		encoded, err := json.Marshal(s)
+		require.NoError(t, err)
+		files = append(files, writeFile(t, folder, m.Name+".json", encoded))
+	}
+	return files, s.Members
+}
+
+// Guards against wrong settings that are accepted, or reported otherwise than
+// with exit code 2 and one line.
+func TestWrongSettings(t *testing.T) {
+	files, _ := writeSettings(t)
+	raw, err := os.ReadFile(files[0])
+	require.NoError(t, err)
+	good := string(raw)
+	cases := []struct {
+		desc, settings, want string
+	}{
+		{"unknown field", strings.Replace(good, `"name":"c0","data_folder"`, `"names":1,"name":"c0","data_folder"`, 1), "names: found 1: unknown field"},
+		{"name of no member", strings.Replace(good, `{"name":"c0"`, `{"name":"c9"`, 1), "name: found \"c9\""},
+		{"number for a duration", strings.Replace(good, `"drain_timeout":"10s"`, `"drain_timeout":10`, 1), "drain_timeout: found 10: want a string with a unit"},
+		{"missing token file", strings.Replace(good, "operator.token", "absent.token", 1), "absent.token: token file cannot be read"},
+		{"region missing", strings.Replace(good, `"region":"norte"`, `"region":""`, 1), "members[0].region"},
+		{"trace exporter", strings.Replace(good, `"trace_exporter":"off"`, `"trace_exporter":"file"`, 1), "telemetry.trace_exporter"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			require.NotEqual(t, good, tc.settings)
+			file := writeFile(t, t.TempDir(), "wrong.json", []byte(tc.settings))
+			for _, command := range []string{"check-settings", "run"} {
+				code, _, stderr := runCommand(command, "--settings", file)
+				assert.Equal(t, exitWrongSettings, code)
+				assert.Contains(t, stderr, tc.want)
+				assert.Equal(t, 1, strings.Count(stderr, "\n"))
+			}
+		})
+	}
+	code, _, stderr := runCommand("check-settings", "-s", files[0])
+	assert.Zero(t, code, stderr)
+	code, _, _ = runCommand("run")
+	assert.Equal(t, exitWrongSettings, code)
+	code, stdout, _ := runCommand("print-defaults")
+	assert.Zero(t, code)
+	assert.Contains(t, stdout, `"drain_timeout": "10s"`)
+}
+
+// Guards against processes that form no group, that lose a change when they
+// are restarted, or that do not end cleanly.
+func TestThreeProcessesFormAGroup(t *testing.T) {
+	files, members := writeSettings(t)
+	stop := startAll(t, files)
+	body := plan.Change{ID: "first", SetPlans: []plan.Plan{{ID: "p", Weight: 1, TokenSHA256: []string{fmt.Sprintf("%064x", 1)}}}}.Encode()
+	require.Eventually(t, func() bool {
+		return request(t, http.MethodPost, members[0].APIAddress, "/v1/changes", body) == http.StatusOK
+	}, waitLimit, waitStep)
+	for _, m := range members {
+		require.Eventually(t, func() bool {
+			return request(t, http.MethodGet, m.APIAddress, "/readyz", nil) == http.StatusOK
+		}, waitLimit, waitStep)
+		assert.Equal(t, http.StatusOK, request(t, http.MethodGet, m.APIAddress, "/v1/plans/p", nil))
+		assert.Equal(t, http.StatusOK, request(t, http.MethodGet, m.APIAddress, "/metrics", nil))
+	}
+	stop()
+	stop = startAll(t, files)
+	defer stop()
+	require.Eventually(t, func() bool {
+		return request(t, http.MethodGet, members[2].APIAddress, "/v1/plans/p", nil) == http.StatusOK
+	}, waitLimit, waitStep)
+}
+
+// startAll runs all members and returns a function that ends them.
+func startAll(t *testing.T, files []string) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	codes := make(chan int, len(files))
+	for _, file := range files {
+		go func() {
+			var out, errors bytes.Buffer
+			codes <- execute(ctx, []string{processName, "run", "--settings", file}, &out, &errors)
+		}()
+	}
+	return func() {
+		cancel()
+		for range files {
+			assert.Zero(t, <-codes)
+		}
+	}
+}
+
+// request returns the status of the answer, or 0.
+func request(t *testing.T, method, address, path string, body []byte) int {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	require.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer operator")
+	r.Header.Set("Content-Type", "application/json")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
--- a/cmd/sequoialane-control/wire.go
+++ b/cmd/sequoialane-control/wire.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/disk"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
@@ -28,6 +29,11 @@
 	}
 	defer flushTraces(flush)
 	injector := newInjector(l)
+	group, err := do.Invoke[*consensus.Group](injector)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer group.Stop()
 	process, err := do.Invoke[*control.Process](injector)
 	if err != nil {
 		return trace.Wrap(err)
@@ -52,21 +58,36 @@
 		}
 		return log.With(zap.String("member", l.settings.Name)), nil
 	})
-	do.Provide(i, func(i do.Injector) (control.Group, error) {
-		return control.NewSolo(l.settings.Name, do.MustInvoke[*plan.Machine](i)), nil
-	})
+	do.Provide(i, func(i do.Injector) (*consensus.Group, error) { return newGroup(i, l) })
 	do.Provide(i, func(i do.Injector) (*control.Process, error) { return newProcess(i, l) })
 	return i
 }
 
+func newGroup(i do.Injector, l loaded) (*consensus.Group, error) {
+	dir, err := disk.Open(l.settings.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	return control.StartGroup(control.GroupOptions{
+		Settings:     l.settings,
+		Storage:      consensus.DiskStorage(dir),
+		StateMachine: do.MustInvoke[*plan.Machine](i),
+		FleetToken:   l.fleetToken,
+		Clock:        do.MustInvoke[sys.Clock](i),
+		Log:          do.MustInvoke[*zap.Logger](i),
+	})
+}
+
 func newProcess(i do.Injector, l loaded) (*control.Process, error) {
+	group := do.MustInvoke[*consensus.Group](i)
 	return control.NewProcess(control.ProcessOptions{
 		Settings:      l.settings,
-		Group:         do.MustInvoke[control.Group](i),
+		Group:         control.NewGroup(group),
+		GroupHandler:  group.Handler(),
+		GroupStopped:  group.Done(),
 		Catalog:       do.MustInvoke[*plan.Machine](i),
 		OperatorToken: l.operatorToken,
 		FleetToken:    l.fleetToken,
-		GroupHandler:  http.NotFoundHandler(),
 		Clock:         do.MustInvoke[sys.Clock](i),
 		Log:           do.MustInvoke[*zap.Logger](i),
 	})
--- a/cmd/sequoialane-ctl/main_test.go
+++ b/cmd/sequoialane-ctl/main_test.go
@@ -16,8 +16,10 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/control"
 	"github.com/sequoialane/sequoialane/internal/ctl"
+	"github.com/sequoialane/sequoialane/internal/disk/fakedisk"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -34,7 +36,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	machine := plan.NewMachine()
-	group := control.NewSolo("c1", machine)
+	group := startGroup(t, machine)
 	handler := control.NewHandler(control.Options{
 		Group: group, Catalog: machine, Submitter: control.NewSubmitter(group, machine, sys.RealClock{}, zap.NewNop()),
 		Contact: func() bool { return true }, OperatorToken: "operator", FleetToken: "fleet", Clock: sys.RealClock{},
@@ -218,3 +220,17 @@
 	require.Equal(t, ctl.ExitOK, execute(context.Background(), []string{"sequoialane-ctl", "completion", "bash"}, &out, &errors), errors.String())
 	assert.Contains(t, out.String(), "sequoialane-ctl")
 }
+
+// startGroup starts a group of one member.
+func startGroup(t *testing.T, machine *plan.Machine) control.Group {
+	t.Helper()
+	settings := control.DefaultSettings()
+	settings.Name = "c1"
+	settings.Members = []control.MemberSettings{{Name: "c1"}}
+	group, err := control.StartGroup(control.GroupOptions{
+		Settings: settings, Storage: consensus.DiskStorage(fakedisk.New()), StateMachine: machine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(group.Stop)
+	return control.NewGroup(group)
+}
--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -17,7 +17,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/disk/fakedisk"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -42,7 +44,7 @@
 func newControlServer(t *testing.T) *controlServer {
 	t.Helper()
 	machine := plan.NewMachine()
-	group := control.NewSolo("c1", machine)
+	group := startGroup(t, machine)
 	submitter := control.NewSubmitter(group, machine, sys.RealClock{}, zap.NewNop())
 	done := make(chan struct{})
 	s := &controlServer{machine: machine}
@@ -297,3 +299,17 @@
 	assert.False(t, f.needFull)
 	assert.Equal(t, server.machine.Current().Digest(), f.replica.Current().Digest())
 }
+
+// startGroup starts a group of one member.
+func startGroup(t *testing.T, machine *plan.Machine) control.Group {
+	t.Helper()
+	settings := control.DefaultSettings()
+	settings.Name = "c1"
+	settings.Members = []control.MemberSettings{{Name: "c1"}}
+	group, err := control.StartGroup(control.GroupOptions{
+		Settings: settings, Storage: consensus.DiskStorage(fakedisk.New()), StateMachine: machine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(group.Stop)
+	return control.NewGroup(group)
+}
--- a/internal/control/api_test.go
+++ b/internal/control/api_test.go
@@ -13,7 +13,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/controlapi"
+	"github.com/sequoialane/sequoialane/internal/disk/fakedisk"
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -36,7 +38,7 @@
 func newSoloHandler(t *testing.T) http.Handler {
 	t.Helper()
 	machine := plan.NewMachine()
-	return newTestHandler(t, NewSolo("c1", machine), machine)
+	return newTestHandler(t, startGroup(t, machine), machine)
 }
 
 func call(t *testing.T, handler http.Handler, method, target, body string, out any) int {
@@ -118,3 +120,17 @@
 		assert.Equal(t, http.StatusUnauthorized, recorder.Code, authorization)
 	}
 }
+
+// startGroup starts a group of one member.
+func startGroup(t *testing.T, machine *plan.Machine) Group {
+	t.Helper()
+	settings := DefaultSettings()
+	settings.Name = "c1"
+	settings.Members = []MemberSettings{{Name: "c1"}}
+	group, err := StartGroup(GroupOptions{
+		Settings: settings, Storage: consensus.DiskStorage(fakedisk.New()), StateMachine: machine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(group.Stop)
+	return NewGroup(group)
+}
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -13,9 +13,9 @@
 
 // Group is the consensus group of the control members, seen from this one.
 type Group interface {
-	// Propose returns the result of the committed command. It fails with
-	// consensus.ErrNotLeader (not proposed), consensus.ErrUnknownOutcome (may
-	// be committed later) or consensus.ErrStopped.
+	// Propose returns the result of the committed command. After
+	// consensus.ErrNotLeader, ErrBusy and ErrStopped it was not proposed; after
+	// any other error it may be committed later.
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
 	// ReadBarrier returns once this member has applied every command committed
 	// before the call, confirmed by a majority.
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -21,6 +22,7 @@
 	contact *ContactMonitor
 	clock   sys.Clock
 	log     *zap.Logger
+	stopped <-chan struct{}
 	done    chan struct{}
 	drain   time.Duration
 }
@@ -29,7 +31,8 @@
 type ProcessOptions struct {
 	Settings      *Settings
 	Group         Group
-	GroupHandler  http.Handler // messages of the consensus group
+	GroupHandler  http.Handler    // messages of the consensus group
+	GroupStopped  <-chan struct{} // closed when the group has stopped by itself
 	Catalog       Catalog
 	OperatorToken string
 	FleetToken    string
@@ -43,7 +46,14 @@
 	if !found {
 		return nil, trace.BadParameter("member %q is not in the settings", options.Settings.Name)
 	}
-	p := &Process{contact: NewContactMonitor(options.Group, options.Clock), clock: options.Clock, log: options.Log, done: make(chan struct{}), drain: options.Settings.DrainTimeout.Std()}
+	p := &Process{
+		contact: NewContactMonitor(options.Group, options.Clock),
+		clock:   options.Clock,
+		log:     options.Log,
+		stopped: options.GroupStopped,
+		done:    make(chan struct{}),
+		drain:   options.Settings.DrainTimeout.Std(),
+	}
 	submitter := NewSubmitter(options.Group, options.Catalog, options.Clock, options.Log)
 	handler := NewHandler(Options{
 		Group:         options.Group,
@@ -67,8 +77,15 @@
 	return p, nil
 }
 
+// ErrGroupStopped reports that the consensus member stopped because of a
+// storage error, which its log line and status name.
+var ErrGroupStopped = errors.New("control: the consensus member has stopped")
+
+// APIAddress returns the address of the administration API.
+func (p *Process) APIAddress() string { return p.api.Address() }
+
 // Run serves until ctx ends, and then drains. It returns an error if a
-// listener fails.
+// listener fails or the consensus member stops by itself.
 func (p *Process) Run(ctx context.Context) error {
 	p.peer.Start()
 	p.api.Start()
@@ -88,6 +105,9 @@
 			return trace.Wrap(err)
 		case err := <-p.peer.Failed():
 			return trace.Wrap(err)
+		case <-p.stopped:
+			_ = p.shutdown()
+			return ErrGroupStopped
 		case <-ctx.Done():
 			return p.shutdown()
 		}
--- a/internal/control/submitter.go
+++ b/internal/control/submitter.go
@@ -83,7 +83,9 @@
 }
 
 // notProposed reports whether the error proves that nothing was proposed.
-func notProposed(err error) bool { return errors.Is(err, consensus.ErrNotLeader) }
+func notProposed(err error) bool {
+	return errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrBusy) || errors.Is(err, consensus.ErrStopped)
+}
 
 // Barrier returns a copy of the catalog that holds every change accepted
 // before the call.
--- a/internal/controlapi/types.go
+++ b/internal/controlapi/types.go
@@ -70,10 +70,13 @@
 // GroupStatus describes the consensus group of the control members.
 type GroupStatus struct {
 	Member       string        `json:"member" doc:"name of the member that answers"`
+	Role         string        `json:"role" doc:"role of the member that answers"`
 	Leader       string        `json:"leader" doc:"name of the leader; empty if none is known"`
 	Term         uint64        `json:"term"`
 	CommitIndex  uint64        `json:"commit_index"`
 	AppliedIndex uint64        `json:"applied_index"`
+	Settled      bool          `json:"settled" doc:"on the leader: whether a majority knows the last change of members"`
+	Failure      string        `json:"failure,omitempty" doc:"storage error that has stopped the member"`
 	Members      []GroupMember `json:"members"`
 }
 
@@ -81,7 +84,8 @@
 type GroupMember struct {
 	Name        string `json:"name"`
 	Incarnation uint64 `json:"incarnation" doc:"incarnation that votes; 0: none"`
-	Voter       bool   `json:"voter"`
+	Learner     uint64 `json:"learner,omitempty" doc:"on the leader: incarnation that is being admitted"`
+	Match       uint64 `json:"match,omitempty" doc:"on the leader: last stored entry"`
 	Address     string `json:"address,omitempty" doc:"IP address and port of its administration API"`
 }
 
