Keep an entry's copy of the catalog in its data folder

Cause: an entry that restarts while control is away had to transfer the whole catalog from a peer, and could not start at all without one.

Change: with Options.Dir the copy is written, synced and renamed into place at most once a minute, and when the follower ends. A copy that cannot be read is left out. It is not served before control, or entries in a majority of the data centres, confirm its version.

Failed first: TestFollowerStoresItsCopy under the race detector showed that records shared with another copy were modified when they were put into a catalog. Names are now interned when a record is decoded or drafted, before it is shared.

Shown by: go test -race ./internal/configsync ./internal/plan.

--- a/internal/catalogfeed/feed_test.go
+++ b/internal/catalogfeed/feed_test.go
@@ -199,7 +199,7 @@
 // answer returns the bytes of an answer with a full copy.
 func answer(t testing.TB, m *plan.Machine) []byte {
 	t.Helper()
-	payload, err := compress(m.Current().FullDelta())
+	payload, err := Compress(m.Current().FullDelta())
 	require.NoError(t, err)
 	var buffer bytes.Buffer
 	require.NoError(t, json.NewEncoder(&buffer).Encode(line{Type: lineDelta, Version: 5, Bytes: int64(len(payload))}))
--- a/internal/catalogfeed/payload.go
+++ b/internal/catalogfeed/payload.go
@@ -18,7 +18,8 @@
 
 var compressors = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
 
-func compress(d plan.Delta) ([]byte, error) {
+// Compress returns the delta in the form that Decompress reads.
+func Compress(d plan.Delta) ([]byte, error) {
 	var buffer bytes.Buffer
 	compressor := compressors.Get().(*gzip.Writer)
 	defer compressors.Put(compressor)
@@ -66,7 +67,7 @@
 	if f.payload != nil && f.version == d.To && f.digest == d.Digest {
 		return f.payload, nil
 	}
-	payload, err := compress(d)
+	payload, err := Compress(d)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/catalogfeed/server.go
+++ b/internal/catalogfeed/server.go
@@ -147,7 +147,7 @@
 		return payload, d.To, err
 	}
 	metrics.GetOrCreateCounter(`sequoialane_catalog_feed_sent_total{kind="delta"}`).Inc()
-	payload, err = compress(d)
+	payload, err = Compress(d)
 	return payload, d.To, err
 }
 
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -181,7 +181,6 @@
 		f.options.Log.Error("delta of the catalog was refused", zap.Uint64("version", before), zap.Uint64("to", d.To), zap.Error(err))
 		return err
 	}
-	f.save()
 	return nil
 }
 
@@ -204,13 +203,3 @@
 	defer f.mu.Unlock()
 	return f.failed.cooling(address, f.options.Clock.Now())
 }
-
-// save keeps the copy in the data folder, if there is one.
-func (f *Follower) save() {
-	if f.store == nil {
-		return
-	}
-	if err := f.store.save(f.replica.Current()); err != nil {
-		f.options.Log.Error("copy of the catalog cannot be stored", zap.Error(err))
-	}
-}
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -37,8 +37,8 @@
 	fetchingHigher bool
 }
 
-// New returns a follower that holds the empty catalog. It does nothing until
-// Run is called.
+// New returns a follower that holds the copy stored in the data folder, or the
+// empty catalog. It does nothing until Run is called.
 func New(options Options) *Follower {
 	f := &Follower{
 		options:     options,
@@ -53,6 +53,10 @@
 	for _, name := range options.DataCentres {
 		f.addDataCentre(name)
 	}
+	if options.Dir != nil {
+		f.store = &store{dir: options.Dir}
+		f.loadStored()
+	}
 	return f
 }
 
@@ -108,6 +112,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follow(ctx) })
 	wg.Go(func() { f.watch(ctx, &wg) })
+	if f.store != nil {
+		wg.Go(func() { f.keepStored(ctx) })
+	}
 	wg.Wait()
 }
 
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/disk"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -51,6 +52,7 @@
 	Peers         func() []Peer
 	HTTP          *http.Client // to control members and to peers; without a time limit for whole requests
 	FleetToken    string
+	Dir           disk.Dir      // keeps a copy of the catalog; nil: none is kept
 	RegionCutTime time.Duration // how long to serve when the region is cut off; 0: not at all
 	Clock         sys.Clock
 	Log           *zap.Logger
--- /dev/null
+++ b/internal/configsync/store_test.go
@@ -0,0 +1,77 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/disk/fakedisk"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+func newStored(dir *fakedisk.Dir) *Follower {
+	return New(Options{Name: "e1", DataCentre: "a", Peers: func() []Peer { return nil }, Clock: sys.RealClock{}, Log: zap.NewNop(), Dir: dir})
+}
+
+// storedVersion returns the version that an entry starts with after a loss of
+// power.
+func storedVersion(dir *fakedisk.Dir) uint64 {
+	dir.Crash(rand.New(rand.NewPCG(3, 4)))
+	return newStored(dir).Version()
+}
+
+// Guards against a stored copy that is not durable, and against one that is
+// lost or damaged while it is replaced.
+func TestStoredCopySurvivesALossOfPower(t *testing.T) {
+	server := newControlServer(t)
+	server.addPlan(t, 1)
+	dir := fakedisk.New()
+	f := newStored(dir)
+	require.NoError(t, f.replica.Apply(server.machine.Current().FullDelta()))
+	assert.Equal(t, uint64(1), f.saveCurrent(0))
+	assert.Equal(t, uint64(1), storedVersion(dir))
+
+	server.addPlan(t, 2)
+	d := server.machine.DeltaSince(1)
+	require.NoError(t, f.replica.Apply(d))
+	dir.FailSyncs(1)
+	assert.Equal(t, uint64(1), f.saveCurrent(1), "a failed sync must not count as stored")
+	assert.Equal(t, uint64(1), storedVersion(dir))
+	assert.Equal(t, uint64(2), f.saveCurrent(1))
+	assert.Equal(t, uint64(2), storedVersion(dir))
+
+	dir.FlipBit(copyName, 40, 3)
+	assert.Zero(t, storedVersion(dir), "a damaged copy is not used")
+}
+
+// Guards against a follower that ends without storing what it holds, and
+// against a stored copy that is served before it is known to be current.
+func TestFollowerStoresItsCopy(t *testing.T) {
+	server := newControlServer(t)
+	dir := fakedisk.New()
+	f := newStored(dir)
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		f.keepStored(ctx)
+		close(stopped)
+	}()
+	for n := range 3 {
+		server.addPlan(t, n)
+		require.NoError(t, f.replica.Apply(server.machine.Current().FullDelta()))
+	}
+	cancel()
+	<-stopped
+	assert.Equal(t, uint64(3), storedVersion(dir))
+	restarted := newStored(dir)
+	restarted.evaluate()
+	assert.Nil(t, restarted.Current())
+	var lower plan.Delta
+	require.ErrorIs(t, restarted.replica.Apply(lower), plan.ErrLowerVersion)
+	assert.Equal(t, uint64(3), restarted.Version())
+}
--- a/internal/plan/codec.go
+++ b/internal/plan/codec.go
@@ -58,6 +58,7 @@
 		if r == nil {
 			return Delta{}, fmt.Errorf("%w: null record", ErrEncoding)
 		}
+		r.intern()
 	}
 	removed, err := decodeList[string](decoder, header.Removed)
 	if err != nil {
--- a/internal/plan/draft.go
+++ b/internal/plan/draft.go
@@ -137,6 +137,7 @@
 		if err := r.check(); err != nil {
 			return err
 		}
+		r.intern()
 	}
 	return nil
 }
--- a/internal/plan/record.go
+++ b/internal/plan/record.go
@@ -42,12 +42,14 @@
 }
 
 // intern makes equal names share memory; there are few services and regions
-// and many records.
+// and many records. It is called before the record becomes part of a Snapshot.
 func (r *Record) intern() {
 	r.Plan.HomeRegion = unique.Make(r.Plan.HomeRegion).Value()
 	for i := range r.Entitlements {
 		e := &r.Entitlements[i]
-		e.Plan = r.Plan.ID
+		if e.Plan == r.Plan.ID { // the check refuses any other
+			e.Plan = r.Plan.ID
+		}
 		e.Service = unique.Make(e.Service).Value()
 	}
 }
--- a/internal/plan/snapshot.go
+++ b/internal/plan/snapshot.go
@@ -150,7 +150,6 @@
 	if _, exists := e.plans.get(r.Plan.ID); exists {
 		return fmt.Errorf("plan %s: named twice", r.Plan.ID)
 	}
-	r.intern()
 	for _, text := range r.Plan.TokenSHA256 {
 		hash := mustParseHash(text)
 		if other, taken := e.tokens.get(hash); taken {
