--- a/internal/plan/bench_test.go
+++ b/internal/plan/bench_test.go
@@ -34,7 +34,9 @@
 	m := NewMachine()
 	next, err := Empty().replace(1, benchRecords(count), nil)
 	require.NoError(b, err)
-	m.catalog.current = next
+	catalog := NewCatalog()
+	catalog.current = next
+	m.replace(catalog)
 	return m
 }
 
--- a/internal/plan/catalog_test.go
+++ b/internal/plan/catalog_test.go
@@ -80,7 +80,7 @@
 		c.results.add(storedResult{ID: fmt.Sprintf("later-%d", n)})
 	}
 	m := NewMachine()
-	m.catalog = c
+	m.replace(c)
 	encoded, err := m.Snapshot()
 	require.NoError(t, err)
 	restored := NewMachine()
--- a/internal/plan/codec.go
+++ b/internal/plan/codec.go
@@ -30,8 +30,7 @@
 func (d *Delta) Write(w io.Writer) error {
 	buffered := bufio.NewWriter(w)
 	encoder := json.NewEncoder(buffered)
-	header := deltaHeader{Full: d.Full, From: d.From, To: d.To, Digest: d.Digest, Records: len(d.Records), Removed: len(d.Removed)}
-	if err := encoder.Encode(header); err != nil {
+	if err := encoder.Encode(d.header()); err != nil {
 		return err
 	}
 	if err := encodeList(encoder, d.Records); err != nil {
@@ -43,6 +42,10 @@
 	return buffered.Flush()
 }
 
+func (d *Delta) header() deltaHeader {
+	return deltaHeader{Full: d.Full, From: d.From, To: d.To, Digest: d.Digest, Records: len(d.Records), Removed: len(d.Removed)}
+}
+
 // ReadDelta reads what Write wrote, record by record. It may read ahead of
 // the delta; the caller passes the decoder if more follows.
 func ReadDelta(decoder *json.Decoder) (Delta, error) {
@@ -67,6 +70,16 @@
 	return Delta{Full: header.Full, From: header.From, To: header.To, Digest: header.Digest, Records: records, Removed: removed}, nil
 }
 
+// encodeLine returns the JSON form of item and a line feed. The types encoded
+// here have no values that JSON lacks.
+func encodeLine(item any) []byte {
+	encoded, err := json.Marshal(item)
+	if err != nil {
+		panic("plan: item cannot be encoded: " + err.Error())
+	}
+	return append(encoded, '\n')
+}
+
 func encodeList[T any](encoder *json.Encoder, list []T) error {
 	for _, item := range list {
 		if err := encoder.Encode(item); err != nil {
--- a/internal/plan/delta.go
+++ b/internal/plan/delta.go
@@ -32,7 +32,7 @@
 
 // FullDelta returns a delta that holds the whole catalog.
 func (s *Snapshot) FullDelta() Delta {
-	return Delta{Full: true, To: s.version, Digest: s.digest, Records: s.Records()}
+	return Delta{Full: true, To: s.version, Digest: s.digest, Records: s.unordered()}
 }
 
 // deltaSince returns the changes after the version, or a full copy if the
--- a/internal/plan/results.go
+++ b/internal/plan/results.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -35,9 +36,10 @@
 
 // results keeps the latest results, by change id and in order of arrival.
 type results struct {
-	ring []storedResult
-	next int // position in ring that is written next, once the ring is full
-	byID map[string]int
+	ring  []storedResult
+	lines [][]byte // encoded form of each item of ring
+	next  int      // position in ring that is written next, once the ring is full
+	byID  map[string]int
 }
 
 func newResults() results { return results{byID: make(map[string]int)} }
@@ -54,19 +56,24 @@
 	if len(r.ring) < maxResults {
 		r.byID[s.ID] = len(r.ring)
 		r.ring = append(r.ring, s)
+		r.lines = append(r.lines, encodeLine(s))
 		return
 	}
 	delete(r.byID, r.ring[r.next].ID)
 	r.ring[r.next] = s
+	r.lines[r.next] = encodeLine(s)
 	r.byID[s.ID] = r.next
 	r.next = (r.next + 1) % maxResults
 }
 
-// ordered returns a copy of all results, the oldest first.
-func (r *results) ordered() []storedResult {
-	all := make([]storedResult, 0, len(r.ring))
-	all = append(all, r.ring[r.next:]...)
-	return append(all, r.ring[:r.next]...)
+// writeTo writes the encoded results, the oldest first.
+func (r *results) writeTo(buffer *bytes.Buffer) {
+	for _, line := range r.lines[r.next:] {
+		buffer.Write(line)
+	}
+	for _, line := range r.lines[:r.next] {
+		buffer.Write(line)
+	}
 }
 
 func contentOf(ch Change) contentSum {
--- a/internal/plan/snapshot.go
+++ b/internal/plan/snapshot.go
@@ -93,11 +93,18 @@
 // Records returns all records in order of the plan id. They must not be
 // modified.
 func (s *Snapshot) Records() []*Record {
+	all := s.unordered()
+	slices.SortFunc(all, compareRecords)
+	return all
+}
+
+// unordered returns all records in the order of the shards, which depends on
+// nothing but the plan ids.
+func (s *Snapshot) unordered() []*Record {
 	all := make([]*Record, 0, s.planCount)
 	for _, shard := range s.plans.shards {
 		all = append(all, shard...)
 	}
-	slices.SortFunc(all, compareRecords)
 	return all
 }
 
