Do not isolate an entry during a long row of changes

Cause: the follower kept one time since which a higher version was known. With changes that follow each other closely there was always one on its way, so after 10 s a current entry took itself for isolated.

Change: each missing version has its own time; the oldest one counts.

Failed first: TestSteadyChangesDoNotIsolate, isolated after 10 of 60 changes that each arrived within a second.

Shown by: go test -race ./internal/configsync.

--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -87,7 +87,7 @@
 func (f *Follower) beginFetchHigher() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.fetchingHigher || f.higherSince.IsZero() {
+	if f.fetchingHigher || f.missing.since().IsZero() {
 		return false
 	}
 	f.fetchingHigher = true
@@ -131,8 +131,9 @@
 	if m.Contact {
 		f.controlHeard = now
 	}
-	f.highest = max(f.highest, m.Version)
-	behind := !f.higherSince.IsZero() && now.Sub(f.higherSince) > behindLimit && m.Version < f.highest
+	f.missing.hear(m.Version, now)
+	since := f.missing.since()
+	behind := !since.IsZero() && now.Sub(since) > behindLimit && m.Version < f.missing.highest
 	f.mu.Unlock()
 	f.evaluate()
 	if m.Version > held {
@@ -152,8 +153,9 @@
 		return err
 	}
 	f.mu.Lock()
-	f.fetchedFrom[name] = f.options.Clock.Now()
-	f.highest = max(f.highest, m.Version)
+	now := f.options.Clock.Now()
+	f.fetchedFrom[name] = now
+	f.missing.hear(m.Version, now)
 	f.mu.Unlock()
 	f.evaluate()
 	return nil
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -25,8 +25,7 @@
 	started        time.Time
 	controlTried   bool
 	controlHeard   time.Time
-	highest        uint64 // highest version heard of
-	higherSince    time.Time
+	missing        missing
 	lastFresh      time.Time
 	freshness      Freshness
 	evaluated      time.Time
@@ -162,23 +161,18 @@
 		return
 	}
 	held := f.replica.Current().Version()
-	versions := Versions{Held: held, Highest: f.highest, ControlTried: f.controlTried, Started: f.started}
+	versions := Versions{Held: held, Highest: f.missing.highest, ControlTried: f.controlTried, Started: f.started}
 	if Ready(view, versions) {
 		f.ready = true
 		f.options.Log.Info("catalog is ready", zap.Uint64("version", held))
 	}
 }
 
-// noteVersions records the highest version heard of and since when it is
-// missing. The caller holds the lock.
+// noteVersions records the versions that peers hold, and drops those that are
+// held here. The caller holds the lock.
 func (f *Follower) noteVersions(peers []Peer, now time.Time) {
 	for _, p := range peers {
-		f.highest = max(f.highest, p.CatalogVersion)
-	}
-	switch {
-	case f.replica.Current().Version() >= f.highest:
-		f.higherSince = time.Time{}
-	case f.higherSince.IsZero():
-		f.higherSince = now
+		f.missing.hear(p.CatalogVersion, now)
 	}
+	f.missing.hold(f.replica.Current().Version(), now)
 }
--- /dev/null
+++ b/internal/configsync/higher_test.go
@@ -0,0 +1,48 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/membership"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// Guards against an entry that takes itself for isolated during a long row of
+// changes, although it receives each of them soon, and against one that does
+// not notice that it stopped receiving them.
+func TestSteadyChangesDoNotIsolate(t *testing.T) {
+	clock := sys.NewManualClock(testNow)
+	machine := plan.NewMachine()
+	change := func() {
+		version := machine.Current().Version()
+		p := plan.Plan{ID: "p", Weight: 1 + int(version)%1000, TokenSHA256: []string{fmt.Sprintf("%064x", 1)}}
+		machine.Apply(0, plan.Change{ID: fmt.Sprint(version), BaseVersion: version, SetPlans: []plan.Plan{p}}.Encode())
+	}
+	peers := func() []Peer {
+		return []Peer{{Member: membership.Member{Name: "e2", DataCentre: "a", State: membership.Alive, CatalogVersion: machine.Current().Version()}, LastHeard: clock.Now()}}
+	}
+	f := New(Options{Name: "e1", DataCentre: "a", Peers: peers, Clock: clock, Log: zap.NewNop()})
+	for range 60 {
+		before := machine.Current().FullDelta()
+		change()
+		require.NoError(t, f.replica.Apply(before))
+		clock.Advance(time.Second)
+		require.Equal(t, Fresh, f.evaluate())
+	}
+	for range 9 {
+		change()
+		clock.Advance(time.Second)
+		require.Equal(t, Fresh, f.evaluate())
+	}
+	clock.Advance(time.Second)
+	assert.Equal(t, Isolated, f.evaluate())
+	require.NoError(t, f.replica.Apply(machine.Current().FullDelta()))
+	assert.Equal(t, Fresh, f.evaluate())
+}
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -28,7 +28,7 @@
 		Now:           now,
 		ControlHeard:  f.controlHeard,
 		DataCentre:    f.options.DataCentre,
-		HigherSince:   f.higherSince,
+		HigherSince:   f.missing.since(),
 		LastFresh:     f.lastFresh,
 		RegionCutTime: f.options.RegionCutTime,
 	}
