Bound writes of the feed, and add gauges of control and followers

Cause: a follower that no longer reads held its request until TCP gave up. Control and followers showed no version in their metrics.

Failed first: TestWriteDeadlineEndsWithThePoll; net/http keeps a write deadline for later requests on the connection.

--- a/internal/catalogfeed/feed_test.go
+++ b/internal/catalogfeed/feed_test.go
@@ -120,6 +120,36 @@
 	assert.Nil(t, last.Delta)
 }
 
+// deadlineRecorder keeps the last write deadline that was set.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	set  int
+	last time.Time
+}
+
+// SetWriteDeadline is found by http.ResponseController.
+func (r *deadlineRecorder) SetWriteDeadline(deadline time.Time) error {
+	r.set++
+	r.last = deadline
+	return nil
+}
+
+// Guards against a write deadline that outlives its poll and breaks a later
+// request on the same connection.
+func TestWriteDeadlineEndsWithThePoll(t *testing.T) {
+	m := plan.NewMachine()
+	addPlan(t, m, 1)
+	server := NewServer(ServerOptions{Source: m, Contact: func() bool { return true }, Clock: sys.RealClock{}, Token: "fleet"})
+	for _, query := range []string{"after=0", "after=1"} {
+		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		request := httptest.NewRequest(http.MethodGet, ControlPath+"?"+query, nil)
+		request.Header.Set("Authorization", "Bearer fleet")
+		server.ServeHTTP(recorder, request)
+		assert.Greater(t, recorder.set, 1)
+		assert.Zero(t, recorder.last)
+	}
+}
+
 func TestRefusedPolls(t *testing.T) {
 	address := startServer(t, plan.NewMachine(), make(chan struct{}))
 	_, err := collect(t, newClient("wrong"), Poll{Address: address, Path: ControlPath})
--- a/internal/catalogfeed/server.go
+++ b/internal/catalogfeed/server.go
@@ -65,6 +65,8 @@
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	out := &responseWriter{w: w, control: http.NewResponseController(w), encoder: json.NewEncoder(w)}
+	// net/http keeps a write deadline for later requests on the connection.
+	defer func() { _ = out.control.SetWriteDeadline(time.Time{}) }()
 	if s.wait(r.WithContext(ctx), out, parsed) {
 		s.sendDelta(out, parsed)
 	}
@@ -131,6 +133,7 @@
 	if err := out.line(header); err != nil {
 		return
 	}
+	out.allow(payloadTimeout)
 	_, _ = out.w.Write(payload)
 }
 
@@ -151,6 +154,11 @@
 	return payload, d.To, err
 }
 
+// allow gives the next write some time. A follower that no longer reads would
+// otherwise hold the request until TCP gives up. Writers without deadlines are
+// left alone.
+func (o *responseWriter) allow(d time.Duration) { _ = o.control.SetWriteDeadline(time.Now().Add(d)) }
+
 // responseWriter sends each line at once.
 type responseWriter struct {
 	w       http.ResponseWriter
@@ -159,6 +167,7 @@
 }
 
 func (o *responseWriter) line(l line) error {
+	o.allow(lineTimeout)
 	if err := o.encoder.Encode(l); err != nil {
 		return err
 	}
--- a/internal/catalogfeed/wire.go
+++ b/internal/catalogfeed/wire.go
@@ -23,6 +23,8 @@
 	maxLineLength   = 4 << 10  // bytes
 	maxPayloadBytes = 64 << 20 // bytes of a compressed delta
 	maxDeltaBytes   = 256 << 20
+	lineTimeout     = 5 * time.Second
+	payloadTimeout  = time.Minute // 64 MiB at 1 MiB/s
 )
 
 const (
--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/catalogfeed"
@@ -152,6 +153,7 @@
 		f.freshness = next
 	}
 	f.evaluated = now
+	metrics.GetOrCreateGauge("sequoialane_catalog_version", nil).Set(float64(f.replica.Current().Version()))
 	f.updateReady(view)
 	return next
 }
--- /dev/null
+++ b/internal/configsync/leak_test.go
@@ -0,0 +1,10 @@
+package configsync
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive what started them.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/control/leak_test.go
@@ -0,0 +1,10 @@
+package control
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// Guards against goroutines that outlive what started them.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/httpserver"
@@ -20,6 +22,7 @@
 	api     *httpserver.Server
 	peer    *httpserver.Server
 	contact *ContactMonitor
+	catalog Catalog
 	clock   sys.Clock
 	log     *zap.Logger
 	stopped <-chan struct{}
@@ -48,6 +51,7 @@
 	}
 	p := &Process{
 		contact: NewContactMonitor(options.Group, options.Clock),
+		catalog: options.Catalog,
 		clock:   options.Clock,
 		log:     options.Log,
 		stopped: options.GroupStopped,
@@ -96,9 +100,7 @@
 	ticker := p.clock.NewTicker(readinessInterval)
 	defer ticker.Stop()
 	for {
-		ready := p.contact.InContact()
-		p.api.SetReady(ready)
-		p.peer.SetReady(ready)
+		p.observe()
 		select {
 		case <-ticker.C():
 		case err := <-p.api.Failed():
@@ -114,6 +116,17 @@
 	}
 }
 
+// observe sets readiness and gauges.
+func (p *Process) observe() {
+	ready := p.contact.InContact()
+	p.api.SetReady(ready)
+	p.peer.SetReady(ready)
+	current := p.catalog.Current()
+	metrics.GetOrCreateGauge("sequoialane_control_in_contact", nil).Set(lo.Ternary(ready, 1.0, 0.0))
+	metrics.GetOrCreateGauge("sequoialane_control_catalog_version", nil).Set(float64(current.Version()))
+	metrics.GetOrCreateGauge("sequoialane_control_plans", nil).Set(float64(current.Plans()))
+}
+
 // shutdown ends waiting polls and waits for requests in flight. The peer
 // address is served until the end, since those requests may need the group.
 func (p *Process) shutdown() error {
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -75,8 +75,8 @@
 	}
 	list := controlapi.EntitlementList{Version: snapshot.Version(), Entitlements: []plan.Entitlement{}}
 	afterPlan, afterService, _ := strings.Cut(in.After, "/")
-	for _, r := range snapshot.Records() {
-		if r.Plan.ID < afterPlan || (in.Plan != "" && r.Plan.ID != in.Plan) {
+	for _, r := range recordsOf(snapshot, in.Plan) {
+		if r.Plan.ID < afterPlan {
 			continue
 		}
 		for _, e := range r.Entitlements {
@@ -97,6 +97,17 @@
 	return &output[controlapi.EntitlementList]{list}, nil
 }
 
+// recordsOf returns the record of a plan, or all records if id is empty.
+func recordsOf(snapshot *plan.Snapshot, id string) []*plan.Record {
+	if id == "" {
+		return snapshot.Records()
+	}
+	if r, found := snapshot.Record(id); found {
+		return []*plan.Record{r}
+	}
+	return nil
+}
+
 type getEntitlementInput struct {
 	Plan    string `path:"plan"`
 	Service string `path:"service"`
--- a/internal/control/submitter.go
+++ b/internal/control/submitter.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/consensus"
@@ -48,6 +50,7 @@
 	for {
 		result, err := s.attempt(ctx, ch)
 		if err == nil {
+			metrics.GetOrCreateCounter(fmt.Sprintf("sequoialane_control_changes_total{outcome=%q}", result.Outcome)).Inc()
 			return result, nil
 		}
 		if !notProposed(err) {
@@ -60,6 +63,7 @@
 }
 
 func submitFailure(unknown bool, id string) *fault.Error {
+	metrics.GetOrCreateCounter(`sequoialane_control_changes_total{outcome="failed"}`).Inc()
 	if unknown {
 		detail := "change " + id + " may or may not be committed; send it again with the same id"
 		return fault.New(fault.CommitUnknown, detail).WithRetryAfter(retryAfterHint)
--- a/internal/plan/machine_test.go
+++ b/internal/plan/machine_test.go
@@ -202,3 +202,21 @@
 		require.NoError(t, other.Restore(encoded))
 	})
 }
+
+func FuzzRestore(f *testing.F) {
+	m := NewMachine()
+	m.Apply(1, Change{ID: "a", SetPlans: []Plan{numbered(1), numbered(2)}}.Encode())
+	m.Apply(2, Change{ID: "b", BaseVersion: 1, RemovePlans: []string{"plan-2"}}.Encode())
+	encoded, err := m.Snapshot()
+	require.NoError(f, err)
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		restored := NewMachine()
+		if restored.Restore(raw) != nil {
+			return
+		}
+		again, err := restored.Snapshot()
+		require.NoError(t, err)
+		require.NoError(t, NewMachine().Restore(again))
+	})
+}
