Test followers through restarts of each control process

Cause: no test ran real control processes, followers and restarts at once.

Change: each of three processes is stopped and started in turn; a change is accepted before, during and after, reaches each of four followers, and leaves them fresh.

Shown by: go test -race -run Followers ./cmd/sequoialane-control, three times.

--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -10,14 +10,18 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/control"
 	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
 const (
@@ -132,6 +136,68 @@
 	}, waitLimit, waitStep)
 }
 
+// Guards against a change that does not reach an entry while a control process
+// is restarted, and against a copy that goes back meanwhile.
+func TestFollowersReceiveChangesThroughRestarts(t *testing.T) {
+	files, members := writeSettings(t)
+	stops := make([]func(), len(files))
+	for n := range files {
+		stops[n] = startAll(t, files[n:n+1])
+	}
+	followers := startFollowers(t, members, 4)
+	version := uint64(0)
+	change := func(address string) {
+		t.Helper()
+		p := plan.Plan{ID: "p", Weight: int(version%1000) + 1, TokenSHA256: []string{fmt.Sprintf("%064x", 1)}}
+		body := plan.Change{ID: fmt.Sprintf("c%d", version), BaseVersion: version, SetPlans: []plan.Plan{p}}.Encode()
+		require.Eventually(t, func() bool {
+			return request(t, http.MethodPost, address, "/v1/changes", body) == http.StatusOK
+		}, waitLimit, waitStep)
+		version++
+		for _, f := range followers {
+			require.Eventually(t, func() bool { return f.Current() != nil && f.Current().Version() == version }, waitLimit, waitStep)
+			require.Equal(t, configsync.Fresh, f.Freshness())
+		}
+	}
+	change(members[0].APIAddress)
+	for n := range files {
+		stops[n]()
+		other := members[(n+1)%len(members)].APIAddress
+		change(other)
+		stops[n] = startAll(t, files[n:n+1])
+		change(other)
+		change(members[n].APIAddress)
+	}
+	for _, stop := range stops {
+		stop()
+	}
+}
+
+// startFollowers runs entries' followers of the control members.
+func startFollowers(t *testing.T, members []control.MemberSettings, count int) []*configsync.Follower {
+	t.Helper()
+	var followers []*configsync.Follower
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	for n := range count {
+		options := configsync.Options{
+			Name: fmt.Sprintf("e%d", n), Region: "norte", DataCentre: "n1", Peers: func() []configsync.Peer { return nil },
+			HTTP: &http.Client{Transport: &http.Transport{}}, FleetToken: "fleet", Clock: sys.RealClock{}, Log: zap.NewNop(),
+		}
+		for _, m := range members {
+			options.Control = append(options.Control, configsync.ControlMember{Name: m.Name, Region: m.Region, Address: m.APIAddress})
+		}
+		f := configsync.New(options)
+		followers = append(followers, f)
+		wg.Go(func() { f.Run(ctx) })
+	}
+	return followers
+}
+
 // startAll runs all members and returns a function that ends them.
 func startAll(t *testing.T, files []string) (stop func()) {
 	t.Helper()
