Keep the feed alive while a large delta is prepared

Cause: a follower leaves a source that is silent; compressing a full copy of 93,000 plans takes longer than that on a busy machine. An answer whose last part took long to apply was discarded as silent.

Change: alive lines go on while the delta is made.

Failed first: TestSourceStaysAliveWhileItPreparesADelta (no line until the delta was made; then ErrSilent although the delta had been handled).

Shown by: go test -race ./internal/catalogfeed ./internal/configsync.

--- a/internal/catalogfeed/client.go
+++ b/internal/catalogfeed/client.go
@@ -57,7 +57,7 @@
 	defer cancel(nil)
 	watch := startWatch(ctx, cancel, c.Clock, c.Silence)
 	err := c.do(ctx, poll, watch, handle)
-	if cause := context.Cause(ctx); errors.Is(cause, ErrSilent) {
+	if cause := context.Cause(ctx); err != nil && errors.Is(cause, ErrSilent) {
 		c.HTTP.CloseIdleConnections()
 		return cause
 	}
--- a/internal/catalogfeed/feed_test.go
+++ b/internal/catalogfeed/feed_test.go
@@ -252,3 +252,41 @@
 		})
 	})
 }
+
+// slowSource takes its time to make a delta.
+type slowSource struct {
+	*plan.Machine
+	release chan struct{}
+}
+
+func (s slowSource) DeltaSince(version uint64) plan.Delta {
+	<-s.release
+	return s.Machine.DeltaSince(version)
+}
+
+// Guards against a source that seems silent while it compresses a large copy,
+// and against an answer that is discarded because its last part took long to
+// apply.
+func TestSourceStaysAliveWhileItPreparesADelta(t *testing.T) {
+	source := slowSource{Machine: plan.NewMachine(), release: make(chan struct{})}
+	addPlan(t, source.Machine, 1)
+	server := httptest.NewServer(NewServer(ServerOptions{Source: source, Contact: func() bool { return true }, Clock: sys.RealClock{}, Token: "fleet"}))
+	defer server.Close()
+	clock := sys.NewManualClock(time.Unix(0, 0))
+	client := newClient("fleet")
+	client.Clock = clock
+	lines := 0
+	var delta *plan.Delta
+	err := client.Do(context.Background(), Poll{Address: server.Listener.Addr().String(), Path: ControlPath}, func(m Message) error {
+		delta = m.Delta
+		if lines++; lines == 3 {
+			close(source.release)
+		}
+		if delta != nil {
+			clock.Advance(2 * testSilence)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	assert.NotNil(t, delta)
+}
--- a/internal/catalogfeed/server.go
+++ b/internal/catalogfeed/server.go
@@ -123,35 +123,64 @@
 	}
 }
 
+// sendDelta makes the delta and sends it. Compressing a large copy takes longer
+// than a follower waits for a silent source, so alive lines go on meanwhile.
 func (s *Server) sendDelta(out *responseWriter, parsed request) {
-	payload, version, err := s.payload(parsed)
-	if err != nil {
+	made := make(chan delta, 1)
+	go func() { made <- s.makeDelta(parsed) }()
+	ticker := s.options.Clock.NewTicker(AliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case d := <-made:
+			s.sendPayload(out, d)
+			return
+		case <-ticker.C():
+			alive := line{Type: lineAlive, Contact: s.options.Contact(), Version: s.options.Source.Current().Version()}
+			if out.line(alive) != nil {
+				<-made
+				return
+			}
+		}
+	}
+}
+
+func (s *Server) sendPayload(out *responseWriter, d delta) {
+	if d.err != nil {
 		return
 	}
-	metrics.GetOrCreateCounter(`sequoialane_catalog_feed_sent_bytes_total`).Add(len(payload))
-	header := line{Type: lineDelta, Contact: s.options.Contact(), Version: version, Bytes: int64(len(payload))}
-	if err := out.line(header); err != nil {
+	metrics.GetOrCreateCounter(`sequoialane_catalog_feed_sent_bytes_total`).Add(len(d.payload))
+	header := line{Type: lineDelta, Contact: s.options.Contact(), Version: d.version, Bytes: int64(len(d.payload))}
+	if out.line(header) != nil {
 		return
 	}
 	out.allow(payloadTimeout)
-	_, _ = out.w.Write(payload)
+	_, _ = out.w.Write(d.payload)
+}
+
+// delta is a compressed delta and the version it leads to.
+type delta struct {
+	payload []byte
+	version uint64
+	err     error
 }
 
-func (s *Server) payload(parsed request) (payload []byte, version uint64, err error) {
+func (s *Server) makeDelta(parsed request) delta {
 	var d plan.Delta
 	if parsed.full {
 		d = s.options.Source.Current().FullDelta()
 	} else {
 		d = s.options.Source.DeltaSince(parsed.after)
 	}
+	made := delta{version: d.To}
 	if d.Full {
 		metrics.GetOrCreateCounter(`sequoialane_catalog_feed_sent_total{kind="full"}`).Inc()
-		payload, err = s.full.get(d)
-		return payload, d.To, err
+		made.payload, made.err = s.full.get(d)
+		return made
 	}
 	metrics.GetOrCreateCounter(`sequoialane_catalog_feed_sent_total{kind="delta"}`).Inc()
-	payload, err = Compress(d)
-	return payload, d.To, err
+	made.payload, made.err = Compress(d)
+	return made
 }
 
 // allow gives the next write some time. A follower that no longer reads would
--- a/internal/catalogfeed/wire.go
+++ b/internal/catalogfeed/wire.go
@@ -2,7 +2,7 @@
 // polling. Control members and entries serve it, and entries follow it.
 //
 // A response is a sequence of lines of JSON. While nothing has changed, a line
-// of type "alive" is sent every second, so that a follower notices a silent
+// of type "alive" is sent twice a second, so that a follower notices a silent
 // connection and a source that lost contact with its leader. The response ends
 // with a line of type "delta", followed by the stated number of bytes of a
 // gzip-compressed plan.Delta, or with a line of type "end".
@@ -19,7 +19,7 @@
 // Limits of the feed.
 const (
 	MaxWait         = 60 * time.Second
-	AliveInterval   = time.Second
+	AliveInterval   = 500 * time.Millisecond
 	maxLineLength   = 4 << 10  // bytes
 	maxPayloadBytes = 64 << 20 // bytes of a compressed delta
 	maxDeltaBytes   = 256 << 20
