--- /dev/null
+++ b/internal/history/history.go
@@ -0,0 +1,113 @@
+// Package history records what concurrent clients asked and were answered, and
+// decides whether some order of the operations explains all answers. It serves
+// tests only.
+package history
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+)
+
+// Event numbers order the starts and ends of operations.
+type eventNumber int64
+
+// Operation is one call of a client. Its effect, if any, takes place at one
+// moment between its start and its end.
+type Operation struct {
+	Client string
+	Key    string // operations on different keys are independent
+	Input  any
+	Output any // nil if the outcome is unknown
+
+	start eventNumber
+	end   eventNumber // 0: never answered, so the effect may come at any later time
+}
+
+// Unknown reports whether the caller was not told the outcome.
+func (o *Operation) Unknown() bool { return o.end == 0 }
+
+func (o *Operation) String() string {
+	if o.Unknown() {
+		return fmt.Sprintf("[%d, ?] %s %s: %+v -> unknown", o.start, o.Client, o.Key, o.Input)
+	}
+	return fmt.Sprintf("[%d, %d] %s %s: %+v -> %+v", o.start, o.end, o.Client, o.Key, o.Input, o.Output)
+}
+
+// Recorder collects operations. It is safe for concurrent use.
+type Recorder struct {
+	mu         sync.Mutex
+	last       eventNumber
+	operations []*Operation
+}
+
+// Invoke records the start of a call. The call must be made after it returns.
+func (r *Recorder) Invoke(client, key string, input any) *Call {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	operation := &Operation{Client: client, Key: key, Input: input, start: r.last}
+	r.operations = append(r.operations, operation)
+	return &Call{recorder: r, operation: operation}
+}
+
+// Operations returns a copy of what was recorded so far, in the order of the
+// starts. Calls without an answer have an unknown outcome.
+func (r *Recorder) Operations() []Operation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	copied := make([]Operation, 0, len(r.operations))
+	for _, operation := range r.operations {
+		copied = append(copied, *operation)
+	}
+	return copied
+}
+
+// Call is a recorded call that is not yet answered. A call that is never
+// answered has an unknown outcome.
+type Call struct {
+	recorder  *Recorder
+	operation *Operation
+}
+
+// Answer records the answer of the call. It must be called once, after the
+// answer has arrived.
+func (c *Call) Answer(output any) {
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	if c.operation.end != 0 {
+		panic(fmt.Sprintf("history: second answer %+v to %v", output, c.operation))
+	}
+	c.recorder.last++
+	c.operation.end = c.recorder.last
+	c.operation.Output = output
+}
+
+// Refused records that the call provably had no effect, and removes it.
+func (c *Call) Refused() {
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	for i, operation := range c.recorder.operations {
+		if operation == c.operation {
+			c.recorder.operations = append(c.recorder.operations[:i], c.recorder.operations[i+1:]...)
+			return
+		}
+	}
+}
+
+// Violation is a history that no order of its operations explains.
+type Violation struct {
+	Key        string
+	Operations []Operation // of the key
+	Explained  int         // most operations that some order explains
+}
+
+// Error implements error.
+func (v *Violation) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "history: key %q is not linearizable, at most %d of %d operations are explained:", v.Key, v.Explained, len(v.Operations))
+	for i := range v.Operations {
+		fmt.Fprintf(&b, "\n  %v", &v.Operations[i])
+	}
+	return b.String()
+}
