--- a/internal/configsync/follower.go
+++ b/internal/configsync/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/catalogfeed"
@@ -25,8 +26,7 @@
 	started        time.Time
 	controlTried   bool
 	controlHeard   time.Time
-	highest        uint64 // highest version heard of
-	higherSince    time.Time
+	missing        missing
 	lastFresh      time.Time
 	freshness      Freshness
 	evaluated      time.Time
@@ -37,8 +37,8 @@
 	fetchingHigher bool
 }
 
-// New returns a follower that holds the empty catalog. It does nothing until
-// Run is called.
+// New returns a follower that holds the copy stored in the data folder, or the
+// empty catalog. It does nothing until Run is called.
 func New(options Options) *Follower {
 	f := &Follower{
 		options:     options,
@@ -53,6 +53,10 @@
 	for _, name := range options.DataCentres {
 		f.addDataCentre(name)
 	}
+	if options.Dir != nil {
+		f.store = &store{dir: options.Dir}
+		f.loadStored()
+	}
 	return f
 }
 
@@ -108,6 +112,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follow(ctx) })
 	wg.Go(func() { f.watch(ctx, &wg) })
+	if f.store != nil {
+		wg.Go(func() { f.keepStored(ctx) })
+	}
 	wg.Wait()
 }
 
@@ -146,6 +153,7 @@
 		f.freshness = next
 	}
 	f.evaluated = now
+	metrics.GetOrCreateGauge("sequoialane_catalog_version", nil).Set(float64(f.replica.Current().Version()))
 	f.updateReady(view)
 	return next
 }
@@ -155,23 +163,18 @@
 		return
 	}
 	held := f.replica.Current().Version()
-	versions := Versions{Held: held, Highest: f.highest, ControlTried: f.controlTried, Started: f.started}
+	versions := Versions{Held: held, Highest: f.missing.highest, ControlTried: f.controlTried, Started: f.started}
 	if Ready(view, versions) {
 		f.ready = true
 		f.options.Log.Info("catalog is ready", zap.Uint64("version", held))
 	}
 }
 
-// noteVersions records the highest version heard of and since when it is
-// missing. The caller holds the lock.
+// noteVersions records the versions that peers hold, and drops those that are
+// held here. The caller holds the lock.
 func (f *Follower) noteVersions(peers []Peer, now time.Time) {
 	for _, p := range peers {
-		f.highest = max(f.highest, p.CatalogVersion)
-	}
-	switch {
-	case f.replica.Current().Version() >= f.highest:
-		f.higherSince = time.Time{}
-	case f.higherSince.IsZero():
-		f.higherSince = now
+		f.missing.hear(p.CatalogVersion, now)
 	}
+	f.missing.hold(f.replica.Current().Version(), now)
 }
