Keep the bytes of header values in stored answers

Cause: an answer whose header is not valid UTF-8 could not be stored: CBOR refused the command, so the claim stayed running and ended as unknown. On the way between entries JSON replaced the bytes.

Ruled out: refusing such answers; HTTP allows these bytes.

Change: header values are byte strings in CBOR and JSON, with a test that failed before for both clients. A caller that gives up no longer makes the client forget the leader.

Conclusion: stored answers are replayed as they were.

--- a/internal/claims/bench_test.go
+++ b/internal/claims/bench_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // fill claims and completes keys spread over the retention time, with answers
@@ -28,7 +29,7 @@
 		}
 		table.Apply(0, encode(c))
 		c.Op = opComplete
-		c.Answer = &storedAnswer{Status: 200, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: body}
+		c.Answer = &storedAnswer{Status: 200, Header: map[string][]cbor.ByteString{"Content-Type": {"application/json"}}, Body: body}
 		table.Apply(0, encode(c))
 	}
 }
--- a/internal/claims/client.go
+++ b/internal/claims/client.go
@@ -214,7 +214,9 @@
 		c.setLeader(group.Name, member.Name)
 		return o, nil
 	}
-	c.forgetLeader(group.Name, member.Name)
+	if ctx.Err() == nil {
+		c.forgetLeader(group.Name, member.Name)
+	}
 	for _, other := range group.Members {
 		if other.Name != leader || other.Name == member.Name {
 			continue
--- a/internal/claims/command.go
+++ b/internal/claims/command.go
@@ -39,12 +39,13 @@
 	TTLMS   int64         `cbor:"10,keyasint,omitempty"`
 }
 
-// storedAnswer is an Answer in the log and in snapshots.
+// storedAnswer is an Answer in the log and in snapshots. Header values are
+// bytes, because HTTP does not limit them to UTF-8.
 type storedAnswer struct {
-	Status  int                 `cbor:"1,keyasint"`
-	Header  map[string][]string `cbor:"2,keyasint,omitempty"`
-	Body    []byte              `cbor:"3,keyasint,omitempty"`
-	Omitted bool                `cbor:"4,keyasint,omitempty"`
+	Status  int                          `cbor:"1,keyasint"`
+	Header  map[string][]cbor.ByteString `cbor:"2,keyasint,omitempty"`
+	Body    []byte                       `cbor:"3,keyasint,omitempty"`
+	Omitted bool                         `cbor:"4,keyasint,omitempty"`
 }
 
 // outcome is the result of a command.
@@ -78,14 +79,31 @@
 }
 
 func storeAnswer(a Answer) *storedAnswer {
-	return &storedAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Omitted: a.BodyOmitted}
+	stored := &storedAnswer{Status: a.Status, Body: a.Body, Omitted: a.BodyOmitted}
+	stored.Header = convertValues(a.Header, func(v string) cbor.ByteString { return cbor.ByteString(v) })
+	return stored
 }
 
 func (a *storedAnswer) answer() *Answer {
 	if a == nil {
 		return nil
 	}
-	return &Answer{Status: a.Status, Header: a.Header, Body: a.Body, BodyOmitted: a.Omitted}
+	header := convertValues(a.Header, func(v cbor.ByteString) string { return string(v) })
+	return &Answer{Status: a.Status, Header: header, Body: a.Body, BodyOmitted: a.Omitted}
+}
+
+// convertValues changes the form of the values of a header.
+func convertValues[A, B any](header map[string][]A, convert func(A) B) map[string][]B {
+	if header == nil {
+		return nil
+	}
+	converted := make(map[string][]B, len(header))
+	for name, values := range header {
+		for _, v := range values {
+			converted[name] = append(converted[name], convert(v))
+		}
+	}
+	return converted
 }
 
 // size is the number of bytes that count towards Limits.AnswerBytes.
--- a/internal/claims/group_test.go
+++ b/internal/claims/group_test.go
@@ -198,3 +198,22 @@
 	_, ok := groupOfKey(groups, "c", "p", Key{})
 	assert.False(t, ok)
 }
+
+// Guards against an answer that is lost, or altered on the way to a resend,
+// because its header is not valid UTF-8.
+func TestHeaderBytesAreKept(t *testing.T) {
+	ctx := context.Background()
+	_, client := newFakeGroup(t, 3)
+	memory := NewMemory(sys.RealClock{}, DefaultLimits())
+	answer := Answer{Status: 200, Header: http.Header{"A": {"caf\xe9"}, "B": {"1", "2"}}, Body: []byte("\xff")}
+	for _, c := range []Client{client, memory} {
+		a := requestOf(1, "a")
+		_, err := c.Claim(ctx, a)
+		require.NoError(t, err)
+		require.NoError(t, c.Complete(ctx, a, answer))
+		a.Attempt = "b"
+		result, err := c.Claim(ctx, a)
+		require.NoError(t, err)
+		assert.Equal(t, &answer, result.Answer)
+	}
+}
--- a/internal/claims/server.go
+++ b/internal/claims/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/consensus"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
 
 // Limits of calls between entries.
@@ -64,11 +65,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	ctx, span := telemetry.Start(telemetry.Extract(r.Context(), r.Header), "claim-member")
+	defer span.End()
 	var o outcome
 	if r.PathValue("call") == callWait {
-		o, err = member.wait(r.Context(), c, min(time.Duration(request.WaitMS)*time.Millisecond, maxWait))
+		o, err = member.wait(ctx, c, min(time.Duration(request.WaitMS)*time.Millisecond, maxWait))
 	} else {
-		o, err = member.call(r.Context(), c)
+		o, err = member.call(ctx, c)
 	}
 	writeOutcome(w, o, err)
 }
--- a/internal/claims/wire.go
+++ b/internal/claims/wire.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/hex"
-	"fmt"
+	"errors"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 )
 
@@ -30,6 +31,8 @@
 	callLease:    opLease,
 }
 
+var errDigest = errors.New("claims: the digest is not 32 bytes in hex")
+
 // wireRequest is the JSON body of a call.
 type wireRequest struct {
 	Plan    string      `json:"plan,omitempty"`
@@ -45,7 +48,7 @@
 
 type wireAnswer struct {
 	Status  int                 `json:"status"`
-	Header  map[string][]string `json:"header,omitempty"`
+	Header  map[string][][]byte `json:"header,omitempty"`
 	Body    []byte              `json:"body,omitempty"`
 	Omitted bool                `json:"body_omitted,omitempty"`
 }
@@ -95,7 +98,7 @@
 	c.Key = uuid.UUID(key.ID)
 	digest, err := hex.DecodeString(w.Digest)
 	if err != nil || len(digest) != len(c.Digest) {
-		return command{}, fmt.Errorf("claims: the digest is not 32 bytes in hex")
+		return command{}, errDigest
 	}
 	copy(c.Digest[:], digest)
 	if what == opComplete {
@@ -108,14 +111,16 @@
 	if a == nil {
 		return nil
 	}
-	return &wireAnswer{Status: a.Status, Header: a.Header, Body: a.Body, Omitted: a.Omitted}
+	header := convertValues(a.Header, func(v cbor.ByteString) []byte { return []byte(v) })
+	return &wireAnswer{Status: a.Status, Header: header, Body: a.Body, Omitted: a.Omitted}
 }
 
 func answerFromWire(w *wireAnswer) *storedAnswer {
 	if w == nil {
 		return nil
 	}
-	return &storedAnswer{Status: w.Status, Header: w.Header, Body: w.Body, Omitted: w.Omitted}
+	header := convertValues(w.Header, func(v []byte) cbor.ByteString { return cbor.ByteString(v) })
+	return &storedAnswer{Status: w.Status, Header: header, Body: w.Body, Omitted: w.Omitted}
 }
 
 func (o outcome) wire() wireResponse {
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -118,3 +118,10 @@
 	_, _ = h.Write(body)
 	return [32]byte(h.Sum(nil))
 }
+
+// outgoing returns the request for one attempt.
+func (r Request) outgoing(p *payload) *http.Request {
+	out := &http.Request{Method: r.Method, URL: r.URL, Header: r.Header}
+	p.attach(out)
+	return out
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -17,10 +17,6 @@
 	"github.com/sequoialane/sequoialane/internal/upstreamclient"
 )
 
-// HeaderClaimChecked marks a not-run answer to a request with a key. Only the
-// owner sets it, after the claim was granted and no byte was sent.
-const HeaderClaimChecked = "Sequoialane-Claim-Checked"
-
 // Limits of request bodies, in bytes.
 const (
 	MaxKeyedBody    = 1 << 20  // body of a non-idempotent request
@@ -66,7 +62,7 @@
 type Result struct {
 	Response     *http.Response // nil if Err is set; its body must be closed
 	Err          *fault.Error
-	ClaimChecked bool // Err says not-run, and the claim was held
+	ClaimChecked bool // Err says not-run, and the claim was held: Sequoialane-Claim-Checked
 }
 
 // Scheduler decides when and where attempts of a service run. It is
--- a/internal/dispatch/detached.go
+++ b/internal/dispatch/responsebody.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"io"
 	"sync"
 )
@@ -24,3 +25,16 @@
 	})
 	return nil
 }
+
+// closeHook is a body that runs a hook once at Close.
+type closeHook struct {
+	io.ReadCloser
+	hook context.CancelFunc
+	once sync.Once
+}
+
+func (c *closeHook) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.hook)
+	return err
+}
