--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -53,8 +53,8 @@
 
 	silenceWeight   = 6 // a request that has heard nothing for the longest expected time
 	badProbeWeight  = 6
-	busyProbeWeight = 2 // the probe may have waited behind the requests in the slots
-	goodProbeWeight = 2 // probes may be answered while requests are not
+	goodProbeWeight = 2   // probes may be answered while requests are not
+	weakProbeWeight = 0.7 // a target that fails half of its requests answers half of its probes
 )
 
 // windowScore returns the log-likelihood ratio of the evidence of one window.
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -46,8 +46,8 @@
 }
 
 // EndProbe takes in the result of a probe on a fresh connection. Busy means
-// that all slots were in use, so that the probe may have waited for them. The
-// results are those of EndTrial.
+// that all slots were in use: a probe that got no quick answer may have waited
+// for them and says nothing. The results are those of EndTrial.
 func (t *Target) EndProbe(e Evidence, busy bool, now time.Time) (returned, changed bool) {
 	t.probing = false
 	t.nextProbe = now
@@ -62,12 +62,15 @@
 		return false, false
 	}
 	switch {
+	case e == Good && t.reason == Failed:
+		t.nextProbe = now.Add(probeRest)
+		t.score = clampScore(t.score - weakProbeWeight)
 	case e == Good:
 		t.nextProbe = now.Add(probeRest)
 		t.score = clampScore(t.score - goodProbeWeight)
-	case busy:
-		t.reason = e
-		t.score = clampScore(t.score + busyProbeWeight)
+	case busy && e != Failed:
+		// The probe may have waited behind stragglers in the slots.
+		t.nextProbe = now.Add(probeRest)
 	default:
 		t.reason = e
 		t.score = clampScore(t.score + badProbeWeight)
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -21,7 +21,7 @@
 const (
 	FirstTimeOut = 5 * time.Second
 	MaxTimeOut   = 2 * time.Minute
-	probeRest    = time.Second // between good probes of a suspect
+	probeRest    = 300 * time.Millisecond // between probes of a suspect
 	idleProbe    = 5 * time.Second
 	noRequests   = 5 * time.Second // after which a trial goes on with probes only
 	peerInterval = 2 * time.Second // between probes of a target by a peer
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -14,9 +14,9 @@
 	minProbeTimeout  = 250 * time.Millisecond
 	maxProbeTimeout  = time.Second
 	expectedProbe    = 25 * time.Millisecond
-	probeShare       = 100 // probes use at most 1/100 of the slot time of a target
-	maxProbeCredit   = 100 * time.Millisecond
-	probeResultGrace = 2 * time.Second // after the time-out, a probe counts as lost
+	probeShare       = 100                    // probes use at most 1/100 of the slot time of a target
+	maxProbeCredit   = 500 * time.Millisecond // probes of a suspect come in bursts
+	probeResultGrace = 2 * time.Second        // after the time-out, a probe counts as lost
 )
 
 // probe is a probe under way.
--- /dev/null
+++ b/tools/bench/policy/owner.go
@@ -0,0 +1,242 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+	"github.com/sequoialane/sequoialane/tools/bench/fleet"
+)
+
+const (
+	announceInterval = 2 * time.Second
+	leaseTime        = 3 * time.Second
+	leaseInterval    = time.Second
+	region           = "region-1"
+)
+
+// Owner drives the owner aggregate.
+type Owner struct {
+	Eject bool // holds the ejection lease
+
+	host     fleet.Host
+	service  *owner.Service
+	waiting  []*call
+	calls    map[*fleet.Request]*call
+	sequence uint64
+}
+
+// call is a request on its way through the aggregate.
+type call struct {
+	request  *fleet.Request
+	ticket   *owner.Ticket
+	attempts map[uint64]*sent
+	done     bool
+}
+
+type sent struct {
+	grant  owner.Grant
+	cancel func()
+}
+
+// hostClock lets the aggregate read the time of the engine.
+type hostClock struct{ host fleet.Host }
+
+func (c hostClock) Now() time.Time                           { return c.host.Now() }
+func (hostClock) After(time.Duration) <-chan time.Time       { panic("bench: the aggregate waits") }
+func (hostClock) NewTicker(time.Duration) sys.Ticker         { panic("bench: the aggregate waits") }
+func (hostClock) Sleep(context.Context, time.Duration) error { panic("bench: the aggregate waits") }
+
+// Start implements fleet.Policy.
+func (p *Owner) Start(h fleet.Host) {
+	p.host = h
+	p.calls = map[*fleet.Request]*call{}
+	p.service = owner.New(owner.Config{
+		Service:    h.Spec().Name,
+		Region:     region,
+		DataCentre: dataCentre(0),
+		Clock:      hostClock{h},
+		Rand:       h.Rand(),
+	})
+	p.sequence = 10 // the targets have been serving for a while
+	p.announce()
+	p.renewLease()
+	p.tick()
+}
+
+func dataCentre(target int) string { return fmt.Sprintf("%s-%d", region, target%2) }
+
+func address(target int) string { return fmt.Sprintf("target-%04d", target) }
+
+func targetOf(address string) int {
+	var target int
+	if _, err := fmt.Sscanf(address, "target-%d", &target); err != nil {
+		panic("bench: unknown address " + address)
+	}
+	return target
+}
+
+func (p *Owner) announce() {
+	p.sequence++
+	for i := range p.host.Spec().Targets {
+		p.service.Announce(upstream.Announcement{
+			Service:     p.host.Spec().Name,
+			Address:     address(i),
+			Region:      region,
+			DataCentre:  dataCentre(i),
+			Slots:       p.host.Spec().Slots,
+			State:       upstream.Serving,
+			Incarnation: 1,
+			Sequence:    p.sequence,
+			ProbePath:   "/health",
+		})
+	}
+	p.host.After(announceInterval, p.announce)
+}
+
+func (p *Owner) renewLease() {
+	p.service.SetEjectionLease(p.Eject, p.host.Now().Add(leaseTime))
+	p.host.After(leaseInterval, p.renewLease)
+}
+
+func (p *Owner) tick() {
+	for _, action := range p.service.Tick(p.host.Now()) {
+		target := targetOf(action.Target.Address)
+		p.host.Event(action.Kind, target)
+		if action.Kind != owner.Probe && action.Kind != owner.PeerProbe {
+			continue
+		}
+		p.host.Probe(target, action.Kind == owner.PeerProbe, action.Timeout, func(o owner.Outcome) {
+			p.service.ProbeResult(action.Probe, o)
+			p.poll()
+		})
+	}
+	p.poll()
+	p.host.After(owner.TickInterval, p.tick)
+}
+
+// Arrive implements fleet.Policy.
+func (p *Owner) Arrive(r *fleet.Request) {
+	ticket, refusal := p.service.Submit(p.request(r))
+	if refusal != nil {
+		p.host.Refuse(r)
+		p.poll()
+		return
+	}
+	c := &call{request: r, ticket: ticket, attempts: map[uint64]*sent{}}
+	p.calls[r] = c
+	p.waiting = append(p.waiting, c)
+	p.poll()
+}
+
+func (p *Owner) request(r *fleet.Request) owner.Request {
+	return owner.Request{
+		ID:         fmt.Sprint(r.ID),
+		Plan:       r.Plan,
+		Route:      r.Route,
+		Weight:     r.Weight,
+		Deadline:   r.Deadline,
+		Idempotent: r.Idempotent,
+	}
+}
+
+// poll takes the grants and refusals that the last call of the aggregate gave.
+func (p *Owner) poll() {
+	kept := p.waiting[:0]
+	var granted []*call
+	var grants []owner.Grant
+	for _, c := range p.waiting {
+		select {
+		case g, ok := <-c.ticket.Granted():
+			if ok {
+				granted = append(granted, c)
+				grants = append(grants, g)
+			} else {
+				p.end(c)
+				p.host.Refuse(c.request)
+			}
+		default:
+			if !c.done {
+				kept = append(kept, c)
+			}
+		}
+	}
+	p.waiting = kept
+	for i, c := range granted {
+		p.send(c, grants[i])
+		p.planHedge(c)
+	}
+}
+
+func (p *Owner) send(c *call, g owner.Grant) {
+	s := &sent{grant: g}
+	c.attempts[g.Attempt] = s
+	s.cancel = p.host.Send(c.request, targetOf(g.Target.Address), func(o owner.Outcome) {
+		p.finished(c, g, o)
+	})
+}
+
+func (p *Owner) planHedge(c *call) {
+	if !c.request.Idempotent {
+		return
+	}
+	p.host.After(p.service.HedgeDelay(p.request(c.request)), func() {
+		if c.done || len(c.attempts) != 1 {
+			return
+		}
+		if g, ok := p.service.Hedge(c.ticket); ok {
+			p.send(c, g)
+		}
+	})
+}
+
+func (p *Owner) finished(c *call, g owner.Grant, o owner.Outcome) {
+	delete(c.attempts, g.Attempt)
+	p.service.Done(g, o)
+	switch {
+	case c.done:
+	case o.Kind == owner.OK:
+		p.end(c)
+		p.host.Answer(c.request)
+		p.cancelAttempts(c, owner.Canceled)
+	case len(c.attempts) > 0: // the other attempt may succeed
+	case p.service.Retry(c.ticket, o):
+		p.waiting = append(p.waiting, c)
+	default:
+		p.end(c)
+		p.host.Fail(c.request)
+	}
+	p.poll()
+}
+
+// Expire implements fleet.Policy. An attempt of a non-idempotent request goes
+// on at its target.
+func (p *Owner) Expire(r *fleet.Request) {
+	c, ok := p.calls[r]
+	if !ok {
+		return
+	}
+	p.end(c)
+	c.ticket.Cancel()
+	p.host.Fail(r)
+	if r.Idempotent {
+		p.cancelAttempts(c, owner.Timeout)
+	}
+	p.poll()
+}
+
+func (p *Owner) cancelAttempts(c *call, kind owner.OutcomeKind) {
+	for id, s := range c.attempts {
+		s.cancel()
+		delete(c.attempts, id)
+		p.service.Done(s.grant, owner.Outcome{Kind: kind, BytesSent: true})
+	}
+}
+
+func (p *Owner) end(c *call) {
+	c.done = true
+	delete(p.calls, c.request)
+}
--- /dev/null
+++ b/tools/bench/scenario/detection.go
@@ -0,0 +1,122 @@
+package scenario
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/tools/bench/fleet"
+)
+
+// Detection is the result of a run with faults of one kind, one after another.
+type Detection struct {
+	Service       string        `json:"service"`
+	Fault         string        `json:"fault"`
+	Faults        int           `json:"faults"`
+	Missed        int           `json:"missed"` // not detected before the fault ended
+	Median        time.Duration `json:"median_ns"`
+	Worst         time.Duration `json:"worst_ns"`
+	FalseTotal    int           `json:"false_ejections"`
+	FalsePerHour  float64       `json:"false_ejections_per_hour"`
+	Load          float64       `json:"load"`
+	ProbeShare    float64       `json:"probe_share"`
+	WorstProbe    float64       `json:"worst_target_probe_share"`
+	AnsweredShare float64       `json:"answered_in_time"`
+}
+
+// DetectionCase describes a run that measures detection.
+type DetectionCase struct {
+	Spec       fleet.Spec
+	Short      time.Duration
+	Idempotent float64
+	Load       float64
+	Kind       fleet.FaultKind
+	Count      int
+	Length     time.Duration // of each fault
+	Gap        time.Duration // between faults
+}
+
+// Run measures the case.
+func (c DetectionCase) Run(engine Engine, p fleet.Policy, seed uint64) Detection {
+	faults, duration := c.faults()
+	load := fleet.NewGenerator(c.Spec, mix(c.Short, c.Idempotent, 0.01), fleet.Steady(c.Load), duration, seed)
+	record := engine(c.Spec, faults, load, p, seed)
+	d := Detection{Service: c.Spec.Name, Fault: string(c.Kind), Faults: len(faults), Load: c.Load}
+	times := detectionTimes(faults, record)
+	d.Missed = len(faults) - len(times)
+	if len(times) > 0 {
+		d.Median = times[len(times)/2]
+		d.Worst = times[len(times)-1]
+	}
+	d.FalseTotal = FalseEjections(record)
+	d.FalsePerHour = float64(d.FalseTotal) / duration.Hours()
+	d.ProbeShare = float64(record.ProbeTime) / float64(record.SlotTime)
+	d.AnsweredShare = share(record, func(*fleet.Entry) bool { return true })
+	return d
+}
+
+func (c DetectionCase) faults() (fleet.Faults, time.Duration) {
+	var faults fleet.Faults
+	at := c.Gap
+	for i := range c.Count {
+		target := (i*5 + 3) % c.Spec.Targets
+		faults = append(faults, fleet.Fault{Target: target, Kind: c.Kind, From: at, To: at + c.Length})
+		at += c.Length + c.Gap
+	}
+	return faults, at
+}
+
+// detectionTimes returns the sorted times from the start of each fault to the
+// first ejection of its target.
+func detectionTimes(faults fleet.Faults, record *fleet.Record) []time.Duration {
+	var times []time.Duration
+	for _, fault := range faults {
+		for _, change := range record.Changes {
+			detected := change.Kind == owner.Ejected || change.Kind == owner.PathFault
+			during := change.At >= fault.From && change.At < fault.To
+			if detected && during && change.Target == fault.Target {
+				times = append(times, change.At-fault.From)
+				break
+			}
+		}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	return times
+}
+
+// FalseEjections counts the ejections of targets that had no fault.
+func FalseEjections(record *fleet.Record) int {
+	count := 0
+	for _, change := range record.Changes {
+		if change.Kind == owner.Ejected && !change.Faulty {
+			count++
+		}
+	}
+	return count
+}
+
+// share returns the part of the requests that were answered in time.
+func share(record *fleet.Record, of func(*fleet.Entry) bool) float64 {
+	inTime, all := 0, 0
+	for _, e := range record.Entries {
+		if !of(e) || e.Result == fleet.Pending {
+			continue
+		}
+		all++
+		if e.Result == fleet.InTime {
+			inTime++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(inTime) / float64(all)
+}
+
+// String returns a line of the table.
+func (d Detection) String() string {
+	return fmt.Sprintf("%-9s %-12s load %.2f  faults %3d missed %2d  median %6.2fs worst %6.2fs  false %3d (%.1f/h)  probes %.3f%%  in time %.1f%%",
+		d.Service, d.Fault, d.Load, d.Faults, d.Missed, d.Median.Seconds(), d.Worst.Seconds(),
+		d.FalseTotal, d.FalsePerHour, 100*d.ProbeShare, 100*d.AnsweredShare)
+}
--- /dev/null
+++ b/tools/bench/scenario/sizes.go
@@ -0,0 +1,53 @@
+// Package scenario holds the measurements of the bench: the load, the faults
+// and the figures that each takes from the record of a run.
+package scenario
+
+import (
+	"time"
+
+	"github.com/sequoialane/sequoialane/tools/bench/fleet"
+	"github.com/sequoialane/sequoialane/tools/bench/policy"
+)
+
+// The services of section 1.5 of the design that are measured.
+var (
+	Consents = fleet.Spec{Name: "consents", Targets: 13, Slots: 2, Entries: 44, Probe: 25 * time.Millisecond}
+	Register = fleet.Spec{Name: "register", Targets: 12, Slots: 2, Entries: 44, Probe: 25 * time.Millisecond}
+	Arrivals = fleet.Spec{Name: "arrivals", Targets: 12, Slots: 6, Entries: 44, Probe: 25 * time.Millisecond}
+	Ledger   = fleet.Spec{Name: "ledger", Targets: 20, Slots: 6, Entries: 44, Probe: 25 * time.Millisecond}
+)
+
+var plans = []fleet.PlanLoad{
+	{Plan: "large", Weight: 4, Part: 0.30},
+	{Plan: "middle", Weight: 2, Part: 0.15},
+	{Plan: "small", Weight: 1, Part: 0.05},
+	{Plan: "greedy", Weight: 1, Part: 0.50},
+}
+
+// mix is the load of a service: stragglers of 20 times the usual size.
+func mix(short time.Duration, idempotent, stragglers float64) fleet.Mix {
+	return fleet.Mix{
+		Short:         short,
+		Spread:        0.4,
+		StragglerPart: stragglers,
+		StragglerTime: 20,
+		Idempotent:    idempotent,
+		Patience:      time.Second,
+		Plans:         plans,
+	}
+}
+
+// Engine runs a policy under a load: in virtual time or over loopback HTTP.
+type Engine func(fleet.Spec, fleet.Faults, fleet.Load, fleet.Policy, uint64) *fleet.Record
+
+// Policies returns the policies by name.
+func Policies() map[string]func() fleet.Policy {
+	return map[string]func() fleet.Policy{
+		"sequoialane":  func() fleet.Policy { return &policy.Owner{Eject: true} },
+		"no_ejection":  func() fleet.Policy { return &policy.Owner{} },
+		"round_robin":  func() fleet.Policy { return policy.NewDirect(policy.RoundRobin) },
+		"least":        func() fleet.Policy { return policy.NewDirect(policy.LeastRequests) },
+		"power_of_two": func() fleet.Policy { return policy.NewDirect(policy.PowerOfTwo) },
+		"ideal_queue":  func() fleet.Policy { return &policy.Ideal{} },
+	}
+}
