Test dispatch with the owner aggregate, probe silent connections sooner

Cause: slots could leak between dispatch and the owner aggregate, which no test showed. A connection to a target that becomes silent after it acknowledged the request was noticed only after about 50 s.

Ruled out: a read limit on the connection; an upstream call may take 10 minutes.

Change: half of the seeds of TestRandomFaults run on owner.Service and check that all slots are free at the end. Keep-alive probes start after 5 s and end the connection after three probes, 1 s apart. Tests of the assertions and of a silent target.

--- a/internal/dispatch/chaos_test.go
+++ b/internal/dispatch/chaos_test.go
@@ -170,6 +170,7 @@
 	holder string
 	killed atomic.Bool
 	kill   chan struct{}
+	owned  *owner.Service // nil: a fakeScheduler for each request
 }
 
 type chaos struct {
@@ -306,11 +307,7 @@
 		defer timer.Stop()
 	}
 	before := c.runsOf(key)
-	s := &fakeScheduler{targets: c.addresses, next: c.dice.roll(3), retries: c.dice.roll(3)}
-	if c.dice.roll(10) == 0 {
-		s.refuse = fault.New(fault.Overloaded, "full")
-	}
-	result := p.Run(ctx, s, r)
+	result := p.Run(ctx, c.scheduler(p), r)
 	if p.killed.Load() {
 		closeBody(result)
 		return
@@ -329,6 +326,47 @@
 	closeBody(result)
 }
 
+func (c *chaos) scheduler(p *process) Scheduler {
+	if p.owned != nil {
+		return Owned(p.owned)
+	}
+	s := &fakeScheduler{targets: c.addresses, next: c.dice.roll(3), retries: c.dice.roll(3)}
+	if c.dice.roll(10) == 0 {
+		s.refuse = fault.New(fault.Overloaded, "full")
+	}
+	return s
+}
+
+// own gives each process an owner aggregate with few slots.
+func (c *chaos) own() {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(cancel)
+	for _, p := range c.processes {
+		p.owned = owner.New(owner.Config{Service: "consents", Region: "r", Clock: sys.RealClock{}, Rand: rand.New(rand.NewPCG(1, 1))})
+		go func() {
+			for n := uint64(1); ctx.Err() == nil; n++ {
+				for _, address := range c.addresses {
+					p.owned.Announce(upstream.Announcement{
+						Service: "consents", Region: "r", Address: address, Slots: 2, State: upstream.Serving,
+						Incarnation: 1, Sequence: n, EchoesRequestID: true,
+					})
+				}
+				p.owned.Tick(time.Now())
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+}
+
+// assertSlotsFree checks that each grant was given back.
+func (c *chaos) assertSlotsFree() {
+	for _, p := range c.processes {
+		for _, target := range p.owned.Snapshot().Targets {
+			assert.Zero(c.t, target.InFlight, target.Address)
+		}
+	}
+}
+
 func closeBody(result Result) {
 	if result.Response != nil {
 		_, _ = io.Copy(io.Discard, result.Response.Body)
@@ -359,7 +397,13 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
 			c := newMemoryChaos(t, seed)
+			if seed%2 == 0 {
+				c.load(40, 10, c.disturb)
+				return
+			}
+			c.own()
 			c.load(40, 10, c.disturb)
+			c.assertSlotsFree()
 		})
 	}
 }
--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -283,3 +283,28 @@
 	assert.Equal(t, 0, good.runsOf(key))
 	assert.Equal(t, owner.Shed, s.done[0].Kind)
 }
+
+// Guards against a silent target whose call never ends, or ends as not-run.
+func TestSilentTargetEndsAsUnknown(t *testing.T) {
+	f := newFixture(t, newMemory(), "a/1")
+	f.cfg.CallLimit = 100 * time.Millisecond
+	s := &fakeScheduler{targets: []string{silentAddress(t)}, retries: 3}
+	key := newKey(0)
+	hurried := post(key)
+	hurried.Deadline = time.Now().Add(30 * time.Millisecond)
+	result := f.Run(context.Background(), s, hurried)
+	assert.Equal(t, fault.DeadlineExceeded, result.Err.Kind)
+	assert.Equal(t, fault.Unknown, result.Err.Effect)
+	result = f.Run(context.Background(), s, post(key))
+	assert.Equal(t, fault.OutcomeUnknown, result.Err.Kind)
+	assert.Len(t, s.done, 1)
+}
+
+// Guards against a scheduler fault that leads to a second send or to a false
+// not-run answer: the program must stop instead.
+func TestAssertions(t *testing.T) {
+	f := newFixture(t, newMemory(), "a/1")
+	c := &call{d: f.Dispatcher, sent: true}
+	assert.Panics(t, func() { c.send(context.Background(), owner.Grant{}) })
+	assert.Panics(t, func() { c.notRun(fault.New(fault.Overloaded, "full")) })
+}
--- a/internal/upstreamclient/transport.go
+++ b/internal/upstreamclient/transport.go
@@ -17,7 +17,9 @@
 	ageLimit              = 5 * time.Minute
 	userTimeout           = 700 * time.Millisecond // limit for unacknowledged bytes
 	dialTimeout           = time.Second
-	keepAliveProbe        = 5 * time.Second
+	keepAliveIdle         = 5 * time.Second // silence after which the kernel probes a connection
+	keepAliveInterval     = time.Second
+	keepAliveCount        = 3
 	maxResponseHeader     = 32 << 10 // bytes
 	maxIdleConnsPerTarget = 1024
 )
@@ -45,9 +47,16 @@
 
 func newTransport(clock sys.Clock, idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{
-		Timeout:   dialTimeout,
-		KeepAlive: keepAliveProbe,
-		Control:   setUserTimeout,
+		Timeout: dialTimeout,
+		// A connection that became silent after the request was acknowledged
+		// would otherwise hold its slot for up to a minute.
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: setUserTimeout,
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
