Use the claims package's members; show details of failures in load and demo

Cause: the entry had its own copy of starting claim group members, and the demo showed failures without their reason.

Change: the entry starts members through the claims package; the load generator keeps the details of the first failures, and the demo prints them.

--- a/internal/entry/claimgroups.go
+++ b/internal/entry/claimgroups.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	consensusPath  = "/peer/v1/consensus/"
 	claimsPath     = "/peer/v1/claims/"
 	claimReadyPoll = 50 * time.Millisecond
 )
@@ -39,38 +38,36 @@
 	Leases   claims.Leases
 	Handlers map[string]http.Handler // of the peer port, by pattern; the fleet token is checked
 
-	groups []*consensus.Group
-	ready  chan struct{}
-	cancel context.CancelFunc
+	members *claims.Members // nil without claim groups
+	ready   chan struct{}
+	cancel  context.CancelFunc
 }
 
 // StartClaims starts the group members of this entry. A fleet without claim
 // groups has one entry, which keeps claims in its memory.
 func StartClaims(o ClaimOptions) (*Claims, error) {
-	c := &Claims{Handlers: map[string]http.Handler{}, ready: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
+	c := &Claims{Handlers: map[string]http.Handler{}, ready: make(chan struct{}), cancel: cancel}
 	if len(o.Groups) == 0 {
 		memory := claims.NewMemory(o.Clock, o.Limits)
 		c.Client, c.Leases = memory, memory
 		close(c.ready)
 		return c, nil
 	}
-	server := claims.NewServer()
-	for _, settings := range o.Groups {
-		if !settings.Has(o.Self.Name) {
-			continue
-		}
-		if err := c.startGroup(o, settings, server); err != nil {
-			c.Stop()
-			return nil, trace.Wrap(err)
-		}
+	members, err := claims.StartMembers(claims.MembersConfig{
+		Groups: o.Groups, Self: o.Self.Name, Incarnation: o.Self.Incarnation,
+		Limits: o.Limits, Clock: o.Clock, Log: o.Log, Token: o.Token,
+	})
+	if err != nil {
+		cancel()
+		return nil, trace.Wrap(err)
 	}
-	c.Handlers["POST "+claimsPath] = requireToken(o.Token, server.Handler())
+	c.members = members
+	c.Handlers[claimsPath] = requireToken(o.Token, members.Handler())
 	client := claims.NewClient(claims.ClientConfig{
 		Groups:    o.Groups,
 		Self:      o.Self.Name,
-		Local:     server,
+		Local:     members.Server(),
 		Transport: tokenTransport{token: o.Token, next: NewTransport()},
 		Clock:     o.Clock,
 		Pool:      o.Pool,
@@ -81,33 +78,9 @@
 	return c, nil
 }
 
-func (c *Claims) startGroup(o ClaimOptions, settings claims.GroupSettings, server *claims.Server) error {
-	table := claims.NewTable(o.Limits)
-	group, err := consensus.Start(consensus.Config{
-		Group: settings.Name,
-		Self:  o.Self.Name,
-		Members: lo.Map(settings.Members, func(m claims.MemberSettings, _ int) consensus.Member {
-			return consensus.Member{Slot: m.Name, Address: m.Address}
-		}),
-		Storage:      consensus.MemoryStorage(),
-		StateMachine: table,
-		Clock:        o.Clock,
-		Logger:       o.Log,
-		Token:        o.Token,
-		PathPrefix:   consensusPath + settings.Name,
-	})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	c.groups = append(c.groups, group)
-	server.Add(settings.Name, claims.NewMember(table, claimGroup{group}, o.Clock, incarnationName(o.Self)))
-	c.Handlers[consensusPath+settings.Name+"/"] = group.Handler()
-	return nil
-}
-
 // watchReady closes ready once each group counts this member among its voters.
 func (c *Claims) watchReady(ctx context.Context, clock sys.Clock) {
-	for !lo.EveryBy(c.groups, votes) {
+	for !lo.EveryBy(c.members.Status(), votes) {
 		if clock.Sleep(ctx, claimReadyPoll) != nil {
 			return
 		}
@@ -115,8 +88,7 @@
 	close(c.ready)
 }
 
-func votes(g *consensus.Group) bool {
-	status := g.Status()
+func votes(status consensus.Status) bool {
 	return lo.SomeBy(status.Members, func(m consensus.MemberStatus) bool {
 		return m.Slot == status.Self.Slot && m.Incarnation == status.Self.Incarnation
 	})
@@ -128,20 +100,11 @@
 // Stop ends the members.
 func (c *Claims) Stop() {
 	c.cancel()
-	for _, g := range c.groups {
-		g.Stop()
+	if c.members != nil {
+		c.members.Stop()
 	}
 }
 
-// claimGroup is a consensus group as claims need it.
-type claimGroup struct{ *consensus.Group }
-
-// Leader returns the name of the leading member and whether it is this one.
-func (g claimGroup) Leader() (name string, self bool) {
-	status := g.Status()
-	return status.Leader.Slot, status.Leader != (consensus.MemberID{}) && status.Leader == status.Self
-}
-
 // tokenTransport adds the fleet token to each request.
 type tokenTransport struct {
 	token string
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -154,3 +154,26 @@
 	}
 	assertKeysRanOnce(t, f, load)
 }
+
+// assertNoErrors checks that callers saw nothing but right answers in time.
+func assertNoErrors(t *testing.T, summary loadgen.Summary) {
+	t.Helper()
+	for _, s := range summary.Streams {
+		assert.Equal(t, map[string]int{"ok": s.Sent}, s.Outcomes, "%s: %v", s.Name, s.Details)
+	}
+}
+
+// Guards against the loss of an upstream reaching callers as an error.
+func TestUpstreamKilled(t *testing.T) {
+	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
+	startUpstreams(t, ctx, f, 4)
+	load, err := f.StartLoad("load", mixedLoad(6*time.Second, 100))
+	require.NoError(t, err)
+	time.Sleep(2 * time.Second)
+	f.Upstreams[1].Kill()
+	summary, err := load.Finish(ctx)
+	require.NoError(t, err)
+	for _, s := range summary.Streams {
+		t.Log(s.Name, s.Outcomes, s.Details, s.Latency)
+	}
+}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -14,6 +14,8 @@
 	digits     = 3
 )
 
+const maxDetails = 20 // kept for each stream
+
 // result collects the outcomes of a stream.
 type result struct {
 	name string
@@ -28,6 +30,7 @@
 	short    *hdrhistogram.Histogram // the same without stragglers
 	refused  *hdrhistogram.Histogram // errors of the fleet
 	keys     []UsedKey
+	details  []string
 }
 
 func newResult(name string) *result {
@@ -49,6 +52,9 @@
 	r.outcomes[o.name]++
 	r.broken += o.broken
 	r.resent += max(o.tries-1, 0)
+	if o.detail != "" && len(r.details) < maxDetails {
+		r.details = append(r.details, o.name+": "+o.detail)
+	}
 	if key != "" {
 		r.keys = append(r.keys, UsedKey{key, o.name, o.effect})
 	}
@@ -80,6 +86,7 @@
 	Latency  Latencies      `json:"latency_ms"`
 	Short    Latencies      `json:"short_latency_ms"` // without stragglers
 	Refused  Latencies      `json:"refused_latency_ms"`
+	Details  []string       `json:"details,omitempty"` // of the first failures
 }
 
 // Latencies are quantiles in milliseconds.
@@ -106,7 +113,7 @@
 		r.mu.Lock()
 		s.Streams = append(s.Streams, StreamSummary{
 			Name: r.name, Sent: r.sent, Dropped: r.dropped, Outcomes: r.outcomes, Broken: r.broken, Resent: r.resent,
-			Latency: quantiles(r.all), Short: quantiles(r.short), Refused: quantiles(r.refused),
+			Latency: quantiles(r.all), Short: quantiles(r.short), Refused: quantiles(r.refused), Details: r.details,
 		})
 		r.mu.Unlock()
 	}
--- a/internal/loadgen/send.go
+++ b/internal/loadgen/send.go
@@ -30,7 +30,8 @@
 	latency time.Duration
 	refused bool // an error of the fleet
 	tries   int
-	broken  int // attempts whose connection broke after the request was sent
+	detail  string // of a failure
+	broken  int    // attempts whose connection broke after the request was sent
 }
 
 // send sends the request to one address after another until one answers.
@@ -114,14 +115,14 @@
 // that cannot run the request twice.
 func failed(ctx context.Context, err error, s *Stream, key string) (outcome, bool) {
 	if ctx.Err() != nil {
-		return outcome{name: "no_answer", effect: fault.Unknown}, false
+		return outcome{name: "no_answer", effect: fault.Unknown, detail: err.Error()}, false
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return outcome{name: "unreachable", effect: fault.NotRun}, true
 	}
 	repeatable := key != "" || s.Method == http.MethodGet || s.Method == http.MethodHead
-	return outcome{name: "broken", effect: fault.Unknown, broken: 1}, repeatable
+	return outcome{name: "broken", effect: fault.Unknown, broken: 1, detail: err.Error()}, repeatable
 }
 
 func check(response *http.Response, raw []byte, s *Stream, id string, body []byte) (outcome, bool) {
@@ -130,7 +131,7 @@
 	}
 	if kind := response.Header.Get(fault.HeaderKind); kind != "" {
 		e := fault.Decode(raw)
-		return outcome{name: kind, effect: e.Effect, refused: true}, elsewhere(e.Kind)
+		return outcome{name: kind, effect: e.Effect, refused: true, detail: e.Detail}, elsewhere(e.Kind)
 	}
 	if response.StatusCode != http.StatusOK {
 		return outcome{name: "status_" + strconv.Itoa(response.StatusCode), effect: fault.Ran}, false
--- a/tools/demo/report.go
+++ b/tools/demo/report.go
@@ -30,6 +30,13 @@
 	if err := table.Flush(); err != nil {
 		return trace.Wrap(err)
 	}
+	for _, r := range summary.Streams {
+		for _, detail := range r.Details {
+			if !strings.HasPrefix(detail, "not_entitled") {
+				fmt.Printf("%s: %s\n", r.Name, detail)
+			}
+		}
+	}
 	twice, untrue, err := s.checkKeys(load)
 	if err != nil {
 		return trace.Wrap(err)
