--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -159,6 +159,9 @@
 		c.ranked("north")[0].services.drop(testService)
 		g := n.call(t, "POST", "/s/consents/x", "found", map[string]string{headerKey: newKey()})
 		assert.Equal(t, "found", g.body, "through rank %d", i)
+		large := strings.Repeat("u", 200_000)
+		g = n.call(t, "PUT", "/s/consents/uploads", large, nil)
+		assert.True(t, large == g.body, "streamed through rank %d: %v", i, g.err)
 	}
 }
 
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -41,7 +41,7 @@
 const (
 	modeRun   mode = "run"   // run the request here
 	modeRelay mode = "relay" // pass the request to the named entry, which runs it
-	modeSpill mode = "spill" // run the request here, as overflow of another region
+	modeLast  mode = "last"  // run the request here and pass it to no other entry
 )
 
 var connectionHeaders = []string{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -139,7 +139,7 @@
 	q.mode = mode(h.Get(headerMode))
 	q.target = h.Get(headerTarget)
 	switch q.mode {
-	case modeRun, modeSpill:
+	case modeRun, modeLast:
 		return nil
 	case modeRelay:
 		if q.target != "" {
--- a/internal/entry/runhere.go
+++ b/internal/entry/runhere.go
@@ -26,6 +26,9 @@
 func (e *Entry) runHere(ctx context.Context, q *request) (*Answer, *refusal) {
 	s := e.services.get(q.service)
 	if s == nil || !s.hasTargets() {
+		if answer, refused := e.askOther(ctx, q); answer != nil || refused != nil {
+			return answer, refused
+		}
 		return e.spillOr(ctx, q, refuse(fault.New(fault.NoUpstream, "the service has no target in this region").WithRetryAfter(time.Second)))
 	}
 	job := e.job(q, s)
@@ -40,6 +43,30 @@
 	return e.settled(q, result)
 }
 
+// askOther passes a request of another entry to the other entry that holds
+// target records, if this one has none yet, as just after its start. The sender
+// cannot do so itself once it has begun to stream the body.
+func (e *Entry) askOther(ctx context.Context, q *request) (*Answer, *refusal) {
+	if q.mode != modeRun {
+		return nil, nil
+	}
+	ranked := e.ranker.Rank(q.service, e.self.Region)
+	for _, m := range ranked[:min(ownersTried, len(ranked))] {
+		if m.Name == e.self.Name {
+			continue
+		}
+		answer, refused, failed := e.forward(ctx, m, q, modeLast, "")
+		if failed != nil && failed.sent {
+			return nil, refuse(unreachable(true))
+		}
+		if failed != nil || (refused != nil && refused.err.Kind == fault.NoUpstream) {
+			continue
+		}
+		return answer, refused
+	}
+	return nil, nil
+}
+
 // settled turns the result of dispatch into an answer.
 func (e *Entry) settled(q *request, result dispatch.Result) (*Answer, *refusal) {
 	if result.Err != nil {
@@ -115,7 +142,7 @@
 // returns nothing if no region takes it. A request that came as overflow from
 // a region is not passed on again.
 func (e *Entry) spill(ctx context.Context, q *request) (*Answer, *refusal) {
-	if q.mode == modeSpill || !q.body.replayable() {
+	if q.mode == modeLast || !q.body.replayable() {
 		return nil, nil
 	}
 	region, ok := e.spillRegion(q.service)
@@ -123,7 +150,7 @@
 		return nil, nil
 	}
 	to := e.ranker.Rank(q.service, region)[0]
-	answer, refused, failed := e.forward(ctx, to, q, modeSpill, "")
+	answer, refused, failed := e.forward(ctx, to, q, modeLast, "")
 	if failed == nil && answer != nil {
 		spilled.Inc()
 		return answer, nil
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -141,39 +141,32 @@
 	}
 }
 
-// Guards against the whole path not working together.
-func TestWholePath(t *testing.T) {
-	f, ctx := startFleet(t, localfleet.Options{Controls: 3, Entries: 4})
-	startUpstreams(t, ctx, f, 3)
-	load, err := f.StartLoad("load", mixedLoad(3*time.Second, 100))
-	require.NoError(t, err)
-	summary, err := load.Finish(ctx)
-	require.NoError(t, err)
-	for _, s := range summary.Streams {
-		assert.Equal(t, map[string]int{"ok": s.Sent}, s.Outcomes, s.Name)
-	}
-	assertKeysRanOnce(t, f, load)
-}
+// allowed names outcomes other than "ok" that a stream may see, and how often.
+type allowed map[string]map[string]int
 
-// assertNoErrors checks that callers saw nothing but right answers in time.
-func assertNoErrors(t *testing.T, summary loadgen.Summary) {
+// assertOnly checks that callers saw nothing but right answers in time, and
+// what is allowed.
+func assertOnly(t *testing.T, summary loadgen.Summary, also allowed) {
 	t.Helper()
 	for _, s := range summary.Streams {
-		assert.Equal(t, map[string]int{"ok": s.Sent}, s.Outcomes, "%s: %v", s.Name, s.Details)
+		t.Log(s.Name, "sent", s.Sent, s.Outcomes, "resent", s.Resent, "broken", s.Broken, "p99 ms", s.Latency.P99, "max ms", s.Latency.Max, s.Details)
+		assert.Positive(t, s.Outcomes["ok"], s.Name)
+		for outcome, n := range s.Outcomes {
+			if outcome != "ok" {
+				assert.LessOrEqual(t, n, also[s.Name][outcome], "%s: %s", s.Name, outcome)
+			}
+		}
 	}
 }
 
-// Guards against the loss of an upstream reaching callers as an error.
-func TestUpstreamKilled(t *testing.T) {
-	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
-	startUpstreams(t, ctx, f, 4)
-	load, err := f.StartLoad("load", mixedLoad(6*time.Second, 100))
+// Guards against the whole path not working together.
+func TestWholePath(t *testing.T) {
+	f, ctx := startFleet(t, localfleet.Options{Controls: 3, Entries: 4})
+	startUpstreams(t, ctx, f, 3)
+	load, err := f.StartLoad("load", mixedLoad(3*time.Second, 100))
 	require.NoError(t, err)
-	time.Sleep(2 * time.Second)
-	f.Upstreams[1].Kill()
 	summary, err := load.Finish(ctx)
 	require.NoError(t, err)
-	for _, s := range summary.Streams {
-		t.Log(s.Name, s.Outcomes, s.Details, s.Latency)
-	}
+	assertOnly(t, summary, nil)
+	assertKeysRanOnce(t, f, load)
 }
--- a/internal/localfleet/admin.go
+++ b/internal/localfleet/admin.go
@@ -175,3 +175,22 @@
 	}
 	return nil
 }
+
+// Owner returns the entry that ranks first for the service in its region.
+func (f *Fleet) Owner(service, region string) (*Entry, error) {
+	for _, e := range f.Entries {
+		if e.Settings.Region != region {
+			continue
+		}
+		var body entry.Upstreams
+		if f.Get(e.Settings.CallerAddress, "/admin/v1/upstreams", &body) != nil {
+			continue
+		}
+		for _, s := range body.Services {
+			if s.Owner && s.Service == service {
+				return e, nil
+			}
+		}
+	}
+	return nil, trace.NotFound("no entry owns %s in %s", service, region)
+}
--- a/internal/localfleet/upstream.go
+++ b/internal/localfleet/upstream.go
@@ -78,11 +78,11 @@
 	if err := u.Start(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return u, u.poll(ctx, func() error { return f.known(u) })
+	return u, u.poll(ctx, func() error { return f.Known(u) })
 }
 
-// known reports an error until the owner lists the target.
-func (f *Fleet) known(u *Upstream) error {
+// Known reports an error until the owner lists the target.
+func (f *Fleet) Known(u *Upstream) error {
 	for _, e := range f.Entries {
 		var body entry.Upstreams
 		if f.Get(e.Settings.CallerAddress, "/admin/v1/upstreams", &body) != nil {
