Judge waiting requests by the distribution of service times

Cause: a request that waits longer than the longest recent answer counted as silence of its target. The longest answer was forgotten within seconds, so that pairs of long stragglers looked like a silent target.

Ruled out: keeping the longest answer for minutes, which delays the detection of silent targets to the cap of 3 s.

Change: schedule.Tail learns the distribution of service times by expected time; a waiting request counts with the logarithm of the probability of its wait, until it is answered. The median of the other targets is subtracted, and time in which the owner itself was stopped does not count. A healthy target whose request waits too long is probed if a slot is free.

--- a/internal/health/compare.go
+++ b/internal/health/compare.go
@@ -11,31 +11,29 @@
 	slowRatio   = 4                    // a request that takes this many times its expected time is slow
 	slowMinimum = 5 * time.Millisecond // shorter delays are noise of the operating system
 	minPeers    = 5                    // requests before a target counts in a comparison
-
-	minSilence = time.Second     // no shorter silence counts as one
-	maxSilence = 3 * time.Second // any longer one does
-	tailMargin = 1.5             // beyond the longest answers seen
 )
 
 // Peers is what the other targets of the service do at this time.
 type Peers struct {
 	BadRate float64 // median share of bad requests
 	Level   float64 // median of service time by expected time; at least 1
+	Waiting float64 // median evidence of requests that have heard nothing
 }
 
 // Compare returns the peers of each target.
 func Compare(targets []*Target) []Peers {
 	peers := make([]Peers, len(targets))
 	for i := range targets {
-		var rates, levels []float64
+		var rates, levels, waiting []float64
 		for j, other := range targets {
 			if i == j || other.samples < minPeers || other.out() {
 				continue
 			}
+			waiting = append(waiting, other.waiting)
 			rates = append(rates, other.badRate)
 			levels = append(levels, math.Exp(other.level))
 		}
-		peers[i] = Peers{BadRate: median(rates, 0), Level: max(median(levels, 1), 1)}
+		peers[i] = Peers{BadRate: median(rates, 0), Level: max(median(levels, 1), 1), Waiting: median(waiting, 0)}
 	}
 	return peers
 }
@@ -54,11 +52,3 @@
 	limit := time.Duration(float64(expected) * slowRatio * max(peers.Level, 1))
 	return max(limit, expected+slowMinimum)
 }
-
-// SilentAfter returns how long a request may hear nothing before this counts
-// as silence of the target. Tail is the longest service time by expected time
-// among recent whole answers, so that stragglers are not taken for silence.
-func SilentAfter(expected time.Duration, tail float64, peers Peers) time.Duration {
-	limit := time.Duration(float64(expected) * tail * tailMargin * max(peers.Level, 1))
-	return max(min(max(limit, minSilence), maxSilence), SlowAfter(expected, peers))
-}
--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -125,7 +125,7 @@
 // mend by using the other targets of a cut off region.
 func TestPathFaultNeedsAnAnswerToAPeer(t *testing.T) {
 	target := &Target{}
-	target.Silence(t0)
+	target.SetWaiting([]Wait{{Since: t0, Weight: 9}}, t0)
 	assert.False(t, target.PathFault(t0))
 	target.PeerProbed(false, t0)
 	assert.False(t, target.PathFault(t0))
@@ -141,6 +141,29 @@
 	const expected = 50 * time.Millisecond
 	assert.Equal(t, 200*time.Millisecond, SlowAfter(expected, Peers{Level: 1}))
 	assert.Equal(t, time.Second, SlowAfter(expected, Peers{Level: 5}))
-	assert.Equal(t, 3*time.Second, SilentAfter(expected, 1000, Peers{Level: 1}))
-	assert.Equal(t, time.Second, SilentAfter(expected, 1, Peers{Level: 1}))
+}
+
+// Guards against an ejection while all targets are silent at once, against one
+// for a pause that ends, and against a silent target that stays in.
+func TestWaitingRequests(t *testing.T) {
+	silent := func() *Target {
+		target := &Target{}
+		target.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}}, t0)
+		return target
+	}
+	assert.True(t, silent().Condemned())
+
+	answered := silent()
+	answered.SetWaiting(nil, t0)
+	assert.Zero(t, answered.Score())
+
+	all := silent()
+	all.Advance(Peers{Waiting: 18}, t0)
+	assert.Zero(t, all.Score())
+
+	stragglers := &Target{}
+	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003)}, {t0, WaitWeight(time.Second, 20, 0.003)}}, t0)
+	assert.False(t, stragglers.Condemned())
+	assert.Equal(t, Suspect, stragglers.State())
+	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5))
 }
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -17,13 +17,12 @@
 	Slow                 // much slower than requests of its size on the other targets
 	Failed               // a whole answer that is an error, or a wrong or truncated one
 	Unreachable          // no connection or no answer
-	Overdue              // no answer yet, after the time from which a request is slow
 )
 
 // String returns the reason that the evidence gives for an ejection.
 func (e Evidence) String() string {
 	switch e {
-	case Slow, Overdue:
+	case Slow:
 		return "slow"
 	case Failed:
 		return "failing"
@@ -51,7 +50,10 @@
 	ejectScore   = 16 // five bad requests in a row: 1 in 10^8 with 2% bad
 	maxScore     = 20 // bounds the time to recover
 
-	silenceWeight   = 6 // a request that has heard nothing for the longest expected time
+	maxWaitWeight   = 9               // two requests that hear nothing can be enough
+	waitAllowance   = 2.5             // a target is looked at all the time, and stragglers fill more of it than their number
+	silenceRatio    = 64              // a request that waits this many times its expected time
+	silenceTime     = 3 * time.Second // and this long counts in full, even if few answers are known
 	badProbeWeight  = 6
 	goodProbeWeight = 2   // probes may be answered while requests are not
 	weakProbeWeight = 0.7 // a target that fails half of its requests answers half of its probes
@@ -73,4 +75,14 @@
 	return b*math.Log(faultRate/base) + g*math.Log((1-faultRate)/(1-base))
 }
 
+// WaitWeight returns the evidence of a request that has heard nothing for the
+// time, which is the ratio of its expected time, given the probability that a
+// request on a healthy target takes that long.
+func WaitWeight(waited time.Duration, ratio, beyond float64) float64 {
+	if waited >= silenceTime && ratio >= silenceRatio {
+		return maxWaitWeight
+	}
+	return min(max(-math.Log(beyond)-waitAllowance, 0), maxWaitWeight)
+}
+
 func clampScore(score float64) float64 { return min(max(score, 0), maxScore) }
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -14,7 +14,7 @@
 	case Trial:
 		return !t.trialBusy && (t.trials < probeTrials || now.Sub(t.trialSince) >= noRequests)
 	case Healthy:
-		return now.Sub(t.heard) >= idleProbe
+		return t.waitsUnheard || now.Sub(t.heard) >= idleProbe
 	default:
 		return false
 	}
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -21,7 +22,7 @@
 const (
 	FirstTimeOut = 5 * time.Second
 	MaxTimeOut   = 2 * time.Minute
-	probeRest    = 300 * time.Millisecond // between probes of a suspect
+	probeRest    = 200 * time.Millisecond // between probes of a suspect
 	idleProbe    = 5 * time.Second
 	noRequests   = 5 * time.Second // after which a trial goes on with probes only
 	peerInterval = 2 * time.Second // between probes of a target by a peer
@@ -44,9 +45,11 @@
 	reason Evidence
 	score  float64 // score of the closed windows
 
-	good, bad  int // requests of the open window
-	windowFrom time.Time
-	peers      Peers
+	waiting      float64 // evidence of requests that have heard nothing yet
+	waitsUnheard bool    // one of them, and nothing was heard since it was sent
+	good, bad    int     // requests of the open window
+	windowFrom   time.Time
+	peers        Peers
 
 	badRate  float64 // moving average, for comparison
 	level    float64 // moving median of ln(service time by expected time)
@@ -80,6 +83,11 @@
 
 // Score returns how strong the evidence against the target is.
 func (t *Target) Score() float64 {
+	return clampScore(t.closedScore() + max(t.waiting-t.peers.Waiting, 0))
+}
+
+// closedScore is the score of the requests that have ended.
+func (t *Target) closedScore() float64 {
 	return clampScore(t.score + windowScore(t.good, t.bad, t.peers.BadRate))
 }
 
@@ -107,38 +115,44 @@
 	return t.updateSuspicion(now)
 }
 
-// Recant takes back bad evidence of a request whose answer turned out good.
-func (t *Target) Recant(now time.Time) {
-	if t.out() {
-		return
-	}
-	if t.bad > 0 {
-		t.bad--
-	} else {
-		t.score = clampScore(t.score - windowScore(0, 1, t.peers.BadRate))
-	}
-	t.updateSuspicion(now)
+// Wait is a request in flight that has heard nothing for longer than SlowAfter.
+type Wait struct {
+	Since  time.Time
+	Weight float64 // see WaitWeight
 }
 
-// Silence takes in that a request has heard nothing for the time of
-// SilentAfter. It reports whether the state changed.
-func (t *Target) Silence(now time.Time) bool {
+// SetWaiting takes in the requests in flight that have heard nothing. It
+// replaces what was set before, since an answer refutes the evidence. No more
+// than windowBad of them count, because a pause delays all of them. It reports
+// whether the state changed.
+func (t *Target) SetWaiting(waits []Wait, now time.Time) bool {
+	sort.Slice(waits, func(i, j int) bool { return waits[i].Weight > waits[j].Weight })
+	t.waiting = 0
+	t.waitsUnheard = false
+	for _, w := range waits[:min(len(waits), windowBad)] {
+		t.waiting += w.Weight
+		if t.heard.Before(w.Since) {
+			t.answered = false
+			t.reason = Unreachable
+			t.waitsUnheard = true
+		}
+	}
 	if t.out() {
 		return false
 	}
-	t.answered = false
-	t.reason = Unreachable
-	t.score = clampScore(t.score + silenceWeight)
 	return t.updateSuspicion(now)
 }
 
-// RecantSilence takes back a silence that ended with a whole answer.
-func (t *Target) RecantSilence(now time.Time) {
+// Unanswered takes in that a request ended without having heard anything. It
+// reports whether the state changed.
+func (t *Target) Unanswered(weight float64, now time.Time) bool {
+	t.noteSample(Unreachable, now)
 	if t.out() {
-		return
+		return false
 	}
-	t.score = clampScore(t.score - silenceWeight)
-	t.updateSuspicion(now)
+	t.reason = Unreachable
+	t.score = clampScore(t.score + weight)
+	return t.updateSuspicion(now)
 }
 
 // Latency takes in the service time of a whole answer by its expected time.
@@ -170,7 +184,7 @@
 	}
 }
 
-func isAnswer(e Evidence) bool { return e != Unreachable && e != Overdue }
+func isAnswer(e Evidence) bool { return e != Unreachable }
 
 func (t *Target) updateSuspicion(now time.Time) bool {
 	score := t.Score()
@@ -194,7 +208,7 @@
 func (t *Target) Advance(peers Peers, now time.Time) bool {
 	t.peers = peers
 	if now.Sub(t.windowFrom) >= WindowLength {
-		t.score = t.Score()
+		t.score = t.closedScore()
 		t.good, t.bad = 0, 0
 		t.windowFrom = now
 	}
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -48,8 +48,10 @@
 	if o.Kind != Canceled {
 		s.sizes.Occupied(r.Route, r.Plan, held)
 	}
-	if o.Kind == OK {
+	if state := a.target.health.State(); o.Kind == OK && (state == health.Healthy || state == health.Suspect) {
 		s.sizes.Learn(r.Route, r.Plan, o.ServiceTime, now)
+	}
+	if o.Kind == OK {
 		s.budget.Success()
 	}
 }
@@ -72,22 +74,25 @@
 		return
 	}
 	before := t.health.State()
-	whole := o.Kind == OK
-	if whole && a.silent {
-		t.health.RecantSilence(now)
-	}
-	if whole && a.overdue && evidence == health.Good {
-		t.health.Recant(now)
-	}
-	if counts {
+	switch {
+	case counts && (o.Kind == Timeout || o.Kind == Canceled):
+		t.health.Unanswered(s.waitWeight(a, o.ServiceTime), now)
+	case counts:
 		t.health.Observe(evidence, now)
 	}
-	if whole {
+	if o.Kind == OK {
 		t.health.Latency(o.ServiceTime.Seconds() / a.size.Typical.Seconds())
 	}
 	s.noteChange(t, before)
 }
 
+// waitWeight returns the evidence of an attempt that has heard nothing for the
+// time.
+func (s *Service) waitWeight(a *attempt, waited time.Duration) float64 {
+	ratio := waited.Seconds() / (a.size.Typical.Seconds() * max(a.target.health.Peers().Level, 1))
+	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio))
+}
+
 // evidence returns what the outcome says, and whether it counts. What went
 // wrong on another target before is the doing of the request.
 func (s *Service) evidence(a *attempt, o Outcome) (evidence health.Evidence, counts bool) {
@@ -98,16 +103,12 @@
 		if !slow {
 			return health.Good, true
 		}
-		counts = !a.overdue && !t.slow
+		counts = a.overdue || !t.slow
 		t.slow = true
 		return health.Slow, counts
-	case Canceled:
-		counts = slow && !a.overdue && !t.slow
+	case Timeout, Canceled:
+		counts = slow && (a.overdue || !t.slow)
 		t.slow = t.slow || slow
-		return health.Slow, counts
-	case Timeout:
-		counts = slow && !a.overdue && !t.slow
-		t.slow = true
 		return health.Unreachable, counts
 	case UpstreamError, Truncated, WrongID:
 		counts = !t.failed
@@ -140,36 +141,42 @@
 	s.noteChange(t, before)
 }
 
-// judgeOverdue takes in what attempts in flight say by hearing nothing.
-func (s *Service) judgeOverdue(now time.Time) {
+// judgeWaiting takes in what attempts in flight say by hearing nothing. Time in
+// which the owner itself was stopped does not count.
+func (s *Service) judgeWaiting(now time.Time) {
+	stopped := now.Sub(s.tickedAt) - 2*TickInterval
+	waits := map[*target][]health.Wait{}
 	for _, a := range s.attempts {
-		age := now.Sub(a.started)
-		peers := a.target.health.Peers()
-		if a.trial || age <= health.SlowAfter(a.size.Typical, peers) {
-			continue
+		if stopped > 0 && !s.tickedAt.IsZero() && a.started.Before(now.Add(-stopped)) {
+			a.stopped += stopped
 		}
-		before := a.target.health.State()
-		if !a.overdue {
-			s.markOverdue(a, now)
+		age := now.Sub(a.started) - a.stopped
+		if a.trial || age <= health.SlowAfter(a.size.Typical, a.target.health.Peers()) {
+			continue
 		}
-		if !a.silent && age > health.SilentAfter(a.size.Typical, s.sizes.Tail(), peers) {
-			a.silent = true
-			a.target.health.Silence(now)
+		s.markOverdue(a)
+		if a.overdue {
+			wait := health.Wait{Since: a.started, Weight: s.waitWeight(a, age)}
+			waits[a.target] = append(waits[a.target], wait)
 		}
-		s.noteChange(a.target, before)
+	}
+	s.tickedAt = now
+	for _, t := range s.targets {
+		before := t.health.State()
+		t.health.SetWaiting(waits[t], now)
+		s.noteChange(t, before)
 	}
 }
 
-// markOverdue makes the attempt count as long work and as a slow request.
-func (s *Service) markOverdue(a *attempt, now time.Time) {
-	a.overdue = true
+// markOverdue makes the attempt count as long work, and as evidence unless the
+// request was slow on another target before.
+func (s *Service) markOverdue(a *attempt) {
 	if !a.long {
 		a.long = true
 		s.long++
 	}
-	if a.ticket.slow {
-		return // it was slow on another target before
+	if !a.ticket.slow {
+		a.overdue = true
+		a.ticket.slow = true
 	}
-	a.ticket.slow = true
-	a.target.health.Observe(health.Overdue, now)
 }
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -58,6 +58,7 @@
 	leaseUntil time.Time
 	passive    bool
 	pruneAt    time.Time
+	tickedAt   time.Time
 }
 
 // target is what the owner knows of a target beyond its record.
@@ -78,9 +79,9 @@
 	started time.Time
 	hedge   bool
 	trial   bool
-	long    bool // counts as long work
-	overdue bool // its slowness has counted as evidence
-	silent  bool // its silence has counted as evidence
+	long    bool          // counts as long work
+	overdue bool          // it is the first attempt of its request to be slow
+	stopped time.Duration // while the owner itself was stopped
 }
 
 // New returns the aggregate without targets.
--- a/internal/owner/tick.go
+++ b/internal/owner/tick.go
@@ -14,7 +14,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire(now)
-	s.judgeOverdue(now)
+	s.judgeWaiting(now)
 	s.advanceHealth(now)
 	s.decideEjections(now)
 	s.dropLateRequests(now)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -134,7 +134,8 @@
 	assert.Equal(t, Long, s.Expect("GET /reports", "new plan").Class)
 	assert.Equal(t, Short, s.Expect("GET /unknown", "a").Class)
 	assert.InDelta(t, 10, s.Expect("GET /orders", "a").Typical.Milliseconds(), 1)
-	assert.GreaterOrEqual(t, s.Tail(), 15.0)
+	assert.InDelta(t, 0.015, s.Beyond(8), 0.005, "stragglers, and the first reports")
+	assert.Less(t, s.Beyond(40), 0.001)
 }
 
 // Guards against full load on a target that starts cold or sheds work, and
--- a/internal/schedule/sizes.go
+++ b/internal/schedule/sizes.go
@@ -13,7 +13,6 @@
 	maxSizes       = 100_000 // remembered routes and plans
 	sizeRetention  = time.Hour
 	defaultService = 50 * time.Millisecond // before the first answer
-	tailRetention  = 0.999                 // decay of the longest ratio with each request
 )
 
 // Size is what is expected of a request.
@@ -39,7 +38,7 @@
 	entries map[sizeKey]*sizeEntry
 	all     sizeEntry
 	small   float64 // 25th percentile of all requests, ln(seconds)
-	tail    float64 // longest recent service time by expected time
+	tail    Tail
 }
 
 // NewSizes returns sizes that have learned nothing.
@@ -49,8 +48,7 @@
 func (s *Sizes) Learn(route, plan string, took time.Duration, now time.Time) {
 	x := math.Log(max(took.Seconds(), 1e-6))
 	if s.all.n > 0 {
-		ratio := took.Seconds() / s.Expect(route, plan).Typical.Seconds()
-		s.tail = max(s.tail*tailRetention, ratio)
+		s.tail.Add(took.Seconds() / s.Expect(route, plan).Typical.Seconds())
 	}
 	s.small = quantile(s.small, x, 0.25, s.all.n)
 	s.all.learn(x, now)
@@ -122,8 +120,9 @@
 	return size
 }
 
-// Tail returns the longest recent service time by expected time.
-func (s *Sizes) Tail() float64 { return max(s.tail, 1) }
+// Beyond returns the probability that a service time exceeds the expected time
+// by the ratio.
+func (s *Sizes) Beyond(ratio float64) float64 { return s.tail.Beyond(ratio) }
 
 // Mean returns the mean slot time of all requests.
 func (s *Sizes) Mean() time.Duration {
