Leave a target that refuses connections alone while others may be used

Cause: after the kill of one of three upstreams, callers got up to 8 upstream_failed and no_upstream in 10 s. An attempt on the dead target fails in a fraction of a millisecond, so the target always has a free slot; each moment in which all other slots were busy sent requests there, retried them there, and used up the retry budget (57 refused attempts, 7 refusals for lack of budget).

Ruled out: the order of preference, which already puts the suspect behind the other targets, and a larger retry budget.

Change: a target that failed to accept a connection gets no request for 200 ms while another target may be used. If all refused, all are used.

--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -62,6 +62,8 @@
 		a.target.limit.Good(a.target.record.Slots, now)
 	case Shed:
 		a.target.limit.Shed(a.target.inFlight, now)
+	case ConnectFailed:
+		a.target.refusedUntil = now.Add(refusedRest)
 	}
 }
 
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -81,9 +81,26 @@
 	return nil
 }
 
+// refusedRest is how long a target that failed to accept a connection is left
+// alone while others may be used. Attempts on it fail within a fraction of a
+// millisecond, so it always has a free slot and would use up the retry budget
+// whenever all others are busy.
+const refusedRest = 200 * time.Millisecond
+
 // options returns the targets that may get new work. A nil ticket stands for
 // any request.
 func (s *Service) options(t *Ticket, now time.Time) []schedule.Option {
+	all := s.allOptions(t, now)
+	accepting := slices.DeleteFunc(slices.Clone(all), func(o schedule.Option) bool {
+		return now.Before(s.targets[o.Index].refusedUntil)
+	})
+	if len(accepting) == 0 {
+		return all
+	}
+	return accepting
+}
+
+func (s *Service) allOptions(t *Ticket, now time.Time) []schedule.Option {
 	options := make([]schedule.Option, 0, len(s.targets))
 	for i, candidate := range s.targets {
 		order, ok := s.order(candidate, now)
--- /dev/null
+++ b/internal/owner/refused_test.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a target that refuses connections using up the retry budget
+// in the moments when all other slots are busy: each attempt fails at once, so
+// its slots are always free.
+func TestRefusingTargetIsNotPickedAgainAtOnce(t *testing.T) {
+	s, clock := newTestService()
+	s.Announce(serving("10.0.0.1:80", 1, 1))
+	s.Announce(serving("10.0.0.2:80", 1, 1))
+	first, refused := s.Submit(request("a", clock.Now()))
+	require.Nil(t, refused)
+	busy := <-first.Granted()
+	second, refused := s.Submit(request("b", clock.Now()))
+	require.Nil(t, refused)
+	gone := <-second.Granted()
+	require.NotEqual(t, busy.Target.Address, gone.Target.Address)
+	s.Done(gone, Outcome{Kind: ConnectFailed})
+	require.True(t, s.Retry(second, Outcome{Kind: ConnectFailed}))
+	select {
+	case g := <-second.Granted():
+		t.Fatalf("granted %s at once", g.Target.Address)
+	default:
+	}
+	clock.Advance(5 * time.Millisecond)
+	s.Done(busy, Outcome{Kind: OK, ServiceTime: 5 * time.Millisecond, BytesSent: true})
+	assert.Equal(t, busy.Target.Address, (<-second.Granted()).Target.Address)
+}
+
+// Guards against requests hanging when every target refused a connection.
+func TestAllTargetsRefused(t *testing.T) {
+	s, clock := newTestService()
+	s.Announce(serving("10.0.0.1:80", 1, 1))
+	ticket, refused := s.Submit(request("a", clock.Now()))
+	require.Nil(t, refused)
+	s.Done(<-ticket.Granted(), Outcome{Kind: ConnectFailed})
+	require.True(t, s.Retry(ticket, Outcome{Kind: ConnectFailed}))
+	assert.Equal(t, "10.0.0.1:80", (<-ticket.Granted()).Target.Address)
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -69,6 +69,9 @@
 	inFlight    int // attempts, and probes that hold a slot
 	probeCredit time.Duration
 	creditAt    time.Time
+	// refusedUntil is the end of a short time after a failed connection in
+	// which requests wait for other targets rather than use this one.
+	refusedUntil time.Time
 }
 
 // attempt is one attempt in flight.
