--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -58,6 +58,7 @@
 	leaseUntil time.Time
 	passive    bool
 	pruneAt    time.Time
+	tickedAt   time.Time
 }
 
 // target is what the owner knows of a target beyond its record.
@@ -68,6 +69,9 @@
 	inFlight    int // attempts, and probes that hold a slot
 	probeCredit time.Duration
 	creditAt    time.Time
+	// refusedUntil is the end of a short time after a failed connection in
+	// which requests wait for other targets rather than use this one.
+	refusedUntil time.Time
 }
 
 // attempt is one attempt in flight.
@@ -78,9 +82,9 @@
 	started time.Time
 	hedge   bool
 	trial   bool
-	long    bool // counts as long work
-	overdue bool // its slowness has counted as evidence
-	silent  bool // its silence has counted as evidence
+	long    bool          // counts as long work
+	overdue bool          // it is the first attempt of its request to be slow
+	stopped time.Duration // while the owner itself was stopped
 }
 
 // New returns the aggregate without targets.
