--- a/internal/localfleet/process.go
+++ b/internal/localfleet/process.go
@@ -63,6 +63,16 @@
 	close(done)
 }
 
+// PID returns the process id of the current run, or 0 before the first start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal to the running process, and nothing if it has ended.
 func (p *Process) Signal(s syscall.Signal) error {
 	p.mu.Lock()
