--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -35,7 +35,7 @@
 	return code, out.String(), errors.String()
 }
 
-func writeFile(t *testing.T, folder, name string, content []byte) string {
+func writeFile(t testing.TB, folder, name string, content []byte) string {
 	t.Helper()
 	path := filepath.Join(folder, name)
 	require.NoError(t, os.WriteFile(path, content, 0o600))
@@ -43,7 +43,7 @@
 }
 
 // freeAddress returns an address with a port that the kernel chose.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -52,7 +52,7 @@
 }
 
 // writeSettings writes the settings of a group of three and returns the files.
-func writeSettings(t *testing.T) ([]string, []control.MemberSettings) {
+func writeSettings(t testing.TB) ([]string, []control.MemberSettings) {
 	t.Helper()
 	folder := t.TempDir()
 	s := control.DefaultSettings()
@@ -174,7 +174,7 @@
 }
 
 // startFollowers runs entries' followers of the control members.
-func startFollowers(t *testing.T, members []control.MemberSettings, count int) []*configsync.Follower {
+func startFollowers(t testing.TB, members []control.MemberSettings, count int) []*configsync.Follower {
 	t.Helper()
 	var followers []*configsync.Follower
 	ctx, cancel := context.WithCancel(context.Background())
@@ -199,7 +199,7 @@
 }
 
 // startAll runs all members and returns a function that ends them.
-func startAll(t *testing.T, files []string) (stop func()) {
+func startAll(t testing.TB, files []string) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	codes := make(chan int, len(files))
@@ -218,7 +218,7 @@
 }
 
 // request returns the status of the answer, or 0.
-func request(t *testing.T, method, address, path string, body []byte) int {
+func request(t testing.TB, method, address, path string, body []byte) int {
 	t.Helper()
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	require.NoError(t, err)
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -19,8 +19,10 @@
 	// A source that failed is left alone for a time that doubles with each
 	// failure. The first time is short, because an election of the control
 	// members makes all of them fail at once.
-	minCoolDown    = 250 * time.Millisecond
-	maxCoolDown    = 5 * time.Second
+	minCoolDown = 250 * time.Millisecond
+	maxCoolDown = 5 * time.Second
+	// pollPause bounds the polls during a row of changes; several changes then
+	// arrive in one delta.
 	pollPause      = 100 * time.Millisecond
 	idlePause      = 500 * time.Millisecond // without any source
 	evaluateEvery  = 250 * time.Millisecond
