Answer at once when the member has stopped

Cause: a submission or a read at a member that was stopped by a storage error was repeated for 5 s, although this member will not recover.

Change: both end at the first answer that the member has stopped; the change is reported as commit_unknown if an earlier attempt may have been stored. Tests: a process ends when a sync fails; a follower leaves a control member that accepts connections and never answers.

--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -234,6 +235,21 @@
 	assert.Equal(t, Isolated, lone.Freshness())
 }
 
+// Guards against a follower that waits on a control member whose connections
+// became silent, as behind a device that lost their state.
+func TestFollowerLeavesASilentControlMember(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0") // accepts, and never answers
+	require.NoError(t, err)
+	defer listener.Close()
+	good := newControlServer(t)
+	version := good.addPlan(t, 1)
+	f := runFollower(t, Options{Name: "e1", Region: "near", DataCentre: "a", Control: []ControlMember{
+		{Name: "c1", Region: "near", Address: listener.Addr().String()}, {Name: "c2", Region: "far", Address: good.address()},
+	}})
+	awaitVersion(t, f, version)
+	awaitVersion(t, f, good.addPlan(t, 2))
+}
+
 // Guards against a copy that goes back when its source was restored from an
 // older state or lags.
 func TestFollowerNeverGoesToALowerVersion(t *testing.T) {
--- /dev/null
+++ b/internal/control/process_test.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/consensus"
+	"github.com/sequoialane/sequoialane/internal/controlapi"
+	"github.com/sequoialane/sequoialane/internal/disk/fakedisk"
+	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// Guards against a process that goes on after a failed sync, and against a
+// change that is reported as not run although it may be on disk.
+func TestProcessEndsWhenItsStorageFails(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Name = "c1"
+	settings.Members = []MemberSettings{{Name: "c1", APIAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0"}}
+	dir := fakedisk.New()
+	machine := plan.NewMachine()
+	group, err := StartGroup(GroupOptions{
+		Settings: settings, Storage: consensus.DiskStorage(dir), StateMachine: machine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	defer group.Stop()
+	process, err := NewProcess(ProcessOptions{
+		Settings: settings, Group: NewGroup(group), GroupHandler: group.Handler(), GroupStopped: group.Done(), Catalog: machine,
+		OperatorToken: testToken, FleetToken: "fleet", Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- process.Run(t.Context()) }()
+	api := newTestHandler(t, NewGroup(group), machine)
+	require.Equal(t, http.StatusOK, call(t, api, "POST", "/v1/changes", changeBody("good", 0, testPlan(1)), nil))
+	dir.FailSyncs(1)
+	var refused controlapi.Error
+	assert.Equal(t, http.StatusGatewayTimeout, call(t, api, "POST", "/v1/changes", changeBody("lost", 1, testPlan(2)), &refused))
+	assert.ErrorIs(t, <-ended, ErrGroupStopped)
+	var status controlapi.Status
+	require.Equal(t, http.StatusOK, call(t, api, "GET", "/v1/status", "", &status))
+	assert.NotEmpty(t, status.Failure)
+	assert.Empty(t, status.Leader)
+}
--- a/internal/control/submitter.go
+++ b/internal/control/submitter.go
@@ -56,7 +56,7 @@
 		if !notProposed(err) {
 			unknown = true
 		}
-		if s.clock.Sleep(ctx, retryPause) != nil {
+		if errors.Is(err, consensus.ErrStopped) || s.clock.Sleep(ctx, retryPause) != nil {
 			return plan.Result{}, submitFailure(unknown, ch.ID)
 		}
 	}
@@ -97,10 +97,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	for {
-		if s.tryBarrier(ctx) == nil {
+		err := s.tryBarrier(ctx)
+		if err == nil {
 			return s.catalog.Current(), nil
 		}
-		if s.clock.Sleep(ctx, retryPause) != nil {
+		if errors.Is(err, consensus.ErrStopped) || s.clock.Sleep(ctx, retryPause) != nil {
 			detail := "no leader of the control members can be reached for a current read"
 			return nil, fault.New(fault.ControlUnavailable, detail).WithRetryAfter(retryAfterHint)
 		}
