Lock the data folder of a control process

Cause: a second process with the same settings opened the log, and might have cut what it took for a torn tail, before it failed because its address was in use.

Ruled out: opening the listeners first; settings with other addresses and the same data folder would still damage the log.

Change: the process holds an exclusive lock on a file in its data folder from before the log is opened until the group has stopped.

Failed first: TestDataFolderIsUsedByOneProcess.

Shown by: go test -race ./cmd/sequoialane-control.

--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -232,3 +232,20 @@
 	defer response.Body.Close()
 	return response.StatusCode
 }
+
+// Guards against a second process on the same data folder, which would damage
+// the log of the first.
+func TestDataFolderIsUsedByOneProcess(t *testing.T) {
+	files, members := writeSettings(t)
+	stop := startAll(t, files)
+	defer stop()
+	change := func(id string, base uint64) int {
+		p := plan.Plan{ID: "p", Weight: 1, TokenSHA256: []string{fmt.Sprintf("%064x", 1)}}
+		return request(t, http.MethodPost, members[0].APIAddress, "/v1/changes", plan.Change{ID: id, BaseVersion: base, SetPlans: []plan.Plan{p}}.Encode())
+	}
+	require.Eventually(t, func() bool { return change("first", 0) == http.StatusOK }, waitLimit, waitStep)
+	code, _, stderr := runCommand("run", "--settings", files[0])
+	assert.Equal(t, exitFailure, code)
+	assert.Contains(t, stderr, "is used by another process")
+	assert.Equal(t, http.StatusOK, change("second", 1))
+}
--- a/cmd/sequoialane-control/wire.go
+++ b/cmd/sequoialane-control/wire.go
@@ -28,6 +28,13 @@
 		return trace.Wrap(err)
 	}
 	defer flushTraces(flush)
+	// The log must not be opened, and so perhaps repaired, while another process
+	// writes it.
+	lock, err := control.LockFolder(l.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	defer lock.Release()
 	injector := newInjector(l)
 	group, err := do.Invoke[*consensus.Group](injector)
 	if err != nil {
