--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -35,7 +35,7 @@
 	return code, out.String(), errors.String()
 }
 
-func writeFile(t *testing.T, folder, name string, content []byte) string {
+func writeFile(t testing.TB, folder, name string, content []byte) string {
 	t.Helper()
 	path := filepath.Join(folder, name)
 	require.NoError(t, os.WriteFile(path, content, 0o600))
@@ -43,7 +43,7 @@
 }
 
 // freeAddress returns an address with a port that the kernel chose.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -52,7 +52,7 @@
 }
 
 // writeSettings writes the settings of a group of three and returns the files.
-func writeSettings(t *testing.T) ([]string, []control.MemberSettings) {
+func writeSettings(t testing.TB) ([]string, []control.MemberSettings) {
 	t.Helper()
 	folder := t.TempDir()
 	s := control.DefaultSettings()
@@ -174,7 +174,7 @@
 }
 
 // startFollowers runs entries' followers of the control members.
-func startFollowers(t *testing.T, members []control.MemberSettings, count int) []*configsync.Follower {
+func startFollowers(t testing.TB, members []control.MemberSettings, count int) []*configsync.Follower {
 	t.Helper()
 	var followers []*configsync.Follower
 	ctx, cancel := context.WithCancel(context.Background())
@@ -199,7 +199,7 @@
 }
 
 // startAll runs all members and returns a function that ends them.
-func startAll(t *testing.T, files []string) (stop func()) {
+func startAll(t testing.TB, files []string) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	codes := make(chan int, len(files))
@@ -218,7 +218,7 @@
 }
 
 // request returns the status of the answer, or 0.
-func request(t *testing.T, method, address, path string, body []byte) int {
+func request(t testing.TB, method, address, path string, body []byte) int {
 	t.Helper()
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	require.NoError(t, err)
@@ -232,3 +232,20 @@
 	defer response.Body.Close()
 	return response.StatusCode
 }
+
+// Guards against a second process on the same data folder, which would damage
+// the log of the first.
+func TestDataFolderIsUsedByOneProcess(t *testing.T) {
+	files, members := writeSettings(t)
+	stop := startAll(t, files)
+	defer stop()
+	change := func(id string, base uint64) int {
+		p := plan.Plan{ID: "p", Weight: 1, TokenSHA256: []string{fmt.Sprintf("%064x", 1)}}
+		return request(t, http.MethodPost, members[0].APIAddress, "/v1/changes", plan.Change{ID: id, BaseVersion: base, SetPlans: []plan.Plan{p}}.Encode())
+	}
+	require.Eventually(t, func() bool { return change("first", 0) == http.StatusOK }, waitLimit, waitStep)
+	code, _, stderr := runCommand("run", "--settings", files[0])
+	assert.Equal(t, exitFailure, code)
+	assert.Contains(t, stderr, "is used by another process")
+	assert.Equal(t, http.StatusOK, change("second", 1))
+}
