Count the bytes of a replaced connection, move the test group to a package

Cause: an idempotent request whose reused connection broke, and whose new connection was refused, counted as not sent, so that dispatch could state not-run for it. An answer that began to stream as its connection was replaced would have reported a second outcome.

Ruled out: reporting two outcomes; one grant has one end.

Change: the outcome of the second connection includes the bytes of the first; a replaced exchange reports nothing. The test for the first fault failed before. internal/claims/localgroup runs a claim group for the tests of claims and dispatch, which each had a copy.

--- a/internal/claims/groups.go
+++ b/internal/claims/groups.go
@@ -35,8 +35,9 @@
 
 // Members are the members that this entry has in claim groups.
 type Members struct {
-	server *Server
-	groups []*consensus.Group
+	server  *Server
+	groups  []*consensus.Group
+	handler http.Handler
 }
 
 // StartMembers starts a member of each group that lists this entry. Their state
@@ -53,6 +54,7 @@
 			return nil, err
 		}
 	}
+	m.handler = m.newHandler()
 	return m, nil
 }
 
@@ -90,7 +92,9 @@
 func (m *Members) Server() *Server { return m.server }
 
 // Handler serves all paths below /peer/v1/claims/.
-func (m *Members) Handler() http.Handler {
+func (m *Members) Handler() http.Handler { return m.handler }
+
+func (m *Members) newHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(pathPrefix, m.server.Handler())
 	for _, group := range m.groups {
--- /dev/null
+++ b/internal/claims/localgroup/group.go
@@ -0,0 +1,174 @@
+// Package localgroup runs the members of one claim group in this process, on
+// loopback with ports chosen by the kernel. It is for tests and benchmarks.
+package localgroup
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/claims"
+	"github.com/sequoialane/sequoialane/internal/consensus"
+	"github.com/sequoialane/sequoialane/internal/httpserver"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/workerpool"
+)
+
+// Region is the region of the group.
+const Region = "r"
+
+// Time limits that let a group recover within a second.
+const (
+	heartbeatInterval = 20 * time.Millisecond
+	electionTimeout   = 200 * time.Millisecond
+	learnerTimeout    = time.Second
+	pollInterval      = 5 * time.Millisecond
+)
+
+// Group is a claim group. A stopped member cuts all connections.
+type Group struct {
+	limits   claims.Limits
+	every    int // commands between snapshots
+	settings claims.GroupSettings
+	servers  []*httpserver.Server
+	pool     *workerpool.Pool
+
+	mu          sync.Mutex
+	members     []*claims.Members // nil: stopped
+	incarnation uint64
+}
+
+// Start starts the members of a group. The number of commands between
+// snapshots is the one of claims.MembersConfig.
+func Start(size int, limits claims.Limits, snapshotEvery int) (*Group, error) {
+	g := &Group{
+		limits:   limits,
+		every:    snapshotEvery,
+		settings: claims.GroupSettings{Name: "g", Region: Region},
+		pool:     workerpool.New(1, 8),
+		members:  make([]*claims.Members, size),
+	}
+	for n := range size {
+		serve := func(w http.ResponseWriter, r *http.Request) { g.serve(n, w, r) }
+		server, err := httpserver.Listen("127.0.0.1:0", http.HandlerFunc(serve))
+		if err != nil {
+			g.Close()
+			return nil, err
+		}
+		server.Start()
+		g.servers = append(g.servers, server)
+		member := claims.MemberSettings{Name: fmt.Sprintf("m%d", n), Address: server.Address()}
+		g.settings.Members = append(g.settings.Members, member)
+	}
+	for n := range size {
+		if err := g.Restart(n); err != nil {
+			g.Close()
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// Close stops the members and their servers.
+func (g *Group) Close() {
+	g.pool.Stop()
+	for n := range g.members {
+		g.Stop(n)
+	}
+	for _, server := range g.servers {
+		_ = server.Close()
+	}
+}
+
+func (g *Group) member(n int) *claims.Members {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[n]
+}
+
+func (g *Group) serve(n int, w http.ResponseWriter, r *http.Request) {
+	m := g.member(n)
+	if m == nil {
+		panic(http.ErrAbortHandler)
+	}
+	m.Handler().ServeHTTP(w, r)
+}
+
+// Stop stops members. They lose their state.
+func (g *Group) Stop(numbers ...int) {
+	for _, n := range numbers {
+		g.mu.Lock()
+		m := g.members[n]
+		g.members[n] = nil
+		g.mu.Unlock()
+		if m != nil {
+			m.Stop()
+		}
+	}
+}
+
+// Restart stops members and starts them without state.
+func (g *Group) Restart(numbers ...int) error {
+	g.Stop(numbers...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range numbers {
+		g.incarnation++
+		m, err := claims.StartMembers(claims.MembersConfig{
+			Groups:            []claims.GroupSettings{g.settings},
+			Self:              g.settings.Members[n].Name,
+			Incarnation:       g.incarnation,
+			Limits:            g.limits,
+			Clock:             sys.RealClock{},
+			SnapshotEvery:     g.every,
+			ElectionTimeout:   electionTimeout,
+			HeartbeatInterval: heartbeatInterval,
+			LearnerTimeout:    learnerTimeout,
+		})
+		if err != nil {
+			return err
+		}
+		g.members[n] = m
+	}
+	return nil
+}
+
+// Await waits until all members vote and keys that are made from then on are
+// newer than the fence.
+func (g *Group) Await(ctx context.Context) error {
+	clock := sys.RealClock{}
+	for !g.voting() {
+		if err := clock.Sleep(ctx, pollInterval); err != nil {
+			return err
+		}
+	}
+	return clock.Sleep(ctx, 2*g.limits.ClockError+pollInterval)
+}
+
+func (g *Group) voting() bool {
+	for n := range g.members {
+		m := g.member(n)
+		if m == nil {
+			return false
+		}
+		role := m.Status()[0].Role
+		if role != consensus.RoleLeader && role != consensus.RoleFollower {
+			return false
+		}
+	}
+	return true
+}
+
+// Client returns a client of an entry that is not a member.
+func (g *Group) Client(transport http.RoundTripper) *claims.GroupClient {
+	return claims.NewClient(claims.ClientConfig{
+		Groups:    []claims.GroupSettings{g.settings},
+		Self:      "outside",
+		Transport: transport,
+		Clock:     sys.RealClock{},
+		Pool:      g.pool,
+		Limits:    g.limits,
+	})
+}
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -96,7 +96,8 @@
 	attempt   *attempt
 	reused    atomic.Bool
 	answering atomic.Bool
-	fresh     bool // only a new connection will do
+	replaced  atomic.Bool // a new connection takes over; this exchange reports nothing
+	fresh     bool        // only a new connection will do
 	body      *requestBody
 	cancel    context.CancelCauseFunc // set before the request gets a connection
 }
--- a/internal/upstreamclient/client_test.go
+++ b/internal/upstreamclient/client_test.go
@@ -208,6 +208,31 @@
 	}
 }
 
+// Guards against a request that counts as not sent because only its second
+// connection was refused.
+func TestBytesOfTheFirstConnectionCount(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		conn, _ := l.Accept()
+		_ = l.Close()
+		reader := bufio.NewReader(conn)
+		r, _ := http.ReadRequest(reader)
+		_, _ = conn.Write(ok(r, ""))
+		_, _ = http.ReadRequest(reader)
+		_ = conn.Close()
+	}()
+	c := newClient(t)
+	target := upstream.Target{Address: l.Addr().String()}
+	opt := Options{RequestID: "id", Idempotent: true, Quiet: time.Minute}
+	_, _, err = c.Send(context.Background(), target, newRequest(http.MethodGet, ""), opt)
+	require.NoError(t, err)
+	_, o, err := c.Send(context.Background(), target, newRequest(http.MethodGet, ""), opt)
+	require.Error(t, err)
+	assert.Equal(t, owner.ConnectFailed, o.Kind)
+	assert.True(t, o.BytesSent)
+}
+
 // Guards against a silent target that is never reported.
 func TestSilentTarget(t *testing.T) {
 	s := newRawServer(t, func(int, int, *http.Request) []byte { return silent })
--- a/internal/upstreamclient/quiet.go
+++ b/internal/upstreamclient/quiet.go
@@ -30,15 +30,32 @@
 	}()
 	first, ended := s.firstOrQuiet(done)
 	if !ended {
+		s.replaced.Store(true)
 		s.cancel(errQuiet)
 		first = <-done
 	}
-	if first.err == nil || ended && !s.deadConnection(ctx, first) || ctx.Err() != nil {
+	if !s.tryAgain(ctx, first, ended) {
 		return first.resp, first.outcome, first.err
 	}
 	s.conns.idempotent.CloseIdleConnections()
 	second := &sending{client: s.client, target: s.target, opt: s.opt, conns: s.conns, fresh: true}
-	return second.try(ctx, r)
+	resp, o, err := second.try(ctx, r)
+	o.BytesSent = o.BytesSent || first.outcome.BytesSent
+	return resp, o, err
+}
+
+// tryAgain decides whether the request goes to a new connection after the end
+// of its first exchange.
+func (s *sending) tryAgain(ctx context.Context, first result, ended bool) bool {
+	if ended {
+		return first.err != nil && s.deadConnection(ctx, first)
+	}
+	if first.err == nil && first.outcome.Kind == "" {
+		// The answer began as it was given up; its rest will not come.
+		_ = first.resp.Body.Close()
+		return true
+	}
+	return first.err != nil && ctx.Err() == nil
 }
 
 // firstOrQuiet waits for the end of the first exchange. It returns false if a
--- a/internal/upstreamclient/receive.go
+++ b/internal/upstreamclient/receive.go
@@ -54,7 +54,7 @@
 	default:
 		o = s.failure(ctx, err)
 	}
-	if s.opt.Finished != nil {
+	if s.opt.Finished != nil && !s.replaced.Load() {
 		s.opt.Finished(o)
 	}
 }
