Run the bench over loopback HTTP and check its figures against bounds

Cause: the policy was measured in virtual time only, and nothing compared the figures with the targets of section 1.3.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,11 @@
 	gofmt -l .
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# Measures the owner aggregate against baselines; writes bench-out/bench.json.
+bench:
+	$(GO) run ./tools/bench
+
+# Compares the last report of the bench with the targets of the design.
+bench-check:
+	$(GO) run ./tools/bench check
--- /dev/null
+++ b/tools/bench/loopback/engine.go
@@ -0,0 +1,145 @@
+// Package loopback runs a policy against stand-in upstreams over HTTP on
+// loopback, in real time.
+package loopback
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/tools/bench/fleet"
+)
+
+// Engine implements fleet.Host in real time. Its lock serialises the calls of
+// the policy.
+type Engine struct {
+	spec    fleet.Spec
+	faults  fleet.Faults
+	policy  fleet.Policy
+	start   time.Time
+	choices *rand.Rand
+	servers []*server
+	kept    *http.Client // keeps connections
+	fresh   *http.Client // a new connection for each request
+	stop    context.CancelFunc
+	ctx     context.Context
+
+	mu     sync.Mutex
+	record *fleet.Record
+	ended  bool
+}
+
+// Run offers the requests to the policy and returns what became of them.
+func Run(spec fleet.Spec, faults fleet.Faults, load fleet.Load, p fleet.Policy, seed uint64) *fleet.Record {
+	e := &Engine{
+		spec:    spec,
+		faults:  faults,
+		policy:  p,
+		choices: rand.New(rand.NewPCG(seed, 3)),
+		kept:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		fresh:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	e.start = time.Now()
+	e.record = fleet.NewRecord(e.start)
+	for i := range spec.Targets {
+		e.servers = append(e.servers, startServer(e, i, seed))
+	}
+	defer e.close()
+	e.locked(func() { p.Start(e) })
+	e.offer(load)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for _, s := range e.servers {
+		e.record.ProbeTime += time.Duration(s.probeTime.Load())
+	}
+	e.record.SlotTime = load.Duration() * time.Duration(spec.Targets*spec.Slots)
+	return e.record
+}
+
+// offer sends the arrivals at their times, whatever became of earlier ones.
+func (e *Engine) offer(load fleet.Load) {
+	for r := load.Next(); r != nil; r = load.Next() {
+		time.Sleep(time.Until(e.start.Add(r.Offset)))
+		r.Arrived = e.start.Add(r.Offset)
+		r.Deadline = r.Arrived.Add(r.Patience)
+		e.locked(func() {
+			e.record.Offer(r)
+			e.policy.Arrive(r)
+		})
+		e.After(time.Until(r.Deadline), func() {
+			if e.record.Open(r) {
+				e.policy.Expire(r)
+			}
+		})
+	}
+	time.Sleep(time.Until(e.start.Add(load.Duration())))
+}
+
+func (e *Engine) close() {
+	e.stop()
+	for _, s := range e.servers {
+		_ = s.http.Close()
+	}
+	e.kept.CloseIdleConnections()
+}
+
+func (e *Engine) locked(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended {
+		f()
+	}
+}
+
+// Now implements fleet.Host.
+func (e *Engine) Now() time.Time { return time.Now() }
+
+// Rand implements fleet.Host.
+func (e *Engine) Rand() *rand.Rand { return e.choices }
+
+// Spec implements fleet.Host.
+func (e *Engine) Spec() fleet.Spec { return e.spec }
+
+// After implements fleet.Host.
+func (e *Engine) After(d time.Duration, f func()) {
+	time.AfterFunc(d, func() { e.locked(f) })
+}
+
+// Answer implements fleet.Host.
+func (e *Engine) Answer(r *fleet.Request) { e.record.Answer(r, time.Now()) }
+
+// Fail implements fleet.Host.
+func (e *Engine) Fail(r *fleet.Request) { e.record.Fail(r, time.Now()) }
+
+// Refuse implements fleet.Host.
+func (e *Engine) Refuse(r *fleet.Request) { e.record.Refuse(r, time.Now()) }
+
+// Event implements fleet.Host.
+func (e *Engine) Event(kind owner.ActionKind, target int) {
+	e.record.Event(kind, target, time.Now(), e.faults)
+}
+
+// Send implements fleet.Host.
+func (e *Engine) Send(r *fleet.Request, target int, done func(owner.Outcome)) (cancel func()) {
+	return e.send(e.kept, call{target: target, size: r.Size}, done)
+}
+
+// Probe implements fleet.Host.
+func (e *Engine) Probe(target int, peer bool, timeout time.Duration, done func(owner.Outcome)) {
+	ended := false
+	cancel := e.send(e.fresh, call{target: target, size: e.spec.Probe, probe: true, peer: peer}, func(o owner.Outcome) {
+		ended = true
+		done(o)
+	})
+	e.After(timeout, func() {
+		if !ended {
+			cancel()
+			done(owner.Outcome{Kind: owner.Timeout, ServiceTime: timeout, BytesSent: true})
+		}
+	})
+}
