Bound the evidence of short waits and extrapolate the distribution

Cause: over loopback, a run without stragglers ejected targets for pauses of the machine of about 100 ms, since no answer had ever taken as long; half of the slots were lost and the p99 of short work rose to 856 ms. Silent targets were found after 3 s while few answers were known.

Ruled out: load of the machine alone; the same run by itself has a p99 of 70 ms.

Change: a wait of less than a second counts with at most 4, so that two of them ask for probes only; a ratio far beyond all answers counts as a tenth of an answer; a silence of 2 s and 64 times the expected time counts in full.

Runs with faults show false ejections of other targets, up to 3 in 3.5 minutes.

--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -144,7 +144,7 @@
 }
 
 // Guards against an ejection while all targets are silent at once, against one
-// for a pause that ends, and against a silent target that stays in.
+// for a pause of less than a second, and against a silent target that stays in.
 func TestWaitingRequests(t *testing.T) {
 	silent := func() *Target {
 		target := &Target{}
@@ -165,5 +165,9 @@
 	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003)}, {t0, WaitWeight(time.Second, 20, 0.003)}}, t0)
 	assert.False(t, stragglers.Condemned())
 	assert.Equal(t, Suspect, stragglers.State())
+	paused := &Target{}
+	early := WaitWeight(pauseTime-1, 1000, 1e-9)
+	paused.SetWaiting([]Wait{{t0, early}, {t0, early}, {t0, early}}, t0)
+	assert.False(t, paused.Condemned())
 	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5))
 }
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -53,7 +53,9 @@
 	maxWaitWeight   = 9               // two requests that hear nothing can be enough
 	waitAllowance   = 2.5             // a target is looked at all the time, and stragglers fill more of it than their number
 	silenceRatio    = 64              // a request that waits this many times its expected time
-	silenceTime     = 3 * time.Second // and this long counts in full, even if few answers are known
+	silenceTime     = 2 * time.Second // and this long counts in full, even if few answers are known
+	pauseTime       = time.Second     // a shorter wait may be a pause of the process
+	pauseWeight     = 4               // bound of its evidence: two of them ask for probes
 	badProbeWeight  = 6
 	goodProbeWeight = 2   // probes may be answered while requests are not
 	weakProbeWeight = 0.7 // a target that fails half of its requests answers half of its probes
@@ -82,7 +84,11 @@
 	if waited >= silenceTime && ratio >= silenceRatio {
 		return maxWaitWeight
 	}
-	return min(max(-math.Log(beyond)-waitAllowance, 0), maxWaitWeight)
+	limit := float64(maxWaitWeight)
+	if waited < pauseTime {
+		limit = pauseWeight
+	}
+	return min(max(-math.Log(beyond)-waitAllowance, 0), limit)
 }
 
 func clampScore(score float64) float64 { return min(max(score, 0), maxScore) }
--- a/internal/schedule/tail.go
+++ b/internal/schedule/tail.go
@@ -6,6 +6,7 @@
 const (
 	tailBuckets   = 32
 	tailPerDouble = 3       // buckets for each doubling of the ratio
+	tailNear      = 2       // buckets, a factor of 1.6
 	tailWindow    = 100_000 // answers after which older ones count half
 )
 
@@ -30,14 +31,23 @@
 	}
 }
 
-// Beyond returns the probability that a service time exceeds the ratio. It is
-// never less than half an answer of those seen.
+// Beyond returns the probability that a service time exceeds the ratio. Where
+// no answer is near the ratio, it is a tenth of an answer of those seen, and
+// half an answer elsewhere.
 func (t *Tail) Beyond(ratio float64) float64 {
-	above := 0.5
-	for i := tailBucket(ratio); i < tailBuckets; i++ {
-		above += t.counts[i]
+	bucket := tailBucket(ratio)
+	above := 0.0
+	for _, count := range t.counts[bucket:] {
+		above += count
 	}
-	return min(above/(t.total+1), 1)
+	near := above
+	for _, count := range t.counts[max(bucket-tailNear, 0):bucket] {
+		near += count
+	}
+	if near == 0 {
+		return min(0.1/(t.total+1), 1)
+	}
+	return min((above+0.5)/(t.total+1), 1)
 }
 
 func tailBucket(ratio float64) int {
--- a/tools/bench/scenario/crest.go
+++ b/tools/bench/scenario/crest.go
@@ -42,16 +42,18 @@
 		faults = append(faults, fleet.Fault{Target: i * 3, Kind: kinds[i%2], From: crestFaultsAt, To: time.Hour})
 	}
 	length := crestAt + crestLength + crestTail
-	load := fleet.NewGenerator(spec, m, fleet.Swing(crestLow, crestHigh, crestAt, crestLength), length, seed)
+	swing := fleet.Swing(crestLow, crestHigh, crestAt, crestLength)
+	load := fleet.NewGenerator(spec, m, swing, length, seed)
 	record := engine(spec, faults, load, Policies()[name](), seed)
 	c := Crest{Service: spec.Name, Policy: name}
-	c.measure(record, float64((spec.Targets-broken)*spec.Slots)*crestLength.Seconds())
+	healthy := float64((spec.Targets - broken) * spec.Slots)
+	c.measure(record, healthy, func(at time.Duration) float64 { return swing(at) * float64(spec.Targets*spec.Slots) })
 	return c
 }
 
-// measure takes the figures from the requests that arrived during the crest.
-// Capacity is the slot time of the healthy slots in seconds.
-func (c *Crest) measure(record *fleet.Record, capacity float64) {
+// measure takes the figures from the requests that arrived during the crest,
+// given the healthy slots and the slots that the offered work would keep busy.
+func (c *Crest) measure(record *fleet.Record, healthy float64, work func(time.Duration) float64) {
 	offered := map[string]float64{}
 	served := map[string]float64{}
 	all, inTime, quick := 0, 0, 0
@@ -76,7 +78,7 @@
 			c.Failed++
 		}
 	}
-	c.OfCapacity = total / capacity
+	c.OfCapacity = total / (healthy * crestLength.Seconds())
 	c.InTime = float64(inTime) / float64(max(all, 1))
 	c.RefusedQuickly = 1
 	if c.Refusals > 0 {
@@ -84,12 +86,30 @@
 	}
 	c.PlanOfDue = map[string]float64{}
 	c.WorstPlan = 10
-	for plan, due := range dues(offered, capacity) {
-		c.PlanOfDue[plan] = served[plan] / due
+	for plan, due := range crestDues(healthy, work) {
+		c.PlanOfDue[plan] = served[plan] / min(due, offered[plan])
 		c.WorstPlan = min(c.WorstPlan, c.PlanOfDue[plan])
 	}
 }
 
+// crestDues returns the slot time in seconds that each plan is due over the
+// crest. It is summed up over short steps, since a plan that offers less than
+// its share during the rise cannot get more later.
+func crestDues(healthy float64, work func(time.Duration) float64) map[string]float64 {
+	const step = 10 * time.Millisecond
+	sum := map[string]float64{}
+	for at := crestAt; at < crestAt+crestLength; at += step {
+		offered := map[string]float64{}
+		for _, p := range plans {
+			offered[p.Plan] = p.Part * work(at)
+		}
+		for plan, slots := range dues(offered, healthy) {
+			sum[plan] += slots * step.Seconds()
+		}
+	}
+	return sum
+}
+
 // dues shares the capacity by weight, up to the work that each plan offers.
 func dues(offered map[string]float64, capacity float64) map[string]float64 {
 	order := make([]fleet.PlanLoad, len(plans))
