Let good answers refute slow ones, and allow one slow trial

A straggler among the trials counted as a relapse. Stragglers that were in the slots of one target together ended one after another, while the target, being suspected, got no other requests: they looked like a row of slow requests.

Ruled out: probes; they were good in these cases.

Change: a slow or waiting request counts only if the target gave fewer than 5 good answers since it was sent. One slow trial is allowed.

--- a/internal/health/eject.go
+++ b/internal/health/eject.go
@@ -117,13 +117,18 @@
 // BeginTrial notes that a trial is under way.
 func (t *Target) BeginTrial() { t.trialBusy = true }
 
-// EndTrial takes in the end of a trial. It reports whether the target returned
+// EndTrial takes in the end of a trial. A single slow trial may be a straggler
+// and does not count. It reports whether the target returned
 // (true, true), was ejected again (false, true) or goes on (false, false).
 func (t *Target) EndTrial(e Evidence, now time.Time) (returned, changed bool) {
 	t.trialBusy = false
 	if t.state != Trial {
 		return false, false
 	}
+	if e == Slow && t.slowTrials < slowTrialsAllowed {
+		t.slowTrials++
+		return false, false
+	}
 	if e != Good {
 		t.reason = e
 		t.score = maxScore
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -77,10 +77,17 @@
 	return b*math.Log(faultRate/base) + g*math.Log((1-faultRate)/(1-base))
 }
 
+// refutingGoods is the number of good answers that outweigh a slow one.
+const refutingGoods = 5
+
 // WaitWeight returns the evidence of a request that has heard nothing for the
 // time, which is the ratio of its expected time, given the probability that a
-// request on a healthy target takes that long.
-func WaitWeight(waited time.Duration, ratio, beyond float64) float64 {
+// request on a healthy target takes that long, and the number of good answers
+// to other requests since it was sent.
+func WaitWeight(waited time.Duration, ratio, beyond float64, goods int) float64 {
+	if goods >= refutingGoods {
+		return 0
+	}
 	if waited >= silenceTime && ratio >= silenceRatio {
 		return maxWaitWeight
 	}
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -34,8 +34,9 @@
 
 // Trials that must succeed, one after another, before a target returns.
 const (
-	probeTrials = 2
-	allTrials   = 4
+	probeTrials       = 2
+	allTrials         = 4
+	slowTrialsAllowed = 1
 )
 
 // Target is the health of one target. The zero value is a healthy target
@@ -54,6 +55,7 @@
 	badRate  float64 // moving average, for comparison
 	level    float64 // moving median of ln(service time by expected time)
 	samples  int
+	goods    int       // good answers to requests
 	heard    time.Time // last answer to a request or probe, good or bad
 	answered bool      // the last evidence was an answer
 
@@ -62,6 +64,7 @@
 	trialSince time.Time
 	returnedAt time.Time
 	trials     int  // successful trials in a row
+	slowTrials int  // slow ones among them
 	trialBusy  bool // a trial is under way
 
 	probing   bool
@@ -155,6 +158,20 @@
 	return t.updateSuspicion(now)
 }
 
+// Goods returns the number of good answers so far.
+func (t *Target) Goods() int { return t.goods }
+
+// ObserveSlow is Observe for a slow request, during which the target gave good
+// answers to others. Slow requests end after the good ones that were sent with
+// them, so that a few stragglers at once would look like a row of bad requests.
+func (t *Target) ObserveSlow(goods int, now time.Time) bool {
+	if goods < refutingGoods {
+		return t.Observe(Slow, now)
+	}
+	t.noteSample(Slow, now)
+	return false
+}
+
 // Latency takes in the service time of a whole answer by its expected time.
 func (t *Target) Latency(ratio float64) {
 	const step = 0.1
@@ -176,6 +193,7 @@
 	value := 1.0
 	if e == Good {
 		value = 0
+		t.goods++
 	}
 	t.badRate += (value - t.badRate) * max(weight, 1/float64(t.samples))
 	t.answered = isAnswer(e)
@@ -216,6 +234,7 @@
 		t.state = Trial
 		t.trialSince = now
 		t.trials = 0
+		t.slowTrials = 0
 		t.trialBusy = false
 		return true
 	}
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -77,6 +77,8 @@
 	switch {
 	case counts && (o.Kind == Timeout || o.Kind == Canceled):
 		t.health.Unanswered(s.waitWeight(a, o.ServiceTime), now)
+	case counts && evidence == health.Slow:
+		t.health.ObserveSlow(t.health.Goods()-a.goods, now)
 	case counts:
 		t.health.Observe(evidence, now)
 	}
@@ -90,7 +92,7 @@
 // time.
 func (s *Service) waitWeight(a *attempt, waited time.Duration) float64 {
 	ratio := waited.Seconds() / (a.size.Typical.Seconds() * max(a.target.health.Peers().Level, 1))
-	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio))
+	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio), a.target.health.Goods()-a.goods)
 }
 
 // evidence returns what the outcome says, and whether it counts. What went
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -125,7 +125,10 @@
 func (s *Service) start(t *Ticket, to *target, as startAs, now time.Time) Grant {
 	to.occupy()
 	size := s.sizes.Expect(t.request.Route, t.request.Plan)
-	a := &attempt{ticket: t, target: to, size: size, started: now, hedge: as.hedge, trial: as.trial}
+	a := &attempt{
+		ticket: t, target: to, size: size, started: now,
+		hedge: as.hedge, trial: as.trial, goods: to.health.Goods(),
+	}
 	if t.slow || size.Class == schedule.Long {
 		a.long = true
 		s.long++
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -102,7 +102,8 @@
 	}
 	s.endProbe(id, p)
 	if p.peer {
-		p.target.health.PeerProbed(o.Kind == OK, now)
+		evidence, counts := s.probeEvidence(o, now)
+		p.target.health.PeerProbed(counts && evidence == health.Good, now)
 		return
 	}
 	s.judgeProbe(p, o, now)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -81,6 +81,7 @@
 	trial   bool
 	long    bool          // counts as long work
 	overdue bool          // it is the first attempt of its request to be slow
+	goods   int           // good answers of the target before it started
 	stopped time.Duration // while the owner itself was stopped
 }
 
