Count the loser of a hedge against its target

Ruled out: keeping suspects in the order of preference, which sends non-idempotent requests to them.

Change: an attempt that is cancelled because the same request was answered quickly on another target counts as slow. A waiting request counts from the last good answer if it was refuted. Probes of a failing suspect follow one another without rest.

--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -95,7 +95,13 @@
 		target.Advance(Peers{}, t0.Add(WindowLength))
 	}
 	assert.Equal(t, Healthy, target.State())
-	assert.Zero(t, WaitWeight(time.Hour, 1000, 1e-9, refutingGoods))
+
+	later := t0.Add(time.Minute)
+	assert.Equal(t, t0, target.WaitingSince(t0, refutingGoods-1))
+	for range refutingGoods {
+		target.Observe(Good, later)
+	}
+	assert.Equal(t, later, target.WaitingSince(t0, 0), "a request that hears nothing, sent before")
 }
 
 // Guards against a straggler among the trials that counts as a relapse.
@@ -171,7 +177,7 @@
 func TestWaitingRequests(t *testing.T) {
 	silent := func() *Target {
 		target := &Target{}
-		target.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 40, 1e-5, 0)}, {t0, WaitWeight(time.Second, 40, 1e-5, 0)}, {t0, WaitWeight(time.Second, 40, 1e-5, 0)}}, t0)
+		target.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}}, t0)
 		return target
 	}
 	assert.True(t, silent().Condemned())
@@ -185,12 +191,12 @@
 	assert.Zero(t, all.Score())
 
 	stragglers := &Target{}
-	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003, 0)}, {t0, WaitWeight(time.Second, 20, 0.003, 0)}}, t0)
+	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003)}, {t0, WaitWeight(time.Second, 20, 0.003)}}, t0)
 	assert.False(t, stragglers.Condemned())
 	assert.Equal(t, Suspect, stragglers.State())
 	paused := &Target{}
-	early := WaitWeight(pauseTime-1, 1000, 1e-9, 0)
+	early := WaitWeight(pauseTime-1, 1000, 1e-9)
 	paused.SetWaiting([]Wait{{t0, early}, {t0, early}, {t0, early}}, t0)
 	assert.False(t, paused.Condemned())
-	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5, 0))
+	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5))
 }
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -82,12 +82,8 @@
 
 // WaitWeight returns the evidence of a request that has heard nothing for the
 // time, which is the ratio of its expected time, given the probability that a
-// request on a healthy target takes that long, and the number of good answers
-// to other requests since it was sent.
-func WaitWeight(waited time.Duration, ratio, beyond float64, goods int) float64 {
-	if goods >= refutingGoods {
-		return 0
-	}
+// request on a healthy target takes that long.
+func WaitWeight(waited time.Duration, ratio, beyond float64) float64 {
 	if waited >= silenceTime && ratio >= silenceRatio {
 		return maxWaitWeight
 	}
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -63,7 +63,6 @@
 	}
 	switch {
 	case e == Good && t.reason == Failed:
-		t.nextProbe = now.Add(probeRest)
 		t.score = clampScore(t.score - weakProbeWeight)
 	case e == Good:
 		t.nextProbe = now.Add(probeRest)
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -56,6 +56,7 @@
 	level    float64 // moving median of ln(service time by expected time)
 	samples  int
 	goods    int       // good answers to requests
+	goodAt   time.Time // last one
 	heard    time.Time // last answer to a request or probe, good or bad
 	answered bool      // the last evidence was an answer
 
@@ -161,6 +162,16 @@
 // Goods returns the number of good answers so far.
 func (t *Target) Goods() int { return t.goods }
 
+// WaitingSince returns the time from which a request that has heard nothing
+// says something about the target: when it was sent, or the last good answer if
+// the target gave several since the given number.
+func (t *Target) WaitingSince(sent time.Time, goodsBefore int) time.Time {
+	if t.goods-goodsBefore < refutingGoods {
+		return sent
+	}
+	return t.goodAt
+}
+
 // ObserveSlow is Observe for a slow request, during which the target gave good
 // answers to others. Slow requests end after the good ones that were sent with
 // them, so that a few stragglers at once would look like a row of bad requests.
@@ -194,6 +205,7 @@
 	if e == Good {
 		value = 0
 		t.goods++
+		t.goodAt = now
 	}
 	t.badRate += (value - t.badRate) * max(weight, 1/float64(t.samples))
 	t.answered = isAnswer(e)
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -75,8 +75,8 @@
 	}
 	before := t.health.State()
 	switch {
-	case counts && (o.Kind == Timeout || o.Kind == Canceled):
-		t.health.Unanswered(s.waitWeight(a, o.ServiceTime), now)
+	case counts && evidence == health.Unreachable && o.Kind != ConnectFailed:
+		t.health.Unanswered(s.waitWeight(a, now), now)
 	case counts && evidence == health.Slow:
 		t.health.ObserveSlow(t.health.Goods()-a.goods, now)
 	case counts:
@@ -88,27 +88,40 @@
 	s.noteChange(t, before)
 }
 
-// waitWeight returns the evidence of an attempt that has heard nothing for the
-// time.
-func (s *Service) waitWeight(a *attempt, waited time.Duration) float64 {
+// waitWeight returns the evidence of an attempt that has heard nothing.
+func (s *Service) waitWeight(a *attempt, now time.Time) float64 {
+	waited := now.Sub(a.target.health.WaitingSince(a.started, a.goods)) - a.stopped
 	ratio := waited.Seconds() / (a.size.Typical.Seconds() * max(a.target.health.Peers().Level, 1))
-	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio), a.target.health.Goods()-a.goods)
+	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio))
+}
+
+// slowAfter returns the service time from which the attempt is slow.
+func (a *attempt) slowAfter() time.Duration {
+	return health.SlowAfter(a.size.Typical, a.target.health.Peers())
 }
 
 // evidence returns what the outcome says, and whether it counts. What went
 // wrong on another target before is the doing of the request.
 func (s *Service) evidence(a *attempt, o Outcome) (evidence health.Evidence, counts bool) {
-	slow := o.ServiceTime > health.SlowAfter(a.size.Typical, a.target.health.Peers())
+	slow := o.ServiceTime > a.slowAfter()
 	t := a.ticket
 	switch o.Kind {
 	case OK:
 		if !slow {
+			t.won = true
 			return health.Good, true
 		}
 		counts = a.overdue || !t.slow
 		t.slow = true
 		return health.Slow, counts
-	case Timeout, Canceled:
+	case Canceled:
+		if t.won && o.ServiceTime > a.slowAfter()/2 {
+			return health.Slow, true // the same request was quick on another target
+		}
+		counts = slow && (a.overdue || !t.slow)
+		t.slow = t.slow || slow
+		return health.Unreachable, counts
+	case Timeout:
 		counts = slow && (a.overdue || !t.slow)
 		t.slow = t.slow || slow
 		return health.Unreachable, counts
@@ -153,12 +166,12 @@
 			a.stopped += stopped
 		}
 		age := now.Sub(a.started) - a.stopped
-		if a.trial || age <= health.SlowAfter(a.size.Typical, a.target.health.Peers()) {
+		if a.trial || age <= a.slowAfter() {
 			continue
 		}
 		s.markOverdue(a)
 		if a.overdue {
-			wait := health.Wait{Since: a.started, Weight: s.waitWeight(a, age)}
+			wait := health.Wait{Since: a.started, Weight: s.waitWeight(a, now)}
 			waits[a.target] = append(waits[a.target], wait)
 		}
 	}
--- a/internal/owner/ticket.go
+++ b/internal/owner/ticket.go
@@ -21,6 +21,7 @@
 	open   bool     // more grants may come
 	tried  []string // addresses
 	live   int      // attempts in flight
+	won    bool     // an attempt had a quick answer
 	slow   bool     // an attempt was slow on some target
 	failed bool     // an attempt failed on some target
 	err    *fault.Error
