--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -159,11 +159,12 @@
 // judgeWaiting takes in what attempts in flight say by hearing nothing. Time in
 // which the owner itself was stopped does not count.
 func (s *Service) judgeWaiting(now time.Time) {
-	stopped := now.Sub(s.tickedAt) - 2*TickInterval
+	gap := now.Sub(s.tickedAt)
+	stopped := !s.tickedAt.IsZero() && gap > 2*TickInterval
 	waits := map[*target][]health.Wait{}
 	for _, a := range s.attempts {
-		if stopped > 0 && !s.tickedAt.IsZero() && a.started.Before(now.Add(-stopped)) {
-			a.stopped += stopped
+		if stopped {
+			a.stopped += min(gap, now.Sub(a.started))
 		}
 		age := now.Sub(a.started) - a.stopped
 		if a.trial || age <= a.slowAfter() {
--- a/tools/bench/run.go
+++ b/tools/bench/run.go
@@ -83,7 +83,7 @@
 		}
 		for _, s := range services {
 			for _, name := range policies {
-				addCrest(p, &r, virtual.Run, s, name)
+				addCrest(p, &r, virtual.Run, s, name, 4)
 			}
 			for _, name := range policies {
 				addBlocking(p, &r, virtual.Run, s, 40*time.Second, name)
@@ -117,7 +117,7 @@
 	for _, names := range [][]string{policies[:3], policies[3:]} {
 		group(func(p *pool) {
 			for _, name := range names {
-				addCrest(p, &r, loopback.Run, s, name)
+				addCrest(p, &r, loopback.Run, s, name, 1)
 			}
 		})
 	}
@@ -144,9 +144,9 @@
 	})
 }
 
-func addCrest(p *pool, r *Results, engine scenario.Engine, s service, name string) {
+func addCrest(p *pool, r *Results, engine scenario.Engine, s service, name string, seeds uint64) {
 	collect(p, &r.Crests, func() scenario.Crest {
-		return scenario.RunCrest(engine, s.spec, s.short, s.idempotent, name, 1)
+		return scenario.RunCrest(engine, s.spec, s.short, s.idempotent, name, seeds)
 	})
 }
 
--- a/tools/bench/scenario/crest.go
+++ b/tools/bench/scenario/crest.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -32,8 +33,17 @@
 	crestHigh     = 2
 )
 
-// RunCrest measures the crest.
-func RunCrest(engine Engine, spec fleet.Spec, short time.Duration, idempotent float64, name string, seed uint64) Crest {
+// tally sums up the requests that arrived during the crests of several runs.
+type tally struct {
+	offered, served, due          map[string]float64 // slot time in seconds by plan
+	capacity                      float64            // slot time of the healthy slots in seconds
+	all, inTime, refusals, prompt int
+	failed                        int
+}
+
+// RunCrest measures the crest, summed up over the seeds: one run of 10 s has
+// only a few stragglers of a small plan, each as long as 20 requests.
+func RunCrest(engine Engine, spec fleet.Spec, short time.Duration, idempotent float64, name string, seeds uint64) Crest {
 	m := mix(short, idempotent, 0.01)
 	var faults fleet.Faults
 	broken := spec.Targets / 3
@@ -41,55 +51,63 @@
 	for i := range broken {
 		faults = append(faults, fleet.Fault{Target: i * 3, Kind: kinds[i%2], From: crestFaultsAt, To: time.Hour})
 	}
-	length := crestAt + crestLength + crestTail
 	swing := fleet.Swing(crestLow, crestHigh, crestAt, crestLength)
-	load := fleet.NewGenerator(spec, m, swing, length, seed)
-	record := engine(spec, faults, load, Policies()[name](), seed)
-	c := Crest{Service: spec.Name, Policy: name}
 	healthy := float64((spec.Targets - broken) * spec.Slots)
-	c.measure(record, healthy, func(at time.Duration) float64 { return swing(at) * float64(spec.Targets*spec.Slots) })
-	return c
+	work := func(at time.Duration) float64 { return swing(at) * float64(spec.Targets*spec.Slots) }
+	t := tally{offered: map[string]float64{}, served: map[string]float64{}, due: map[string]float64{}}
+	for seed := range seeds {
+		load := fleet.NewGenerator(spec, m, swing, crestAt+crestLength+crestTail, seed+1)
+		t.add(engine(spec, faults, load, Policies()[name](), seed+1))
+		t.capacity += healthy * crestLength.Seconds()
+		for plan, due := range crestDues(healthy, work) {
+			t.due[plan] += due
+		}
+	}
+	return t.crest(spec.Name, name)
 }
 
-// measure takes the figures from the requests that arrived during the crest,
-// given the healthy slots and the slots that the offered work would keep busy.
-func (c *Crest) measure(record *fleet.Record, healthy float64, work func(time.Duration) float64) {
-	offered := map[string]float64{}
-	served := map[string]float64{}
-	all, inTime, quick := 0, 0, 0
-	total := 0.0
+func (t *tally) add(record *fleet.Record) {
 	for q, e := range record.Entries {
 		if q.Offset < crestAt || q.Offset >= crestAt+crestLength {
 			continue
 		}
-		all++
-		offered[q.Plan] += q.Size.Seconds()
+		t.all++
+		t.offered[q.Plan] += q.Size.Seconds()
 		switch e.Result {
 		case fleet.InTime:
-			inTime++
-			served[q.Plan] += q.Size.Seconds()
-			total += q.Size.Seconds()
+			t.inTime++
+			t.served[q.Plan] += q.Size.Seconds()
 		case fleet.Refused:
-			c.Refusals++
+			t.refusals++
 			if e.Took <= quickRefusal {
-				quick++
+				t.prompt++
 			}
 		default:
-			c.Failed++
+			t.failed++
 		}
 	}
-	c.OfCapacity = total / (healthy * crestLength.Seconds())
-	c.InTime = float64(inTime) / float64(max(all, 1))
-	c.RefusedQuickly = 1
-	if c.Refusals > 0 {
-		c.RefusedQuickly = float64(quick) / float64(c.Refusals)
+}
+
+func (t *tally) crest(service, policy string) Crest {
+	c := Crest{
+		Service:        service,
+		Policy:         policy,
+		InTime:         float64(t.inTime) / float64(max(t.all, 1)),
+		PlanOfDue:      map[string]float64{},
+		WorstPlan:      math.Inf(1),
+		RefusedQuickly: 1,
+		Refusals:       t.refusals,
+		Failed:         t.failed,
 	}
-	c.PlanOfDue = map[string]float64{}
-	c.WorstPlan = 10
-	for plan, due := range crestDues(healthy, work) {
-		c.PlanOfDue[plan] = served[plan] / min(due, offered[plan])
+	if t.refusals > 0 {
+		c.RefusedQuickly = float64(t.prompt) / float64(t.refusals)
+	}
+	for plan, due := range t.due {
+		c.OfCapacity += t.served[plan] / t.capacity
+		c.PlanOfDue[plan] = t.served[plan] / min(due, t.offered[plan])
 		c.WorstPlan = min(c.WorstPlan, c.PlanOfDue[plan])
 	}
+	return c
 }
 
 // crestDues returns the slot time in seconds that each plan is due over the
