--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/health"
@@ -162,7 +164,8 @@
 	gap := now.Sub(s.tickedAt)
 	stopped := !s.tickedAt.IsZero() && gap > 2*TickInterval
 	waits := map[*target][]health.Wait{}
-	for _, a := range s.attempts {
+	for _, id := range s.attemptIDs() {
+		a := s.attempts[id]
 		if stopped {
 			a.stopped += min(gap, now.Sub(a.started))
 		}
@@ -184,6 +187,11 @@
 	}
 }
 
+// attemptIDs returns the attempts in flight, oldest first.
+func (s *Service) attemptIDs() []uint64 {
+	return slices.Sorted(maps.Keys(s.attempts))
+}
+
 // markOverdue makes the attempt count as long work, and as evidence unless the
 // request was slow on another target before.
 func (s *Service) markOverdue(a *attempt) {
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/health"
@@ -146,7 +148,8 @@
 
 // expireProbes drops probes whose result never came.
 func (s *Service) expireProbes(now time.Time) {
-	for id, p := range s.probes {
+	for _, id := range slices.Sorted(maps.Keys(s.probes)) {
+		p := s.probes[id]
 		if now.Before(p.lostFrom) {
 			continue
 		}
--- a/tools/bench/policy/owner.go
+++ b/tools/bench/policy/owner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/owner"
@@ -229,7 +231,8 @@
 }
 
 func (p *Owner) cancelAttempts(c *call, kind owner.OutcomeKind) {
-	for id, s := range c.attempts {
+	for _, id := range slices.Sorted(maps.Keys(c.attempts)) {
+		s := c.attempts[id]
 		s.cancel()
 		delete(c.attempts, id)
 		p.service.Done(s.grant, owner.Outcome{Kind: kind, BytesSent: true})
