Harden forwarding, announcements and the entry's command line

Cause: a wrong flag of a subcommand ended with exit code 1; a record that the owner rejected was reported as accepted; a request could meet one dead idle connection after the other; bytes of chunked bodies across regions were not counted; User-Agent was added on the way.

Standby aggregates are told that they are passive. localfleet.Start ends what it started after an error.

--- a/cmd/sequoialane-entry/main.go
+++ b/cmd/sequoialane-entry/main.go
@@ -44,13 +44,12 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
+		OnUsageError:   wrongUse,
+		Action:         refuseArguments,
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve until SIGTERM", Flags: settingsFlag(), Action: run},
-			{Name: "check-settings", Usage: "check the settings and the files they name", Flags: settingsFlag(), Action: checkSettings},
-			{Name: "print-defaults", Usage: "print the default settings", Action: printDefaults},
+			{Name: "run", Usage: "serve until SIGTERM", Flags: settingsFlag(), OnUsageError: wrongUse, Action: run},
+			{Name: "check-settings", Usage: "check the settings and the files they name", Flags: settingsFlag(), OnUsageError: wrongUse, Action: checkSettings},
+			{Name: "print-defaults", Usage: "print the default settings", OnUsageError: wrongUse, Action: printDefaults},
 		},
 	}
 	err := root.Run(ctx, args)
@@ -68,6 +67,16 @@
 
 type usageError struct{ error }
 
+func wrongUse(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} }
+
+// refuseArguments reports a command that does not exist.
+func refuseArguments(_ context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return usageError{errors.New("unknown command " + command.Args().First())}
+	}
+	return cli.ShowRootCommandHelp(command)
+}
+
 func settingsFlag() []cli.Flag {
 	return []cli.Flag{&cli.StringFlag{Name: flagSettings, Aliases: []string{"s"}, Usage: "JSON settings `FILE`"}}
 }
--- a/internal/announce/handler.go
+++ b/internal/announce/handler.go
@@ -142,8 +142,10 @@
 
 func (s *Service) reply(ranked []membership.Member, results []upstream.ApplyResult) (Reply, error) {
 	reply := Reply{LeaseMS: LeaseTime.Milliseconds()}
+	rejected := false
 	for i, result := range results {
-		if result == "" {
+		if result == "" || result == upstream.Rejected {
+			rejected = rejected || result == upstream.Rejected
 			continue
 		}
 		reply.Owners = append(reply.Owners, ranked[i].CallerAddress)
@@ -151,6 +153,9 @@
 			reply.Result = result
 		}
 	}
+	if reply.Result == "" && rejected {
+		return Reply{}, fault.New(fault.BadRequest, "the owner of the service rejected the record")
+	}
 	switch reply.Result {
 	case "":
 		return Reply{}, fault.New(fault.OwnerUnreachable, "no owner of the service accepted the record").WithRetryAfter(time.Second)
--- a/internal/announce/handler_test.go
+++ b/internal/announce/handler_test.go
@@ -23,6 +23,7 @@
 type fakeOwners struct {
 	ranked  []membership.Member
 	down    map[string]bool
+	result  upstream.ApplyResult // of entries other than this one; default renewed
 	reached []string
 }
 
@@ -35,6 +36,9 @@
 		return "", errors.New("unreachable")
 	}
 	f.reached = append(f.reached, peer.Name)
+	if f.result != "" {
+		return f.result, nil
+	}
 	return upstream.Renewed, nil
 }
 
@@ -110,3 +114,10 @@
 		})
 	}
 }
+
+// Guards against a record that the owner rejected being reported as accepted.
+func TestHandlerReportsRejection(t *testing.T) {
+	owners := &fakeOwners{ranked: []membership.Member{{Name: "b"}}, result: upstream.Rejected}
+	s := &Service{Self: "a", Ranker: owners, Local: owners, Forward: owners}
+	assert.Equal(t, fault.BadRequest, fault.Decode(post(s.Handler(), good).Body.Bytes()).Kind)
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/sequoialane/sequoialane/internal/fault"
@@ -77,8 +78,8 @@
 		end()
 		return nil, nil, &hopError{reason: err, sent: true, reach: true}, got.reused
 	}
-	if to.Region != e.self.Region && got.response.ContentLength > 0 {
-		crossedReceived.AddInt64(got.response.ContentLength)
+	if answer != nil && to.Region != e.self.Region {
+		answer.Body = countedReader{answer.Body, crossedReceived}
 	}
 	return answer, refused, nil, got.reused
 }
@@ -86,6 +87,9 @@
 func (e *Entry) peerRequest(ctx context.Context, to membership.Member, q *request, m mode, target string) *http.Request {
 	h := q.peerHeader(m, target, e.clock.Now())
 	h.Set("Authorization", "Bearer "+e.token)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil // keeps net/http from adding its own
+	}
 	telemetry.Inject(ctx, h)
 	escaped := peerRequestPath + q.service + q.path
 	plain, err := url.PathUnescape(escaped)
@@ -99,16 +103,29 @@
 		Header: h,
 		Body:   http.NoBody,
 	}
-	if length := q.body.length; length != 0 {
-		r.Body = io.NopCloser(q.body.reader())
-		r.ContentLength = length
-		if to.Region != e.self.Region && length > 0 {
-			crossedSent.AddInt64(length)
+	if q.body.length != 0 {
+		content := q.body.reader()
+		if to.Region != e.self.Region {
+			content = countedReader{content, crossedSent}
 		}
+		r.Body = io.NopCloser(content)
+		r.ContentLength = q.body.length
 	}
 	return r
 }
 
+// countedReader counts the bytes that pass between regions, which are billed.
+type countedReader struct {
+	source io.Reader
+	count  *metrics.Counter
+}
+
+func (c countedReader) Read(b []byte) (int, error) {
+	n, err := c.source.Read(b)
+	c.count.Add(n)
+	return n, err
+}
+
 // readAnswer turns a peer's response into an answer or a refusal. An error
 // means that no whole answer to this request came.
 func (e *Entry) readAnswer(response *http.Response, q *request, end func()) (*Answer, *refusal, error) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -77,6 +77,7 @@
 	now := e.clock.Now()
 	for _, s := range e.services.list() {
 		inform, records := s.rank(e.self.Name, e.ranker.Rank(s.name, e.self.Region), now)
+		s.service.SetActive(s.isFirst())
 		for _, m := range inform {
 			e.pool.Submit(func(ctx context.Context) { e.handOver(ctx, m, records) })
 		}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -162,9 +162,10 @@
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errNoAck) || errors.Is(cause, errSilent) {
 		result.err = cause
-		p.renew(transport)
 		countSilence(result.reused)
 	}
+	// Further idle connections are likely to fail in the same way.
+	p.renew(transport)
 	cancel(nil)
 	result.sent = connected.Load()
 	return result
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -16,6 +16,7 @@
 // Times of the service table.
 const (
 	unrankedTime = time.Minute // a service is dropped if this entry ranks neither first nor second for this long
+	maxServices  = 10_000      // bounds what announcements of made-up services can hold
 	recordTime   = upstream.Lease + upstream.MassExpiryTime
 )
 
@@ -71,9 +72,15 @@
 	if a.Region != s.region {
 		return upstream.Rejected
 	}
-	return s.open(a.Service).announce(a, s.clock.Now())
+	known := s.open(a.Service)
+	if known == nil {
+		return upstream.Rejected
+	}
+	return known.announce(a, s.clock.Now())
 }
 
+// open returns the slot of a service and makes it if need be. It returns nil
+// if there are too many.
 func (s *services) open(name string) *slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +88,9 @@
 	if known != nil {
 		return known
 	}
+	if len(s.byName) >= maxServices {
+		return nil
+	}
 	known = &slot{
 		name: name,
 		service: owner.New(owner.Config{
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -54,13 +54,13 @@
 	starting, stop := context.WithTimeout(ctx, startLimit)
 	defer stop()
 	f, err := localfleet.Start(starting, o)
+	require.NoError(t, err)
 	t.Cleanup(func() {
 		f.Close()
 		if t.Failed() {
 			showLogs(t, f)
 		}
 	})
-	require.NoError(t, err)
 	entitle(t, ctx, f, "council")
 	return f, ctx
 }
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -64,9 +64,18 @@
 	Settings *entry.Settings
 }
 
-// Start starts control members and entries and waits until all are ready. The
-// fleet must be closed, also after an error.
+// Start starts control members and entries and waits until all are ready.
+// After an error, all that was started has ended.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
+	f, err := start(ctx, o)
+	if err != nil {
+		f.Close()
+		return nil, trace.Wrap(err)
+	}
+	return f, nil
+}
+
+func start(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{options: o, client: &http.Client{Timeout: requestTimeout}}
 	if len(f.options.Regions) == 0 {
 		f.options.Regions = []string{"north"}
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -45,10 +45,10 @@
 	fleet, err := localfleet.Start(ctx, localfleet.Options{
 		BinDir: c.String("bin"), WorkDir: workDir, Controls: 3, Entries: 4, TimeToLive: 2 * time.Second,
 	})
-	defer fleet.Close()
 	if err != nil {
 		return trace.Wrap(err, "settings and logs are in %s", workDir)
 	}
+	defer fleet.Close()
 	s := &scenario{fleet: fleet, started: time.Now()}
 	s.note("3 control members and 4 entries are ready")
 	if err := s.play(ctx); err != nil {
