Keep the catalog copy in the data folder; restart without disk in the process test

Cause: the follower can keep its copy on disk now, and the process test for control away must not be served from it.

--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -17,6 +17,7 @@
 	"github.com/sequoialane/sequoialane/internal/catalogfeed"
 	"github.com/sequoialane/sequoialane/internal/claims"
 	"github.com/sequoialane/sequoialane/internal/configsync"
+	"github.com/sequoialane/sequoialane/internal/disk"
 	"github.com/sequoialane/sequoialane/internal/dispatch"
 	"github.com/sequoialane/sequoialane/internal/entry"
 	"github.com/sequoialane/sequoialane/internal/httpserver"
@@ -140,7 +141,12 @@
 	if l.settings.DataFolder == "" {
 		return configsync.New(options), nil
 	}
-	return openFollower(options, l.settings.DataFolder)
+	dir, err := disk.Open(l.settings.DataFolder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	options.Dir = dir
+	return configsync.New(options), nil
 }
 
 func followedPeers(table *membership.Table) []configsync.Peer {
--- a/internal/announce/handler_test.go
+++ b/internal/announce/handler_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -24,6 +25,7 @@
 	ranked  []membership.Member
 	down    map[string]bool
 	result  upstream.ApplyResult // of entries other than this one; default renewed
+	mu      sync.Mutex
 	reached []string
 }
 
@@ -35,7 +37,9 @@
 	if f.down[peer.Name] {
 		return "", errors.New("unreachable")
 	}
+	f.mu.Lock()
 	f.reached = append(f.reached, peer.Name)
+	f.mu.Unlock()
 	if f.result != "" {
 		return f.result, nil
 	}
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoialane/sequoialane/internal/entry"
 	"github.com/sequoialane/sequoialane/internal/localfleet"
 )
 
@@ -107,7 +108,8 @@
 // Guards against the fleet depending on control: entries must serve, and be
 // able to restart from each other, while all of control is away.
 func TestControlAwayWhileEntryRestarts(t *testing.T) {
-	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
+	noDisk := func(s *entry.Settings) { s.DataFolder = "" }
+	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4, Adjust: noDisk})
 	startUpstreams(t, ctx, f, 4)
 	load := disturb(t, ctx, f, 10*time.Second, func() {
 		for _, c := range f.Controls {
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -232,11 +232,15 @@
 	s.Name = fmt.Sprintf("entry-%d", i)
 	s.Region = region
 	s.DataCentre = region + []string{"-a", "-b"}[i/len(f.options.Regions)%2]
+	s.DataFolder = f.path(s.Name + ".data")
 	s.FleetTokenFile = f.path("fleet.token")
 	s.UpstreamTokenFile = f.path("upstream.token")
 	s.OperatorTokenFile = f.path("operator.token")
 	s.TimeToLive = settings.Duration(f.options.TimeToLive)
 	s.ClockError = settings.Duration(clockError)
+	if err := os.MkdirAll(s.DataFolder, 0o755); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
 	for _, c := range f.Controls {
 		self, _ := c.Settings.Self()
 		s.Control = append(s.Control, configsync.ControlMember{Name: self.Name, Region: self.Region, Address: self.APIAddress})
