--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,11 @@
 # Runs a small fleet on loopback, disturbs it and prints what callers saw.
 demo: build
 	./bin/demo --bin bin
+
+# Measures the owner aggregate against baselines; writes bench-out/bench.json.
+bench:
+	$(GO) run ./tools/bench
+
+# Compares the last report of the bench with the targets of the design.
+bench-check:
+	$(GO) run ./tools/bench check
