--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -144,3 +144,29 @@
 	assertOnly(t, summary, nil)
 	require.Error(t, f.Known(f.Upstreams[0]), "the owner has forgotten it")
 }
+
+// Guards against half broken upstreams giving callers an answer that is wrong,
+// of another request or incomplete, or running a key twice.
+func TestGrayUpstreams(t *testing.T) {
+	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
+	startUpstreams(t, ctx, f, 9)
+	gray := []string{`{"mode":"crossed"}`, `{"mode":"doubled"}`, `{"mode":"truncated","share":0.5}`, `{"mode":"silent"}`}
+	load := disturb(t, ctx, f, 8*time.Second, func() {
+		for i, mode := range gray {
+			require.NoError(t, f.SetMode(f.Upstreams[i], mode))
+		}
+	})
+	summary, err := load.Finish(ctx)
+	require.NoError(t, err)
+	for _, s := range summary.Streams {
+		t.Log(s.Name, s.Outcomes, s.Latency, s.Details)
+		for _, wrong := range []string{"wrong_id", "wrong_digest", "wrong_body", "broken"} {
+			assert.Zero(t, s.Outcomes[wrong], "%s: %s", s.Name, wrong)
+		}
+	}
+	assert.Equal(t, summary.Streams[0].Sent, summary.Streams[0].Outcomes["ok"], "lookups")
+	for i := range gray {
+		require.NoError(t, f.SetMode(f.Upstreams[i], `{"mode":"normal"}`))
+	}
+	assertKeysRanOnce(t, f, load)
+}
--- a/tools/upstream/target.go
+++ b/tools/upstream/target.go
@@ -213,6 +213,7 @@
 	case modeTruncated:
 		w.WriteHeader(status)
 		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case modeDoubled:
 		writeTwice(w, status, body)
