Wait for the news of draining to spread; keep the member list for address answers

Cause: other entries name a draining entry until they hear of it, with a whole time to live; and each address answer copied and sorted the whole member table.

Change: a draining entry serves for the time to live plus 1 s, and tells 64 members at once instead of 8. The member list is kept while its epoch stays the same, for 1 s at most.

--- a/internal/address/answer_test.go
+++ b/internal/address/answer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/ownership"
+	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
 func fleet() []membership.Member {
@@ -79,12 +80,38 @@
 	assert.Equal(t, 1, weight(1e9))
 }
 
-type fixedMembers []membership.Member
+type fakeMembers struct {
+	list  []membership.Member
+	epoch uint64
+}
+
+func (f *fakeMembers) Members() []membership.Member { return f.list }
+func (f *fakeMembers) Epoch() uint64                { return f.epoch }
 
-func (f fixedMembers) Members() []membership.Member { return f }
+// Guards against an entry that drains being listed because of a kept copy.
+func TestHandlerFollowsTheEpoch(t *testing.T) {
+	source := &fakeMembers{list: fleet()}
+	clock := sys.NewManualClock(time.Unix(0, 0))
+	h := Handler(source, clock, "south", DefaultTimeToLive)
+	listed := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+"?service=consents", nil))
+		var answer Answer
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &answer))
+		return len(answer.Addresses)
+	}
+	require.Equal(t, 2, listed())
+	source.list = source.list[:11]
+	assert.Equal(t, 2, listed(), "kept for a while")
+	source.epoch++
+	assert.Equal(t, 1, listed())
+	source.list = fleet()
+	clock.Advance(2 * maxListAge)
+	assert.Equal(t, 2, listed())
+}
 
 func TestHandler(t *testing.T) {
-	h := Handler(fixedMembers(fleet()), "south", DefaultTimeToLive)
+	h := Handler(&fakeMembers{list: fleet()}, sys.RealClock{}, "south", DefaultTimeToLive)
 	cases := []struct {
 		desc, query string
 		status      int
--- a/internal/address/handler.go
+++ b/internal/address/handler.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -10,6 +11,7 @@
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/plan"
+	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
 // Path is the path of address answers on the caller port.
@@ -17,14 +19,42 @@
 
 var answers = metrics.NewCounter(`sequoialane_address_answers_total`)
 
-// Members lists the members of the fleet.
+// Members lists the members of the fleet. The epoch rises when one of them
+// becomes usable or stops being so.
 type Members interface {
 	Members() []membership.Member
+	Epoch() uint64
+}
+
+// maxListAge bounds the age of the loads that answers are made from.
+const maxListAge = time.Second
+
+// memberList keeps a copy of the member table, which is large, while its epoch
+// stays the same.
+type memberList struct {
+	source Members
+	clock  sys.Clock
+
+	mu    sync.Mutex
+	epoch uint64
+	at    time.Time
+	list  []membership.Member
+}
+
+func (m *memberList) current() []membership.Member {
+	epoch, now := m.source.Epoch(), m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.list == nil || epoch != m.epoch || now.Sub(m.at) > maxListAge {
+		m.list, m.epoch, m.at = m.source.Members(), epoch, now
+	}
+	return m.list
 }
 
 // Handler answers GET /v1/addresses?service=S&region=R. The home region is the
 // region of this entry, used if the query names none.
-func Handler(members Members, homeRegion string, ttl time.Duration) http.Handler {
+func Handler(members Members, clock sys.Clock, homeRegion string, ttl time.Duration) http.Handler {
+	list := &memberList{source: members, clock: clock}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		service := r.URL.Query().Get("service")
 		region := r.URL.Query().Get("region")
@@ -36,7 +66,7 @@
 			return
 		}
 		answers.Inc()
-		encoded, err := json.Marshal(Build(members.Members(), service, region, ttl))
+		encoded, err := json.Marshal(Build(list.current(), service, region, ttl))
 		if err != nil {
 			fault.Write(w, "", fault.From(err))
 			return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,15 +125,19 @@
 	Drain(ctx context.Context) error
 }
 
+// spreadTime is how long the news that an entry drains may take to reach the
+// other entries, which name it in address answers until then.
+const spreadTime = time.Second
+
 // Shutdown leaves the fleet without cutting a request: it announces draining,
-// serves for the time to live of address answers, waits for requests in flight
+// serves until address answers that name it have ended, waits for requests in flight
 // until ctx ends, and leaves the membership.
 func (e *Entry) Shutdown(ctx context.Context, callers, peerServer Servers, running Drainer) error {
 	e.log.Info("draining")
 	e.gossip.Send(e.table.Drain())
 	callers.Drain()
 	peerServer.Drain()
-	if err := e.clock.Sleep(ctx, e.ttl); err != nil {
+	if err := e.clock.Sleep(ctx, e.ttl+spreadTime); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := callers.Shutdown(ctx); err != nil {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -19,7 +19,7 @@
 func (e *Entry) callerRoutes() http.Handler {
 	announcements := e.announcements()
 	mux := http.NewServeMux()
-	mux.Handle("GET "+address.Path, address.Handler(e.table, e.self.Region, e.ttl))
+	mux.Handle("GET "+address.Path, address.Handler(e.table, e.clock, e.self.Region, e.ttl))
 	mux.Handle("POST "+announce.Path, requireToken(e.tokens.Upstream, announcements.Handler()))
 	mux.Handle("GET /admin/v1/members", requireToken(e.tokens.Operator, http.HandlerFunc(e.serveMembers)))
 	mux.Handle("GET /admin/v1/upstreams", requireToken(e.tokens.Operator, http.HandlerFunc(e.serveUpstreams)))
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/entry"
 	"github.com/sequoialane/sequoialane/internal/localfleet"
+	"github.com/sequoialane/sequoialane/internal/settings"
 )
 
 // disturb runs a load of the given length and calls fault after two seconds.
@@ -84,7 +85,11 @@
 func TestRollingRestart(t *testing.T) {
 	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
 	startUpstreams(t, ctx, f, 4)
-	load, err := f.StartLoad("load", mixedLoad(60*time.Second, 60))
+	cfg := mixedLoad(60*time.Second, 60)
+	long := cfg.Streams[1]
+	long.Name, long.Rate, long.Work, long.Timeout = "long consents", 1, settings.Duration(3*time.Second), settings.Duration(20*time.Second)
+	cfg.Streams = append(cfg.Streams, long)
+	load, err := f.StartLoad("load", cfg)
 	require.NoError(t, err)
 	time.Sleep(time.Second)
 	for _, e := range f.Entries {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,7 +19,7 @@
 	reconnectEvery = 10 * time.Second // a dead member is probed this often, so that healed partitions merge
 	quietCentre    = 3 * time.Second  // a data centre not heard for this long is probed next
 	indirectProbes = 3
-	urgentTargets  = 8 // members told at once of a change of this member
+	urgentTargets  = 64 // members told at once of a change of this member
 )
 
 // Packet is a datagram to send.
