Pass overflow with a body to other regions; let answers begin early

Cause: in a fleet of two regions with targets in one, 51 of 133 consents and 23 of 32 uploads got no_upstream. The owner without targets first offered the body to the second-ranked entry, which had none either, and could not pass the body on after that. And an answer that began before the end of an upload was held back until the sender had sent all of it.

Change: only an entry that started within the last lease time asks the second-ranked one. A peer's body of up to 64 KiB (with a key, 1 MiB) is buffered, so that a silent link between regions costs no request. Streams are full duplex.

Ruled out: Expect: 100-continue between entries, since its interim answer is written at the same time as the repeated acknowledgement.

Within the first 6 s after the start of an owner, uploads above 64 KiB to a region without targets are still refused.

Conclusion: tests of both fail without the change.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -30,6 +30,13 @@
 	failed   atomic.Pointer[fault.Error] // why the stream ended early
 }
 
+func bufferLimit(keyed bool) int64 {
+	if keyed {
+		return maxKeyedBody
+	}
+	return bufferedBody
+}
+
 // readBody reads the first part of the body.
 func readBody(w http.ResponseWriter, r *http.Request, keyed bool) (*body, *fault.Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
@@ -38,10 +45,7 @@
 	if r.ContentLength > maxStreamBody {
 		return nil, fault.New(fault.BodyTooLarge, "the body has more than 256 MiB")
 	}
-	limit := int64(bufferedBody)
-	if keyed {
-		limit = maxKeyedBody
-	}
+	limit := bufferLimit(keyed)
 	source := &pacedReader{source: http.MaxBytesReader(w, r.Body, maxStreamBody), control: http.NewResponseController(w)}
 	var first bytes.Buffer
 	if r.ContentLength > 0 {
@@ -54,12 +58,17 @@
 	b := &body{buffered: first.Bytes(), length: r.ContentLength}
 	if n > limit {
 		b.stream = source
+		allowDuplex(source.control)
 		return b, nil
 	}
 	b.length = n
 	return b, nil
 }
 
+// allowDuplex lets an answer begin while the body still arrives; net/http would
+// drop the rest of the body otherwise.
+func allowDuplex(control *http.ResponseController) { _ = control.EnableFullDuplex() }
+
 // replayable reports whether the body can still be sent from its start.
 func (b *body) replayable() bool { return b.stream == nil || !b.started.Load() }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 	inFlight atomic.Int64
 	ready    chan struct{}
 	readied  sync.Once
+	readyAt  atomic.Int64 // Unix nanoseconds
 }
 
 // New returns an entry. StartJobs starts its background jobs.
@@ -106,7 +107,12 @@
 // Ready is closed once the entry serves requests for the first time.
 func (e *Entry) Ready() <-chan struct{} { return e.ready }
 
-func (e *Entry) markReady() { e.readied.Do(func() { close(e.ready) }) }
+func (e *Entry) markReady() {
+	e.readied.Do(func() {
+		e.readyAt.Store(e.clock.Now().UnixNano())
+		close(e.ready)
+	})
+}
 
 func (e *Entry) random(n int) int { return rand.IntN(n) }
 
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -138,8 +139,14 @@
 func TestSpillOver(t *testing.T) {
 	c := newCluster(t, "north", "north", "south")
 	c.addTarget(t, "south", echo)
+	for _, n := range c.nodes {
+		n.readyAt.Store(time.Now().Add(-time.Minute).UnixNano())
+	}
 	for _, n := range c.nodes {
 		assert.Equal(t, "spilled", n.call(t, "PUT", "/s/consents/uploads", "spilled", nil).body)
+		large := strings.Repeat("u", 200_000)
+		g := n.call(t, "PUT", "/s/consents/uploads", large, nil)
+		assert.True(t, large == g.body, "streamed: %v", g.err)
 		key := newKey()
 		for range 2 {
 			assert.Equal(t, "keyed", n.call(t, "POST", "/s/consents/x", "keyed", map[string]string{headerKey: key}).body)
--- a/internal/entry/front_test.go
+++ b/internal/entry/front_test.go
@@ -17,7 +17,15 @@
 	"github.com/sequoialane/sequoialane/internal/fault"
 )
 
-func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+// echo answers with the body. It reads all of it first, since net/http drops
+// what is unread when the answer begins.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
 
 // Guards against bad input that gets no error of the closed list, a wrong
 // effect, or stops the process.
@@ -146,3 +154,34 @@
 	assert.Equal(t, fault.Unauthorized, peer.call(t, "GET", "/peer/v1/requests/consents/x", "", nil).err.Kind)
 	assert.Equal(t, fault.Unauthorized, peer.call(t, "POST", "/peer/v1/announcements", "{}", nil).err.Kind)
 }
+
+// Guards against an answer that begins before the end of the upload being held
+// back until the sender has sent all of it.
+func TestAnswerBeforeTheEndOfTheBody(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", func(w http.ResponseWriter, r *http.Request) {
+		assert.NoError(t, http.NewResponseController(w).EnableFullDuplex())
+		_, _ = io.WriteString(w, strings.Repeat("a", 4*maxBufferedAnswer))
+		n, err := io.Copy(io.Discard, r.Body)
+		fmt.Fprintf(w, "read %d %v", n, err)
+	})
+	for _, n := range c.ranked("north") {
+		sender, content := io.Pipe()
+		r, err := http.NewRequest(http.MethodPut, "http://"+n.callers.Address()+"/s/consents/uploads", sender)
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+testToken)
+		part := []byte(strings.Repeat("u", 2*bufferedBody))
+		go func() { _, _ = content.Write(part) }()
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		go func() {
+			_, _ = content.Write(part)
+			_ = content.Close()
+		}()
+		raw, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		assert.True(t, strings.HasSuffix(string(raw), fmt.Sprintf("aread %d <nil>", 2*len(part))), string(raw[max(0, len(raw)-50):]))
+	}
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -107,6 +107,7 @@
 			Tokens: Tokens{Fleet: "fleet", Upstream: "upstream", Operator: "operator"},
 			Clock:  sys.RealClock{}, Pool: n.pool, Log: zap.NewNop(), TimeToLive: time.Second, FloorPercent: 50, Version: "test",
 		})
+		n.markReady()
 		callers.handler, peers.handler = n.CallerHandler(), n.PeerHandler(nil)
 		n.callers.Start()
 		n.peerServer.Start()
--- a/internal/entry/peerapi.go
+++ b/internal/entry/peerapi.go
@@ -85,20 +85,31 @@
 	q.header.Del("Authorization")
 	removeConnectionHeaders(q.header)
 	removeFleetHeaders(q.header)
-	q.body = streamBody(w, r)
+	var err *fault.Error
+	if q.body, err = peerBody(w, r, q.keyed); err != nil {
+		return q, refuse(err)
+	}
 	return q, nil
 }
 
-// streamBody passes the body of a peer's request on without buffering it; the
-// entry that got it from the caller holds the part that can be sent again.
-func streamBody(w http.ResponseWriter, r *http.Request) *body {
+// peerBody buffers a body that is small enough to be sent again, and passes a
+// larger one on unread.
+func peerBody(w http.ResponseWriter, r *http.Request, keyed bool) (*body, *fault.Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return &body{}
+		return &body{}, nil
 	}
 	// The reader gets no ResponseWriter, since it would set a header while the
 	// heartbeat writes.
 	source := &pacedReader{source: http.MaxBytesReader(nil, r.Body, maxStreamBody), control: http.NewResponseController(w)}
-	return &body{stream: source, length: r.ContentLength}
+	if r.ContentLength < 0 || r.ContentLength > bufferLimit(keyed) {
+		allowDuplex(source.control)
+		return &body{stream: source, length: r.ContentLength}, nil
+	}
+	whole, err := io.ReadAll(source)
+	if err != nil {
+		return nil, bodyFault(err)
+	}
+	return &body{buffered: whole, length: r.ContentLength}, nil
 }
 
 // heartbeat acknowledges a peer's request at once, and again while it runs, so
--- a/internal/entry/runhere.go
+++ b/internal/entry/runhere.go
@@ -11,6 +11,7 @@
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/internal/upstream"
 )
 
 // spillPause is how long a region that refused overflow is left alone.
@@ -44,10 +45,12 @@
 }
 
 // askOther passes a request of another entry to the other entry that holds
-// target records, if this one has none yet, as just after its start. The sender
-// cannot do so itself once it has begun to stream the body.
+// target records, if this one may have none yet because it has just started.
+// The sender cannot do so itself once it has begun to stream the body. Later,
+// no records mean that the region has no targets, and a body that was offered
+// to the other entry could not be passed to another region.
 func (e *Entry) askOther(ctx context.Context, q *request) (*Answer, *refusal) {
-	if q.mode != modeRun {
+	if q.mode != modeRun || !e.justStarted() {
 		return nil, nil
 	}
 	ranked := e.ranker.Rank(q.service, e.self.Region)
@@ -67,6 +70,12 @@
 	return nil, nil
 }
 
+// justStarted reports whether announcements may still be on their way to this
+// entry.
+func (e *Entry) justStarted() bool {
+	return e.clock.Now().UnixNano()-e.readyAt.Load() < upstream.Lease.Nanoseconds()
+}
+
 // settled turns the result of dispatch into an answer.
 func (e *Entry) settled(q *request, result dispatch.Result) (*Answer, *refusal) {
 	if result.Err != nil {
