--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,7 @@
 	inFlight atomic.Int64
 	ready    chan struct{}
 	readied  sync.Once
+	readyAt  atomic.Int64 // Unix nanoseconds
 }
 
 // New returns an entry. StartJobs starts its background jobs.
@@ -106,7 +107,12 @@
 // Ready is closed once the entry serves requests for the first time.
 func (e *Entry) Ready() <-chan struct{} { return e.ready }
 
-func (e *Entry) markReady() { e.readied.Do(func() { close(e.ready) }) }
+func (e *Entry) markReady() {
+	e.readied.Do(func() {
+		e.readyAt.Store(e.clock.Now().UnixNano())
+		close(e.ready)
+	})
+}
 
 func (e *Entry) random(n int) int { return rand.IntN(n) }
 
@@ -125,15 +131,19 @@
 	Drain(ctx context.Context) error
 }
 
+// spreadTime is how long the news that an entry drains may take to reach the
+// other entries, which name it in address answers until then.
+const spreadTime = time.Second
+
 // Shutdown leaves the fleet without cutting a request: it announces draining,
-// serves for the time to live of address answers, waits for requests in flight
+// serves until address answers that name it have ended, waits for requests in flight
 // until ctx ends, and leaves the membership.
 func (e *Entry) Shutdown(ctx context.Context, callers, peerServer Servers, running Drainer) error {
 	e.log.Info("draining")
 	e.gossip.Send(e.table.Drain())
 	callers.Drain()
 	peerServer.Drain()
-	if err := e.clock.Sleep(ctx, e.ttl); err != nil {
+	if err := e.clock.Sleep(ctx, e.ttl+spreadTime); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := callers.Shutdown(ctx); err != nil {
--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoialane/sequoialane/internal/entry"
 	"github.com/sequoialane/sequoialane/internal/localfleet"
+	"github.com/sequoialane/sequoialane/internal/settings"
 )
 
 // disturb runs a load of the given length and calls fault after two seconds.
@@ -83,7 +85,11 @@
 func TestRollingRestart(t *testing.T) {
 	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
 	startUpstreams(t, ctx, f, 4)
-	load, err := f.StartLoad("load", mixedLoad(60*time.Second, 60))
+	cfg := mixedLoad(60*time.Second, 60)
+	long := cfg.Streams[1]
+	long.Name, long.Rate, long.Work, long.Timeout = "long consents", 1, settings.Duration(3*time.Second), settings.Duration(20*time.Second)
+	cfg.Streams = append(cfg.Streams, long)
+	load, err := f.StartLoad("load", cfg)
 	require.NoError(t, err)
 	time.Sleep(time.Second)
 	for _, e := range f.Entries {
@@ -107,7 +113,8 @@
 // Guards against the fleet depending on control: entries must serve, and be
 // able to restart from each other, while all of control is away.
 func TestControlAwayWhileEntryRestarts(t *testing.T) {
-	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
+	noDisk := func(s *entry.Settings) { s.DataFolder = "" }
+	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4, Adjust: noDisk})
 	startUpstreams(t, ctx, f, 4)
 	load := disturb(t, ctx, f, 10*time.Second, func() {
 		for _, c := range f.Controls {
@@ -142,3 +149,29 @@
 	assertOnly(t, summary, nil)
 	require.Error(t, f.Known(f.Upstreams[0]), "the owner has forgotten it")
 }
+
+// Guards against half broken upstreams giving callers an answer that is wrong,
+// of another request or incomplete, or running a key twice.
+func TestGrayUpstreams(t *testing.T) {
+	f, ctx := startFleet(t, localfleet.Options{Controls: 1, Entries: 4})
+	startUpstreams(t, ctx, f, 9)
+	gray := []string{`{"mode":"crossed"}`, `{"mode":"doubled"}`, `{"mode":"truncated","share":0.5}`, `{"mode":"silent"}`}
+	load := disturb(t, ctx, f, 8*time.Second, func() {
+		for i, mode := range gray {
+			require.NoError(t, f.SetMode(f.Upstreams[i], mode))
+		}
+	})
+	summary, err := load.Finish(ctx)
+	require.NoError(t, err)
+	for _, s := range summary.Streams {
+		t.Log(s.Name, s.Outcomes, s.Latency, s.Details)
+		for _, wrong := range []string{"wrong_id", "wrong_digest", "wrong_body", "broken"} {
+			assert.Zero(t, s.Outcomes[wrong], "%s: %s", s.Name, wrong)
+		}
+	}
+	assert.Equal(t, summary.Streams[0].Sent, summary.Streams[0].Outcomes["ok"], "lookups")
+	for i := range gray {
+		require.NoError(t, f.SetMode(f.Upstreams[i], `{"mode":"normal"}`))
+	}
+	assertKeysRanOnce(t, f, load)
+}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -64,18 +64,18 @@
 	Settings *entry.Settings
 }
 
-// Start starts control members and entries and waits until all are ready. After
-// an error the processes are ended, and the fleet is returned for its logs.
+// Start starts control members and entries and waits until all are ready.
+// After an error, all that was started has ended.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
-	f := newFleet(o)
-	if err := f.start(ctx); err != nil {
+	f, err := start(ctx, o)
+	if err != nil {
 		f.Close()
-		return f, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	return f, nil
 }
 
-func newFleet(o Options) *Fleet {
+func start(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{options: o, client: &http.Client{Timeout: requestTimeout}}
 	if len(f.options.Regions) == 0 {
 		f.options.Regions = []string{"north"}
@@ -83,30 +83,26 @@
 	if f.options.TimeToLive == 0 {
 		f.options.TimeToLive = time.Second
 	}
-	return f
-}
-
-func (f *Fleet) start(ctx context.Context) error {
 	if err := f.prepare(); err != nil {
-		return trace.Wrap(err)
+		return f, trace.Wrap(err)
 	}
 	f.ports.release()
 	for _, p := range f.processes() {
 		if err := p.Start(); err != nil {
-			return trace.Wrap(err)
+			return f, trace.Wrap(err)
 		}
 	}
 	for _, c := range f.Controls {
 		if err := f.WaitReady(ctx, c.Process, c.APIAddress); err != nil {
-			return trace.Wrap(err)
+			return f, trace.Wrap(err)
 		}
 	}
 	for _, e := range f.Entries {
 		if err := f.WaitReady(ctx, e.Process, e.Settings.CallerAddress); err != nil {
-			return trace.Wrap(err)
+			return f, trace.Wrap(err)
 		}
 	}
-	return nil
+	return f, nil
 }
 
 func (f *Fleet) processes() []*Process {
@@ -236,11 +232,15 @@
 	s.Name = fmt.Sprintf("entry-%d", i)
 	s.Region = region
 	s.DataCentre = region + []string{"-a", "-b"}[i/len(f.options.Regions)%2]
+	s.DataFolder = f.path(s.Name + ".data")
 	s.FleetTokenFile = f.path("fleet.token")
 	s.UpstreamTokenFile = f.path("upstream.token")
 	s.OperatorTokenFile = f.path("operator.token")
 	s.TimeToLive = settings.Duration(f.options.TimeToLive)
 	s.ClockError = settings.Duration(clockError)
+	if err := os.MkdirAll(s.DataFolder, 0o755); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
 	for _, c := range f.Controls {
 		self, _ := c.Settings.Self()
 		s.Control = append(s.Control, configsync.ControlMember{Name: self.Name, Region: self.Region, Address: self.APIAddress})
