--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,19 @@
 	gofmt -l .
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# Runs a small fleet on loopback, disturbs it and prints what callers saw.
+demo: build
+	./bin/demo --bin bin
+
+# Measures the owner aggregate against baselines, then the cost of the fleet as
+# separate processes. Writes JSON to bench-out.
+bench: build
+	./bin/bench
+	./bin/overhead --bin bin
+
+# Runs the benches and compares the figures with the targets of the design.
+bench-check: build
+	./bin/bench
+	./bin/bench check
+	./bin/overhead --bin bin --check
--- /dev/null
+++ b/internal/control/group.go
@@ -0,0 +1,36 @@
+// Package control is the administration of the catalog: it submits operators'
+// changes to the consensus group of the control members, answers reads, and
+// serves the change feed that entries follow. Each request may be sent to any
+// member; the group passes on what only its leader can do.
+package control
+
+import (
+	"context"
+
+	"github.com/sequoialane/sequoialane/internal/controlapi"
+	"github.com/sequoialane/sequoialane/internal/plan"
+)
+
+// Group is the consensus group of the control members, seen from this one.
+type Group interface {
+	// Propose returns the result of the committed command. After
+	// consensus.ErrNotLeader, ErrBusy and ErrStopped it was not proposed; after
+	// any other error it may be committed later.
+	Propose(ctx context.Context, command []byte) (result []byte, err error)
+	// ReadBarrier returns once this member has applied every command committed
+	// before the call, confirmed by a majority.
+	ReadBarrier(ctx context.Context) error
+	// Status returns the group as this member sees it.
+	Status() controlapi.GroupStatus
+}
+
+// Catalog is the copy of the catalog that the group feeds. *plan.Machine
+// implements it.
+type Catalog interface {
+	Current() *plan.Snapshot
+	DeltaSince(version uint64) plan.Delta
+	Changed() <-chan struct{}
+	Result(changeID string) (plan.Result, bool)
+}
+
+var _ Catalog = (*plan.Machine)(nil)
--- /dev/null
+++ b/internal/health/eject_test.go
@@ -0,0 +1,202 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Date(2025, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// Guards against an ejection that takes healthy capacity below the floor,
+// whatever the evidence, with and without the lease.
+func TestEjectionsKeepTheFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var candidates []Candidate
+		announced := 0
+		for i := range rapid.IntRange(0, 30).Draw(t, "targets") {
+			c := Candidate{
+				Address: fmt.Sprint(i),
+				Slots:   rapid.IntRange(1, 9).Draw(t, "slots"),
+				Out:     rapid.Bool().Draw(t, "out"),
+				Wanted:  rapid.Bool().Draw(t, "wanted"),
+				Score:   rapid.Float64Range(0, 20).Draw(t, "score"),
+			}
+			announced += c.Slots
+			candidates = append(candidates, c)
+		}
+		percent := rapid.IntRange(0, 100).Draw(t, "percent")
+		lease := rapid.Bool().Draw(t, "lease")
+		out := Ejections(candidates, percent, lease)
+		if !lease {
+			assert.Empty(t, out)
+		}
+		healthy := announced
+		for _, c := range candidates {
+			if contains(out, c.Address) {
+				healthy -= c.Slots
+				assert.True(t, c.Out || c.Wanted)
+			}
+		}
+		assert.GreaterOrEqual(t, healthy*100, announced*percent)
+	})
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against the least bad targets being ejected before the worst.
+func TestWorstTargetsGoFirst(t *testing.T) {
+	candidates := []Candidate{
+		{Address: "a", Slots: 2, Wanted: true, Score: 17},
+		{Address: "b", Slots: 2, Wanted: true, Score: 20},
+		{Address: "c", Slots: 2, Out: true, Score: 16},
+	}
+	assert.Equal(t, []string{"b"}, Ejections(candidates, 50, true))
+}
+
+// Guards against a target that flaps and returns each time after the first
+// time out, and against a return on fewer trials than required.
+func TestTimeOutDoublesForRelapses(t *testing.T) {
+	target := &Target{}
+	now := t0
+	for i, want := range []time.Duration{5, 10, 20, 40, 80, 120, 120} {
+		target.Eject(now)
+		assert.False(t, target.Advance(Peers{}, now.Add(want*time.Second-1)), "ejection %d", i)
+		now = now.Add(want * time.Second)
+		assert.True(t, target.Advance(Peers{}, now), "ejection %d", i)
+		for range allTrials - 1 {
+			returned, _ := target.EndTrial(Good, now)
+			assert.False(t, returned)
+		}
+		returned, _ := target.EndTrial(Good, now)
+		assert.True(t, returned)
+	}
+	now = now.Add(MaxTimeOut + 1)
+	target.Eject(now)
+	assert.True(t, target.Advance(Peers{}, now.Add(FirstTimeOut)), "after a long healthy time")
+}
+
+// Guards against stragglers that were sent together and end one after another
+// being taken for a row of bad requests.
+func TestGoodAnswersRefuteSlowOnes(t *testing.T) {
+	target := &Target{}
+	for range 20 {
+		target.ObserveSlow(refutingGoods, t0)
+		target.Advance(Peers{}, t0.Add(WindowLength))
+	}
+	assert.Equal(t, Healthy, target.State())
+
+	later := t0.Add(time.Minute)
+	assert.Equal(t, t0, target.WaitingSince(t0, refutingGoods-1))
+	for range refutingGoods {
+		target.Observe(Good, later)
+	}
+	assert.Equal(t, later, target.WaitingSince(t0, 0), "a request that hears nothing, sent before")
+}
+
+// Guards against a straggler among the trials that counts as a relapse.
+func TestOneSlowTrialIsNoRelapse(t *testing.T) {
+	target := &Target{}
+	target.Eject(t0)
+	target.Advance(Peers{}, t0.Add(FirstTimeOut))
+	target.EndTrial(Slow, t0)
+	assert.Equal(t, Trial, target.State())
+	target.EndTrial(Slow, t0)
+	assert.Equal(t, Ejected, target.State())
+}
+
+func TestEvidence(t *testing.T) {
+	cases := []struct {
+		desc      string
+		bad, good int // alternating, in one window of each step
+		base      float64
+		steps     int
+		condemned bool
+	}{
+		{"one straggler", 1, 0, 0.01, 1, false},
+		{"one pause that delays all slots", 40, 0, 0.01, 1, false},
+		{"two pauses", 40, 0, 0.01, 2, false},
+		{"always slow", 1, 0, 0.01, 5, true},
+		{"half of the requests fail", 2, 2, 0.01, 5, true},
+		{"as bad as the other targets", 1, 2, 0.35, 50, false},
+		{"one in a hundred", 1, 99, 0.01, 50, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			target := &Target{}
+			now := t0
+			for range tc.steps {
+				for range tc.good {
+					target.Observe(Good, now)
+				}
+				for range tc.bad {
+					target.Observe(Slow, now)
+				}
+				now = now.Add(WindowLength)
+				target.Advance(Peers{BadRate: tc.base}, now)
+			}
+			assert.Equal(t, tc.condemned, target.Condemned())
+		})
+	}
+}
+
+// Guards against an ejection for a fault of the path, which the owner cannot
+// mend by using the other targets of a cut off region.
+func TestPathFaultNeedsAnAnswerToAPeer(t *testing.T) {
+	target := &Target{}
+	target.SetWaiting([]Wait{{Since: t0, Weight: 9}}, t0)
+	assert.False(t, target.PathFault(t0))
+	target.PeerProbed(false, t0)
+	assert.False(t, target.PathFault(t0))
+	target.PeerProbed(true, t0)
+	assert.True(t, target.PathFault(t0))
+	assert.False(t, target.PathFault(t0.Add(peerValidity)))
+	target.Observe(Failed, t0)
+	assert.False(t, target.PathFault(t0), "the target answers")
+}
+
+// Guards against load that slows all targets being held against one of them.
+func TestSlownessOfAllIsNotOfOne(t *testing.T) {
+	const expected = 50 * time.Millisecond
+	assert.Equal(t, 200*time.Millisecond, SlowAfter(expected, Peers{Level: 1}))
+	assert.Equal(t, time.Second, SlowAfter(expected, Peers{Level: 5}))
+}
+
+// Guards against an ejection while all targets are silent at once, against one
+// for a pause of less than a second, and against a silent target that stays in.
+func TestWaitingRequests(t *testing.T) {
+	silent := func() *Target {
+		target := &Target{}
+		target.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}, {t0, WaitWeight(time.Second, 40, 1e-5)}}, t0)
+		return target
+	}
+	assert.True(t, silent().Condemned())
+
+	answered := silent()
+	answered.SetWaiting(nil, t0)
+	assert.Zero(t, answered.Score())
+
+	all := silent()
+	all.Advance(Peers{Waiting: 18}, t0)
+	assert.Zero(t, all.Score())
+
+	stragglers := &Target{}
+	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003)}, {t0, WaitWeight(time.Second, 20, 0.003)}}, t0)
+	assert.False(t, stragglers.Condemned())
+	assert.Equal(t, Suspect, stragglers.State())
+	paused := &Target{}
+	early := WaitWeight(pauseTime-1, 1000, 1e-9)
+	paused.SetWaiting([]Wait{{t0, early}, {t0, early}, {t0, early}}, t0)
+	assert.False(t, paused.Condemned())
+	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5))
+}
--- /dev/null
+++ b/internal/owner/action.go
@@ -0,0 +1,102 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/health"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+)
+
+// ActionKind tells what an action is.
+type ActionKind string
+
+// The kinds of action. Probe and PeerProbe ask for work whose result is
+// reported with ProbeResult; the others tell of a change of state.
+const (
+	Probe     ActionKind = "probe"      // probe the target on a fresh connection
+	PeerProbe ActionKind = "peer_probe" // ask another entry to probe the target
+	Suspected ActionKind = "suspected"
+	Cleared   ActionKind = "cleared"    // a suspicion was not confirmed
+	PathFault ActionKind = "path_fault" // only the path to the target is at fault; it is ordered last
+	Ejected   ActionKind = "ejected"
+	Trying    ActionKind = "trying" // an ejected target gets trials
+	Returned  ActionKind = "returned"
+	Expired   ActionKind = "expired"
+)
+
+// Action is something for the caller of Tick to do or to log.
+type Action struct {
+	Kind    ActionKind
+	Target  upstream.Target
+	Probe   uint64        // for Probe and PeerProbe: number for ProbeResult
+	Timeout time.Duration // for Probe and PeerProbe: limit of the probe
+	Reason  string        // for changes of state
+}
+
+// TargetView is the state of a target for the operator API.
+type TargetView struct {
+	Address     string         `json:"address"`
+	DataCentre  string         `json:"data_centre"`
+	Incarnation uint64         `json:"incarnation"`
+	Announced   upstream.State `json:"announced"`
+	Health      health.State   `json:"health"`
+	Reason      string         `json:"reason,omitempty"` // last evidence against it
+	Score       float64        `json:"score"`            // strength of that evidence
+	Slots       int            `json:"slots"`
+	Limit       int            `json:"limit"` // slots in use at most
+	InFlight    int            `json:"in_flight"`
+}
+
+// View is the state of the service for the operator API.
+type View struct {
+	Service       string       `json:"service"`
+	Region        string       `json:"region"`
+	FloorSlots    int          `json:"floor_slots"`
+	HealthySlots  int          `json:"healthy_slots"` // slots of serving targets that are not ejected
+	EjectionLease bool         `json:"ejection_lease"`
+	Queued        int          `json:"queued"`
+	Targets       []TargetView `json:"targets"`
+}
+
+// Snapshot returns the state of the service for the operator API.
+func (s *Service) Snapshot() View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.cfg.Clock.Now()
+	view := View{
+		Service:       s.cfg.Service,
+		Region:        s.cfg.Region,
+		EjectionLease: s.holdsLease(now),
+		Queued:        s.queue.Len(),
+	}
+	announced := 0
+	for _, t := range s.targets {
+		if s.registry.Availability(t.record.Address, now) == upstream.Usable {
+			announced += t.record.Slots
+			if !t.health.Out() {
+				view.HealthySlots += t.record.Slots
+			}
+		}
+		view.Targets = append(view.Targets, s.targetView(t, now))
+	}
+	view.FloorSlots = health.FloorSlots(announced, s.cfg.FloorPercent)
+	return view
+}
+
+func (s *Service) targetView(t *target, now time.Time) TargetView {
+	view := TargetView{
+		Address:     t.record.Address,
+		DataCentre:  t.record.DataCentre,
+		Incarnation: t.record.Incarnation,
+		Announced:   s.registry.State(t.record.Address),
+		Health:      t.health.State(),
+		Score:       t.health.Score(),
+		Slots:       t.record.Slots,
+		Limit:       t.slots(now),
+		InFlight:    t.inFlight,
+	}
+	if t.health.Reason() != health.Good {
+		view.Reason = t.health.Reason().String()
+	}
+	return view
+}
