--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -86,6 +86,35 @@
 	assert.True(t, target.Advance(Peers{}, now.Add(FirstTimeOut)), "after a long healthy time")
 }
 
+// Guards against stragglers that were sent together and end one after another
+// being taken for a row of bad requests.
+func TestGoodAnswersRefuteSlowOnes(t *testing.T) {
+	target := &Target{}
+	for range 20 {
+		target.ObserveSlow(refutingGoods, t0)
+		target.Advance(Peers{}, t0.Add(WindowLength))
+	}
+	assert.Equal(t, Healthy, target.State())
+
+	later := t0.Add(time.Minute)
+	assert.Equal(t, t0, target.WaitingSince(t0, refutingGoods-1))
+	for range refutingGoods {
+		target.Observe(Good, later)
+	}
+	assert.Equal(t, later, target.WaitingSince(t0, 0), "a request that hears nothing, sent before")
+}
+
+// Guards against a straggler among the trials that counts as a relapse.
+func TestOneSlowTrialIsNoRelapse(t *testing.T) {
+	target := &Target{}
+	target.Eject(t0)
+	target.Advance(Peers{}, t0.Add(FirstTimeOut))
+	target.EndTrial(Slow, t0)
+	assert.Equal(t, Trial, target.State())
+	target.EndTrial(Slow, t0)
+	assert.Equal(t, Ejected, target.State())
+}
+
 func TestEvidence(t *testing.T) {
 	cases := []struct {
 		desc      string
@@ -144,7 +173,7 @@
 }
 
 // Guards against an ejection while all targets are silent at once, against one
-// for a pause that ends, and against a silent target that stays in.
+// for a pause of less than a second, and against a silent target that stays in.
 func TestWaitingRequests(t *testing.T) {
 	silent := func() *Target {
 		target := &Target{}
@@ -165,5 +194,9 @@
 	stragglers.SetWaiting([]Wait{{t0, WaitWeight(time.Second, 20, 0.003)}, {t0, WaitWeight(time.Second, 20, 0.003)}}, t0)
 	assert.False(t, stragglers.Condemned())
 	assert.Equal(t, Suspect, stragglers.State())
+	paused := &Target{}
+	early := WaitWeight(pauseTime-1, 1000, 1e-9)
+	paused.SetWaiting([]Wait{{t0, early}, {t0, early}, {t0, early}}, t0)
+	assert.False(t, paused.Condemned())
 	assert.Equal(t, float64(maxWaitWeight), WaitWeight(silenceTime, silenceRatio, 0.5))
 }
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/health"
@@ -75,8 +77,10 @@
 	}
 	before := t.health.State()
 	switch {
-	case counts && (o.Kind == Timeout || o.Kind == Canceled):
-		t.health.Unanswered(s.waitWeight(a, o.ServiceTime), now)
+	case counts && evidence == health.Unreachable && o.Kind != ConnectFailed:
+		t.health.Unanswered(s.waitWeight(a, now), now)
+	case counts && evidence == health.Slow:
+		t.health.ObserveSlow(t.health.Goods()-a.goods, now)
 	case counts:
 		t.health.Observe(evidence, now)
 	}
@@ -86,27 +90,40 @@
 	s.noteChange(t, before)
 }
 
-// waitWeight returns the evidence of an attempt that has heard nothing for the
-// time.
-func (s *Service) waitWeight(a *attempt, waited time.Duration) float64 {
+// waitWeight returns the evidence of an attempt that has heard nothing.
+func (s *Service) waitWeight(a *attempt, now time.Time) float64 {
+	waited := now.Sub(a.target.health.WaitingSince(a.started, a.goods)) - a.stopped
 	ratio := waited.Seconds() / (a.size.Typical.Seconds() * max(a.target.health.Peers().Level, 1))
 	return health.WaitWeight(waited, ratio, s.sizes.Beyond(ratio))
 }
 
+// slowAfter returns the service time from which the attempt is slow.
+func (a *attempt) slowAfter() time.Duration {
+	return health.SlowAfter(a.size.Typical, a.target.health.Peers())
+}
+
 // evidence returns what the outcome says, and whether it counts. What went
 // wrong on another target before is the doing of the request.
 func (s *Service) evidence(a *attempt, o Outcome) (evidence health.Evidence, counts bool) {
-	slow := o.ServiceTime > health.SlowAfter(a.size.Typical, a.target.health.Peers())
+	slow := o.ServiceTime > a.slowAfter()
 	t := a.ticket
 	switch o.Kind {
 	case OK:
 		if !slow {
+			t.won = true
 			return health.Good, true
 		}
 		counts = a.overdue || !t.slow
 		t.slow = true
 		return health.Slow, counts
-	case Timeout, Canceled:
+	case Canceled:
+		if t.won && o.ServiceTime > a.slowAfter()/2 {
+			return health.Slow, true // the same request was quick on another target
+		}
+		counts = slow && (a.overdue || !t.slow)
+		t.slow = t.slow || slow
+		return health.Unreachable, counts
+	case Timeout:
 		counts = slow && (a.overdue || !t.slow)
 		t.slow = t.slow || slow
 		return health.Unreachable, counts
@@ -144,19 +161,21 @@
 // judgeWaiting takes in what attempts in flight say by hearing nothing. Time in
 // which the owner itself was stopped does not count.
 func (s *Service) judgeWaiting(now time.Time) {
-	stopped := now.Sub(s.tickedAt) - 2*TickInterval
+	gap := now.Sub(s.tickedAt)
+	stopped := !s.tickedAt.IsZero() && gap > 2*TickInterval
 	waits := map[*target][]health.Wait{}
-	for _, a := range s.attempts {
-		if stopped > 0 && !s.tickedAt.IsZero() && a.started.Before(now.Add(-stopped)) {
-			a.stopped += stopped
+	for _, id := range s.attemptIDs() {
+		a := s.attempts[id]
+		if stopped {
+			a.stopped += min(gap, now.Sub(a.started))
 		}
 		age := now.Sub(a.started) - a.stopped
-		if a.trial || age <= health.SlowAfter(a.size.Typical, a.target.health.Peers()) {
+		if a.trial || age <= a.slowAfter() {
 			continue
 		}
 		s.markOverdue(a)
 		if a.overdue {
-			wait := health.Wait{Since: a.started, Weight: s.waitWeight(a, age)}
+			wait := health.Wait{Since: a.started, Weight: s.waitWeight(a, now)}
 			waits[a.target] = append(waits[a.target], wait)
 		}
 	}
@@ -168,6 +187,11 @@
 	}
 }
 
+// attemptIDs returns the attempts in flight, oldest first.
+func (s *Service) attemptIDs() []uint64 {
+	return slices.Sorted(maps.Keys(s.attempts))
+}
+
 // markOverdue makes the attempt count as long work, and as evidence unless the
 // request was slow on another target before.
 func (s *Service) markOverdue(a *attempt) {
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/health"
@@ -102,7 +104,8 @@
 	}
 	s.endProbe(id, p)
 	if p.peer {
-		p.target.health.PeerProbed(o.Kind == OK, now)
+		evidence, counts := s.probeEvidence(o, now)
+		p.target.health.PeerProbed(counts && evidence == health.Good, now)
 		return
 	}
 	s.judgeProbe(p, o, now)
@@ -145,7 +148,8 @@
 
 // expireProbes drops probes whose result never came.
 func (s *Service) expireProbes(now time.Time) {
-	for id, p := range s.probes {
+	for _, id := range slices.Sorted(maps.Keys(s.probes)) {
+		p := s.probes[id]
 		if now.Before(p.lostFrom) {
 			continue
 		}
