--- a/internal/claims/groups.go
+++ b/internal/claims/groups.go
@@ -135,6 +135,6 @@
 	return status.Leader.Slot, status.Leader.Slot != "" && status.Leader == status.Self
 }
 
-// DefaultSnapshotEvery bounds the log that is kept in memory. A snapshot of
-// 100,000 claims takes about as long as it takes to commit a few hundred.
+// DefaultSnapshotEvery bounds the log that is kept in memory. A snapshot holds
+// up its group, for 15 ms with 100,000 claims and 0.3 s with 1,000,000.
 const DefaultSnapshotEvery = 20_000
--- a/internal/claims/memory.go
+++ b/internal/claims/memory.go
@@ -25,7 +25,8 @@
 	_ Leases = (*Memory)(nil)
 )
 
-// NewMemory returns an empty Memory.
+// NewMemory returns an empty Memory. A process whose earlier run may have made
+// claims must call Fence with the current time before it makes others.
 func NewMemory(clock sys.Clock, limits Limits) *Memory {
 	return &Memory{table: NewTable(limits), clock: clock, start: clock.Now()}
 }
