Check each grant before the next event of the property test

Cause: the property test of invariants failed once (rapid): a grant to a target that had left. The grant was issued before the leave announcement, by an announcement of another target, and the test received it only after a later event. The aggregate was right: the slot was granted while the target was serving.

Ruled out: a grant issued after the leave; with the grants received after each event, 4,000 random runs and the seed of the failure pass.

Change: the test receives and checks all grants after each event, which is stricter. A silence counts in full after 1.5 s and 64 times the expected time, since silent targets took 2.03 s over loopback while few answers were known.

--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -50,12 +50,12 @@
 	ejectScore   = 16 // five bad requests in a row: 1 in 10^8 with 2% bad
 	maxScore     = 20 // bounds the time to recover
 
-	maxWaitWeight   = 9               // two requests that hear nothing can be enough
-	waitAllowance   = 2.5             // a target is looked at all the time, and stragglers fill more of it than their number
-	silenceRatio    = 64              // a request that waits this many times its expected time
-	silenceTime     = 2 * time.Second // and this long counts in full, even if few answers are known
-	pauseTime       = time.Second     // a shorter wait may be a pause of the process
-	pauseWeight     = 4               // bound of its evidence: two of them ask for probes
+	maxWaitWeight   = 9                       // two requests that hear nothing can be enough
+	waitAllowance   = 2.5                     // a target is looked at all the time, and stragglers fill more of it than their number
+	silenceRatio    = 64                      // a request that waits this many times its expected time
+	silenceTime     = 1500 * time.Millisecond // and this long counts in full, even if few answers are known
+	pauseTime       = time.Second             // a shorter wait may be a pause of the process
+	pauseWeight     = 4                       // bound of its evidence: two of them ask for probes
 	badProbeWeight  = 6
 	goodProbeWeight = 2   // probes may be answered while requests are not
 	weakProbeWeight = 0.7 // a target that fails half of its requests answers half of its probes
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -160,6 +160,7 @@
 			default:
 				f.tick()
 			}
+			f.collect() // checks each grant before the next event
 			f.check()
 		}
 	})
