Reduce the cost of a request in the owner aggregate

Cause: each request computed the scores of all targets with two logarithms each, listed the targets twice and looked up a counter by a formatted name.

Change: the log-likelihood ratios are computed once in each tick, the list of options is used for the first attempt, counters of outcomes are kept.

--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -61,20 +61,30 @@
 	weakProbeWeight = 0.7 // a target that fails half of its requests answers half of its probes
 )
 
-// windowScore returns the log-likelihood ratio of the evidence of one window.
-// If more than windowBad requests were bad, the counts are scaled down to that
-// number, since they may have one cause.
-func windowScore(good, bad int, base float64) float64 {
+// odds are the log-likelihood ratios of one bad and one good request.
+type odds struct{ bad, good float64 }
+
+// oddsOf returns the odds, given the share of bad requests on other targets.
+func oddsOf(base float64) odds {
 	base = max(base, minBaseRate)
 	if base >= maxBaseRate {
-		return 0
+		return odds{}
 	}
+	return odds{bad: math.Log(faultRate / base), good: math.Log((1 - faultRate) / (1 - base))}
+}
+
+var oddsWithoutPeers = oddsOf(0)
+
+// windowScore returns the log-likelihood ratio of the evidence of one window.
+// If more than windowBad requests were bad, the counts are scaled down to that
+// number, since they may have one cause.
+func windowScore(good, bad int, o odds) float64 {
 	g, b := float64(good), float64(bad)
 	if bad > windowBad {
 		g *= windowBad / b
 		b = windowBad
 	}
-	return b*math.Log(faultRate/base) + g*math.Log((1-faultRate)/(1-base))
+	return b*o.bad + g*o.good
 }
 
 // refutingGoods is the number of good answers that outweigh a slow one.
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -51,6 +51,8 @@
 	good, bad    int     // requests of the open window
 	windowFrom   time.Time
 	peers        Peers
+	odds         odds // from peers
+	compared     bool // peers are known
 
 	badRate  float64 // moving average, for comparison
 	level    float64 // moving median of ln(service time by expected time)
@@ -92,7 +94,11 @@
 
 // closedScore is the score of the requests that have ended.
 func (t *Target) closedScore() float64 {
-	return clampScore(t.score + windowScore(t.good, t.bad, t.peers.BadRate))
+	o := oddsWithoutPeers
+	if t.compared {
+		o = t.odds
+	}
+	return clampScore(t.score + windowScore(t.good, t.bad, o))
 }
 
 // Peers returns what the target is compared with.
@@ -237,6 +243,8 @@
 // other targets do. It reports whether the state changed.
 func (t *Target) Advance(peers Peers, now time.Time) bool {
 	t.peers = peers
+	t.odds = oddsOf(peers.BadRate)
+	t.compared = true
 	if now.Sub(t.windowFrom) >= WindowLength {
 		t.score = t.closedScore()
 		t.good, t.bad = 0, 0
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -93,5 +93,5 @@
 	if availability == upstream.LastResort {
 		return schedule.LastResort, true
 	}
-	return orderOf[t.health.State()], true
+	return orderOf(t.health.State()), true
 }
--- a/internal/owner/grant.go
+++ b/internal/owner/grant.go
@@ -11,10 +11,15 @@
 	"github.com/sequoialane/sequoialane/internal/upstream"
 )
 
-var orderOf = map[health.State]schedule.Order{
-	health.Healthy: schedule.Preferred,
-	health.Suspect: schedule.Doubtful,
-	health.Avoided: schedule.Poor,
+func orderOf(state health.State) schedule.Order {
+	switch state {
+	case health.Suspect:
+		return schedule.Doubtful
+	case health.Avoided:
+		return schedule.Poor
+	default:
+		return schedule.Preferred
+	}
 }
 
 // slots returns how many slots of the target may be used now.
@@ -37,13 +42,13 @@
 		if job == nil {
 			return
 		}
-		s.grantNext(job, now)
+		s.grantNext(job, options, now)
 	}
 }
 
 // grantNext starts the job that the queue handed out, or refuses it if its
-// answer would be late.
-func (s *Service) grantNext(job *schedule.Job, now time.Time) {
+// answer would be late. Options are those of any request.
+func (s *Service) grantNext(job *schedule.Job, options []schedule.Option, now time.Time) {
 	t := s.tickets[job.ID]
 	size := s.sizes.Expect(t.request.Route, t.request.Plan)
 	if now.Add(size.Typical).After(t.request.Deadline) {
@@ -57,7 +62,9 @@
 		t.granted <- s.start(t, trial, startAs{trial: true}, now)
 		return
 	}
-	options := s.options(t, now)
+	if len(t.tried) > 0 {
+		options = s.options(t, now)
+	}
 	i, ok := schedule.Pick(options, s.cfg.Rand.Float64())
 	if !ok {
 		panic("owner: no free slot for a granted request, service " + s.cfg.Service)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -11,6 +11,7 @@
 // serviceMetrics holds the metrics of one service and region.
 type serviceMetrics struct {
 	labels      string
+	outcomes    map[OutcomeKind]*metrics.Counter // under the lock of the service
 	submitted   *metrics.Counter
 	granted     *metrics.Counter
 	retries     *metrics.Counter
@@ -32,6 +33,7 @@
 	}
 	return &serviceMetrics{
 		labels:      labels,
+		outcomes:    map[OutcomeKind]*metrics.Counter{},
 		submitted:   counter("submitted"),
 		granted:     counter("granted"),
 		retries:     counter("retries"),
@@ -44,11 +46,21 @@
 	}
 }
 
-func (m *serviceMetrics) count(name, label, value string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("sequoialane_owner_%s_total{%s,%s=%q}", name, m.labels, label, value)).Inc()
+func (m *serviceMetrics) counter(name, label, value string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("sequoialane_owner_%s_total{%s,%s=%q}", name, m.labels, label, value))
 }
 
-func (m *serviceMetrics) refused(kind fault.Kind)  { m.count("refused", "kind", string(kind)) }
-func (m *serviceMetrics) outcome(kind OutcomeKind) { m.count("outcomes", "kind", string(kind)) }
-func (m *serviceMetrics) ejected(reason string)    { m.count("ejections", "reason", reason) }
-func (m *serviceMetrics) change(kind ActionKind)   { m.count("health_changes", "to", string(kind)) }
+func (m *serviceMetrics) count(name, label, value string) { m.counter(name, label, value).Inc() }
+
+func (m *serviceMetrics) outcome(kind OutcomeKind) {
+	c, ok := m.outcomes[kind]
+	if !ok {
+		c = m.counter("outcomes", "kind", string(kind))
+		m.outcomes[kind] = c
+	}
+	c.Inc()
+}
+
+func (m *serviceMetrics) refused(kind fault.Kind) { m.count("refused", "kind", string(kind)) }
+func (m *serviceMetrics) ejected(reason string)   { m.count("ejections", "reason", reason) }
+func (m *serviceMetrics) change(kind ActionKind)  { m.count("health_changes", "to", string(kind)) }
