Append to a follower's log without copying it

Cause: replicatedLog.truncate limits the capacity of the log even if it removes nothing, so each append of a follower copied its whole log.

Ruled out: leaving out the limit.

Change: truncate returns early if nothing is removed.

--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -76,6 +76,9 @@
 	if last > l.lastIndex() {
 		panic(fmt.Sprintf("consensus: gap in the log behind entry %d, next is %d", l.lastIndex(), last+1))
 	}
+	if last == l.lastIndex() {
+		return // a limited capacity would make the next append copy the whole log
+	}
 	// The capacity is limited because slices of the old entries may still be
 	// on their way to storage or to other members.
 	keep := last - l.baseIndex
