Report a claim that a busy leader refused as not proposed

Cause: a claim member knew only consensus.ErrNotLeader as "not proposed". An ErrBusy that carries the caller's deadline was answered with status 504, like a command whose outcome is unknown.

Ruled out: answering as a member that does not lead (421), because the member leads and the caller need not look for another leader. ErrStopped was already answered with 503.

Change: the member returns an error of its own for ErrBusy, which is answered with 503.

Conclusion: 504 stands for an unknown outcome only.

--- a/internal/claims/member.go
+++ b/internal/claims/member.go
@@ -23,6 +23,10 @@
 
 func (e errNotLeader) Error() string { return "claims: this member does not lead the group" }
 
+// errNotProposed is returned by a leader that has too many commands waiting. It
+// hides the cause: a deadline in it would read as an unknown outcome.
+var errNotProposed = errors.New("claims: the leader is busy; the command was not proposed")
+
 // Member is the local member of one claim group.
 type Member struct {
 	table  *Table
@@ -51,10 +55,12 @@
 	}
 	c.At = m.stamp()
 	result, err := m.group.Propose(ctx, encode(c))
-	if errors.Is(err, consensus.ErrNotLeader) {
+	switch {
+	case errors.Is(err, consensus.ErrNotLeader):
 		return outcome{}, errNotLeader{}
-	}
-	if err != nil {
+	case errors.Is(err, consensus.ErrBusy):
+		return outcome{}, errNotProposed
+	case err != nil:
 		return outcome{}, err
 	}
 	return decodeOutcome(result)
