Hand over leadership before a member stops

Cause: a leader that stopped left its group without a leader for an election timeout or more, so each rolling restart cost one such gap for each group.

Ruled out: handing over inside Group.Stop. Tests use Stop as a crash, and at SIGTERM the peer port is closed before Stop, so the votes would not arrive. Ruled out too: giving the lease back after a failed hand-over. The message to the target may arrive at any later time of the term.

Change: Group.TransferLeadership refuses proposals, picks the voter that holds the whole log and answered last, ends the lease for the term, and tells that voter to campaign (msgTransfer). Its vote request carries a flag, and only with it voters ignore that they hear a leader. A hand-over ends after one election timeout. Entries hand over their claim groups, and the control process its group, before the peer port closes. A member of an older version ignores the message, so the hand-over to it ends by time.

A stop that cuts requests in flight of an entry, or follows a failed listener, does not hand over.

--- a/cmd/sequoialane-control/wire.go
+++ b/cmd/sequoialane-control/wire.go
@@ -88,10 +88,13 @@
 func newProcess(i do.Injector, l loaded) (*control.Process, error) {
 	group := do.MustInvoke[*consensus.Group](i)
 	return control.NewProcess(control.ProcessOptions{
-		Settings:      l.settings,
-		Group:         control.NewGroup(group),
-		GroupHandler:  group.Handler(),
-		GroupStopped:  group.Done(),
+		Settings:     l.settings,
+		Group:        control.NewGroup(group),
+		GroupHandler: group.Handler(),
+		GroupStopped: group.Done(),
+
+		TransferLeadership: group.TransferLeadership,
+
 		Catalog:       do.MustInvoke[*plan.Machine](i),
 		OperatorToken: l.operatorToken,
 		FleetToken:    l.fleetToken,
--- a/internal/claims/groups.go
+++ b/internal/claims/groups.go
@@ -1,8 +1,11 @@
 package claims
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -112,7 +115,19 @@
 	return all
 }
 
-// Stop ends the members.
+// TransferLeadership hands over the groups that a member of this entry leads,
+// at the same time. It is called before Stop, while the handler is served.
+func (m *Members) TransferLeadership(ctx context.Context) error {
+	failures := make([]error, len(m.groups))
+	var wg sync.WaitGroup
+	for i, group := range m.groups {
+		wg.Go(func() { failures[i] = group.TransferLeadership(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(failures...)
+}
+
+// Stop ends the members. It does not hand over leadership.
 func (m *Members) Stop() {
 	for _, group := range m.groups {
 		group.Stop()
--- a/internal/claims/localgroup/group.go
+++ b/internal/claims/localgroup/group.go
@@ -96,6 +96,14 @@
 	m.Handler().ServeHTTP(w, r)
 }
 
+// TransferLeadership makes a member hand over the group if it leads.
+func (g *Group) TransferLeadership(ctx context.Context, n int) error {
+	return g.member(n).TransferLeadership(ctx)
+}
+
+// Status returns the group as a running member sees it.
+func (g *Group) Status(n int) consensus.Status { return g.member(n).Status()[0] }
+
 // Stop stops members. They lose their state.
 func (g *Group) Stop(numbers ...int) {
 	for _, n := range numbers {
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -68,6 +68,7 @@
 	heartbeatDue   time.Time
 	pendingReplace uint64 // index of a Replace that is not applied; 0: none
 	reads          []pendingRead
+	transfer       transferState
 
 	formation formationState
 
@@ -148,6 +149,7 @@
 	case c.voter() && !now.Before(c.electionDeadline):
 		c.campaign(preCandidate)
 	}
+	c.tickTransfer()
 	c.tickFormation()
 }
 
@@ -175,6 +177,8 @@
 		c.stepVote(m)
 	case msgPreVoteResp, msgVoteResp:
 		c.stepVoteResp(m)
+	case msgTransfer:
+		c.stepTransfer(m)
 	}
 }
 
@@ -227,7 +231,9 @@
 func (c *core) enterHigherTerm(m message) bool {
 	switch m.Type {
 	case msgPreVote, msgVote:
-		if c.hearsLeader() {
+		// A leader gives up its lease before it asks for a transfer.
+		transfer := m.Type == msgVote && m.Transfer
+		if c.hearsLeader() && !transfer {
 			return false
 		}
 		if m.Type == msgPreVote {
--- a/internal/consensus/doc.go
+++ b/internal/consensus/doc.go
@@ -16,6 +16,12 @@
 // acknowledges the Replace entry, so that entry is committed by a majority
 // that consists of other slots. Any later quorum shares a slot with it.
 //
+// # Transfer of leadership
+//
+// A leader that is about to stop tells one voter to campaign at once. The other
+// voters then vote although they hear a leader, which is safe because the
+// leader has given up its lease for the rest of its term.
+//
 // # Formation
 //
 // A blank member has never accepted state of the group. Members without a
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,11 +1,15 @@
 package consensus
 
 // campaign starts a pre-vote, which leaves terms alone, or an election.
-func (c *core) campaign(as role) {
+func (c *core) campaign(as role) { c.requestVotes(as, false) }
+
+// requestVotes campaigns. With transfer, voters do not refuse because they hear
+// a leader.
+func (c *core) requestVotes(as role, transfer bool) {
 	c.becomeFollower(c.term)
 	c.role = as
 	c.votes = map[string]bool{}
-	request := message{Type: msgPreVote, Term: c.term + 1}
+	request := message{Type: msgPreVote, Term: c.term + 1, Transfer: transfer}
 	if as == candidate {
 		c.term++
 		c.vote = c.id
@@ -84,6 +88,7 @@
 	c.role = leader
 	c.leader = c.id
 	c.votes = nil
+	c.transfer = transferState{}
 	c.peers = map[string]*progress{}
 	c.learners = map[string]*progress{}
 	c.setPeers()
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -29,6 +29,7 @@
 	inbox     chan []message
 	proposals chan *proposal
 	reads     chan *read
+	transfers chan chan error
 	failed    chan MemberID // snapshots that could not be sent
 	stop      chan struct{}
 	done      chan struct{}
@@ -37,11 +38,14 @@
 	forwarded *forwardTable
 	counters  counters
 
-	waiting     map[uint64]*proposal // by log index
-	openReads   map[uint64]*read     // by read id, until confirmed
-	laterReads  []*read              // confirmed, until applied
-	nextRead    uint64
-	failure     error
+	waiting    map[uint64]*proposal // by log index
+	openReads  map[uint64]*read     // by read id, until confirmed
+	laterReads []*read              // confirmed, until applied
+	nextRead   uint64
+	failure    error
+
+	openTransfers []chan error // calls of TransferLeadership without a result
+
 	slotsLogged bool
 }
 
@@ -61,6 +65,7 @@
 		inbox:     make(chan []message, inboxBatches),
 		proposals: make(chan *proposal, queuedProposals),
 		reads:     make(chan *read, queuedProposals),
+		transfers: make(chan chan error),
 		failed:    make(chan MemberID, maxMembers),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
@@ -112,7 +117,8 @@
 	return milliseconds<<randomBits | g.config.Rand.Uint64N(1<<randomBits)
 }
 
-// Stop ends the member and waits for it. It does not hand over leadership.
+// Stop ends the member and waits for it. It does not hand over leadership;
+// TransferLeadership does.
 func (g *Group) Stop() {
 	g.stopOnce.Do(func() { close(g.stop) })
 	<-g.done
@@ -165,6 +171,9 @@
 	case r := <-g.reads:
 		g.core.tick(g.config.Clock.Now())
 		g.takeRead(r)
+	case done := <-g.transfers:
+		g.core.tick(g.config.Clock.Now())
+		g.takeTransfer(done)
 	case id := <-g.failed:
 		g.core.snapshotFailed(id)
 	}
@@ -211,6 +220,7 @@
 	}
 	g.finishReads()
 	g.publishStatus(false)
+	g.finishTransfers()
 	return nil
 }
 
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -62,20 +62,20 @@
 type messageType uint8
 
 const (
-	msgAppend       messageType = 1
-	msgAppendResp   messageType = 2
-	msgHeartbeat    messageType = 3
-	msgBeatResp     messageType = 4
-	msgSnapshot     messageType = 5
-	msgPreVote      messageType = 6
-	msgPreVoteResp  messageType = 7
-	msgVote         messageType = 8
-	msgVoteResp     messageType = 9
-	msgProbe        messageType = 10 // status of a member without a leader, asks for msgStatus
-	msgStatus       messageType = 11
-	msgFormation    messageType = 12 // asks blank members to grant epoch Promised
-	msgGrant        messageType = 13
-	lastMessageType             = msgGrant
+	msgAppend      messageType = 1
+	msgAppendResp  messageType = 2
+	msgHeartbeat   messageType = 3
+	msgBeatResp    messageType = 4
+	msgSnapshot    messageType = 5
+	msgPreVote     messageType = 6
+	msgPreVoteResp messageType = 7
+	msgVote        messageType = 8
+	msgVoteResp    messageType = 9
+	msgProbe       messageType = 10 // status of a member without a leader, asks for msgStatus
+	msgStatus      messageType = 11
+	msgFormation   messageType = 12 // asks blank members to grant epoch Promised
+	msgGrant       messageType = 13
+	msgTransfer    messageType = 14 // asks a voter to campaign at once
 )
 
 // message is sent between members. Epoch is the one whose state the sender
@@ -97,6 +97,7 @@
 	Promised uint64      `cbor:"14,keyasint,omitempty"`
 	Blank    bool        `cbor:"15,keyasint,omitempty"`
 	Formed   bool        `cbor:"16,keyasint,omitempty"` // Epoch has committed an entry
+	Transfer bool        `cbor:"17,keyasint,omitempty"` // msgVote: the leader of the term before asked for the election
 }
 
 func (m message) fromLeader() bool {
@@ -104,5 +105,5 @@
 }
 
 func (m message) ofFormation() bool {
-	return m.Type >= msgProbe && m.Type <= lastMessageType
+	return m.Type >= msgProbe && m.Type <= msgGrant
 }
--- a/internal/consensus/random_test.go
+++ b/internal/consensus/random_test.go
@@ -15,7 +15,7 @@
 func disturb(s *sim, wipe bool) {
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	other := s.slots[s.random.IntN(len(s.slots))]
-	switch s.random.IntN(14) {
+	switch s.random.IntN(16) {
 	case 0, 1:
 		s.cut[[2]string{n.slot, other}] = true
 	case 2:
@@ -41,6 +41,23 @@
 		// A restart within the lease of the leader that it has answered.
 		s.crash(n, s.durable)
 		s.start(n)
+	case 14, 15:
+		s.transfer(s.random.IntN(2) == 0)
+	}
+}
+
+// transfer makes each leader hand over, or crash while it does.
+func (s *sim) transfer(crash bool) {
+	for _, n := range s.nodes {
+		if n.core == nil || n.frozen || n.core.role != leader {
+			continue
+		}
+		n.core.tick(s.now)
+		n.core.startTransfer()
+		s.work(n)
+		if crash {
+			s.crash(n, s.durable)
+		}
 	}
 }
 
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -59,7 +59,7 @@
 // zero time.
 func (c *core) leaseUntil() time.Time {
 	echo := c.quorumEcho()
-	if c.role != leader || echo == 0 {
+	if c.role != leader || echo == 0 || c.transfer.leaseEnded {
 		return time.Time{}
 	}
 	lease := c.electionTimeout * leaseNumerator / leaseDenominator
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -50,6 +50,7 @@
 			Commit: min(p.match, c.log.commit),
 		})
 	})
+	c.sendTransfer()
 }
 
 // retryLost goes back to probing if appends were not answered for some time.
@@ -96,9 +97,9 @@
 }
 
 // propose adds a command to the log. It reports false if this member does not
-// lead.
+// lead or is handing over the lead.
 func (c *core) propose(command []byte) (index, term uint64, ok bool) {
-	if c.role != leader {
+	if c.role != leader || c.transferring() {
 		return 0, 0, false
 	}
 	entry := c.appendOwn(Entry{Kind: entryCommand, Data: command})
@@ -217,6 +218,9 @@
 	c.advanceCommit()
 	c.admitLearner(p)
 	c.sendAppend(p)
+	if c.transfer.target == (MemberID{}) {
+		c.sendTransfer()
+	}
 }
 
 func (c *core) stepBeatResp(m message) {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -28,14 +28,20 @@
 	stopped <-chan struct{}
 	done    chan struct{}
 	drain   time.Duration
+
+	transferLeadership func(context.Context) error
 }
 
 // ProcessOptions configure a Process.
 type ProcessOptions struct {
-	Settings      *Settings
-	Group         Group
-	GroupHandler  http.Handler    // messages of the consensus group
-	GroupStopped  <-chan struct{} // closed when the group has stopped by itself
+	Settings     *Settings
+	Group        Group
+	GroupHandler http.Handler    // messages of the consensus group
+	GroupStopped <-chan struct{} // closed when the group has stopped by itself
+	// TransferLeadership hands over the lead of the group at shutdown; nil: not
+	// handed over.
+	TransferLeadership func(ctx context.Context) error
+
 	Catalog       Catalog
 	OperatorToken string
 	FleetToken    string
@@ -57,6 +63,8 @@
 		stopped: options.GroupStopped,
 		done:    make(chan struct{}),
 		drain:   options.Settings.DrainTimeout.Std(),
+
+		transferLeadership: options.TransferLeadership,
 	}
 	submitter := NewSubmitter(options.Group, options.Catalog, options.Clock, options.Log)
 	handler := NewHandler(Options{
@@ -138,8 +146,20 @@
 		p.log.Warn("requests in flight were cut at shutdown", zap.Error(err))
 		_ = p.api.Close()
 	}
+	p.handOver(ctx)
 	if err := p.peer.Shutdown(ctx); err != nil {
 		_ = p.peer.Close()
 	}
 	return nil
 }
+
+// handOver spares the group an election timeout. The answers of the other
+// members arrive at the peer address, so it must still be served.
+func (p *Process) handOver(ctx context.Context) {
+	if p.transferLeadership == nil {
+		return
+	}
+	if err := p.transferLeadership(ctx); err != nil {
+		p.log.Warn("the leadership was not handed over", zap.Error(err))
+	}
+}
--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"testing"
 
@@ -46,3 +48,36 @@
 	assert.NotEmpty(t, status.Failure)
 	assert.Empty(t, status.Leader)
 }
+
+// Guards against a hand-over after the peer address has closed, where the
+// answers of the other members arrive.
+func TestProcessHandsOverWhileItServesPeers(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Name = "c1"
+	settings.Members = []MemberSettings{{Name: "c1", APIAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0"}}
+	machine := plan.NewMachine()
+	group, err := StartGroup(GroupOptions{
+		Settings: settings, Storage: consensus.DiskStorage(fakedisk.New()), StateMachine: machine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	require.NoError(t, err)
+	defer group.Stop()
+	var process *Process
+	calls := 0
+	process, err = NewProcess(ProcessOptions{
+		Settings: settings, Group: NewGroup(group), GroupHandler: group.Handler(), GroupStopped: group.Done(), Catalog: machine,
+		OperatorToken: testToken, FleetToken: "fleet", Clock: sys.RealClock{}, Log: zap.NewNop(),
+		TransferLeadership: func(context.Context) error {
+			calls++
+			conn, err := net.Dial("tcp", process.peer.Address())
+			if assert.NoError(t, err) {
+				assert.NoError(t, conn.Close())
+			}
+			return group.TransferLeadership(t.Context())
+		},
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NoError(t, process.Run(ctx))
+	assert.Equal(t, 1, calls)
+}
--- a/internal/entry/claimgroups.go
+++ b/internal/entry/claimgroups.go
@@ -97,6 +97,14 @@
 // Ready is closed once each member of this entry holds its group's state.
 func (c *Claims) Ready() <-chan struct{} { return c.ready }
 
+// TransferLeadership hands over the groups that a member of this entry leads.
+func (c *Claims) TransferLeadership(ctx context.Context) error {
+	if c.members == nil {
+		return nil
+	}
+	return c.members.TransferLeadership(ctx)
+}
+
 // Stop ends the members.
 func (c *Claims) Stop() {
 	c.cancel()
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -27,6 +27,9 @@
 type ClaimMembers interface {
 	// Ready is closed once each member of this entry holds its group's state.
 	Ready() <-chan struct{}
+	// TransferLeadership hands over the groups that this entry leads. The peer
+	// port must still be served.
+	TransferLeadership(ctx context.Context) error
 	Stop()
 }
 
@@ -73,7 +76,7 @@
 	}
 	drain, cancel := context.WithTimeout(context.Background(), p.DrainLimit)
 	defer cancel()
-	return p.Entry.Shutdown(drain, p.Callers, drainingPeers{p.Peers, p.Draining}, p.Dispatcher)
+	return p.Entry.Shutdown(drain, p.Callers, drainingPeers{p.Peers, p}, p.Dispatcher)
 }
 
 // announceReady makes the process ready once it serves and its claim group
@@ -92,15 +95,19 @@
 	p.Log.Info("ready")
 }
 
-// drainingPeers ends long polls before it waits for the requests in flight.
+// drainingPeers ends long polls and hands over the claim groups before it waits
+// for the requests in flight.
 type drainingPeers struct {
 	*httpserver.Server
-	draining chan struct{}
+	process *Process
 }
 
 // Shutdown implements Servers.
 func (d drainingPeers) Shutdown(ctx context.Context) error {
-	close(d.draining)
+	close(d.process.Draining)
+	if err := d.process.Claims.TransferLeadership(ctx); err != nil {
+		d.process.Log.Warn("a claim group was not handed over", zap.Error(err))
+	}
 	return d.Server.Shutdown(ctx)
 }
 
