Count a trial that reaches its deadline as slow

Cause: the two false ejections of a returning target. Both were second ejections after two good probes, about 1.2 s after the trials began: the third trial was an idempotent request that was a straggler (20 times the usual size, 1 s or 2 s) and reached its deadline of 1 s. It counted as no answer and ended the trials, although one slow trial is allowed.

Ruled out: the weight of requests that hear nothing.

Change: a trial by a request that timed out counts as slow if the target has answered a trial since its time out. Without one it counts as no answer, as before, and so does a failed connection.

--- a/internal/health/eject.go
+++ b/internal/health/eject.go
@@ -146,5 +146,15 @@
 	return true, true
 }
 
+// EndLateTrial takes in a trial by a request that got no answer before its
+// deadline. It may be a straggler and counts as slow if the target has answered
+// a trial since its time out. The results are those of EndTrial.
+func (t *Target) EndLateTrial(now time.Time) (returned, changed bool) {
+	if t.trials > 0 {
+		return t.EndTrial(Slow, now)
+	}
+	return t.EndTrial(Unreachable, now)
+}
+
 // AbortTrial notes that a trial ended without evidence.
 func (t *Target) AbortTrial() { t.trialBusy = false }
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -74,7 +74,7 @@
 	t := a.target
 	evidence, counts := s.evidence(a, o)
 	if a.trial {
-		s.endTrial(a, evidence, counts, now)
+		s.endTrial(a, o.Kind, evidence, counts, now)
 		return
 	}
 	before := t.health.State()
@@ -140,12 +140,16 @@
 	}
 }
 
-func (s *Service) endTrial(a *attempt, evidence health.Evidence, counts bool, now time.Time) {
+func (s *Service) endTrial(a *attempt, kind OutcomeKind, evidence health.Evidence, counts bool, now time.Time) {
 	t := a.target
 	if !counts && evidence != health.Slow {
 		t.health.AbortTrial()
 		return
 	}
+	if kind == Timeout {
+		s.finishTrial(t, func() (bool, bool) { return t.health.EndLateTrial(now) })
+		return
+	}
 	s.finishTrial(t, func() (bool, bool) { return t.health.EndTrial(evidence, now) })
 }
 
