Count probes of full targets where probes need no slot

Cause: silent targets with two slots were found late when both slots were held by non-idempotent requests, which are not cancelled at their deadline.

Ruled out: the weight of waiting requests. Two stragglers of 20 times the usual size do look like silence for 2 s and more.

Change: the owner learns whether full targets of the service answer probes. Answers of requests that were running during an unanswered probe undo this. The bench can model probes that need no slot (Spec.ProbeBeside); by default probes still wait for a slot.

--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -46,8 +46,8 @@
 }
 
 // EndProbe takes in the result of a probe on a fresh connection. Busy means
-// that all slots were in use: a probe that got no quick answer may have waited
-// for them and says nothing. The results are those of EndTrial.
+// that all slots were in use and probes of the service may need one: a probe
+// that got no quick answer may have waited and says nothing. The results are those of EndTrial.
 func (t *Target) EndProbe(e Evidence, busy bool, now time.Time) (returned, changed bool) {
 	t.probing = false
 	t.nextProbe = now
--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -29,6 +29,7 @@
 	s.followLimit(a, o, now)
 	s.judge(a, o, now)
 	a.target.inFlight--
+	a.target.ended++
 	a.ticket.live--
 	if a.long {
 		s.long--
@@ -87,6 +88,7 @@
 		t.health.Observe(evidence, now)
 	}
 	if o.Kind == OK {
+		s.fullProbes.requestAnswered(a, o.ServiceTime)
 		t.health.Latency(o.ServiceTime.Seconds() / a.size.Typical.Seconds())
 	}
 	s.noteChange(t, before)
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -27,6 +27,7 @@
 	peer     bool // sent by another entry
 	busy     bool // all slots were in use when it was sent
 	holdsIt  bool // it holds a slot
+	ended    int  // attempts that the target had ended when it was sent
 	lostFrom time.Time
 }
 
@@ -52,7 +53,7 @@
 
 func (s *Service) askProbe(t *target, kind ActionKind, now time.Time) {
 	timeout := s.probeTimeout()
-	p := &probe{target: t, peer: kind == PeerProbe, lostFrom: now.Add(timeout + probeResultGrace)}
+	p := &probe{target: t, peer: kind == PeerProbe, ended: t.ended, lostFrom: now.Add(timeout + probeResultGrace)}
 	if !p.peer {
 		p.busy = t.inFlight >= t.record.Slots
 	}
@@ -118,7 +119,8 @@
 		p.target.health.DropProbe(now)
 		return
 	}
-	s.finishTrial(p.target, func() (bool, bool) { return p.target.health.EndProbe(evidence, p.busy, now) })
+	waited := p.busy && s.fullProbes.judge(p, evidence, now)
+	s.finishTrial(p.target, func() (bool, bool) { return p.target.health.EndProbe(evidence, waited, now) })
 }
 
 func (s *Service) probeEvidence(o Outcome, now time.Time) (evidence health.Evidence, counts bool) {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -59,6 +59,7 @@
 	passive    bool
 	pruneAt    time.Time
 	tickedAt   time.Time
+	fullProbes fullProbes
 }
 
 // target is what the owner knows of a target beyond its record.
@@ -67,11 +68,15 @@
 	health      health.Target
 	limit       schedule.Limit
 	inFlight    int // attempts, and probes that hold a slot
+	ended       int // attempts so far
 	probeCredit time.Duration
 	creditAt    time.Time
 	// refusedUntil is the end of a short time after a failed connection in
 	// which requests wait for other targets rather than use this one.
 	refusedUntil time.Time
+	// lateFullProbe is when a probe last got no answer in time while all slots
+	// were in use.
+	lateFullProbe time.Time
 }
 
 // attempt is one attempt in flight.
--- a/tools/bench/fleet/fleet.go
+++ b/tools/bench/fleet/fleet.go
@@ -109,6 +109,8 @@
 	Slots   int // of each target
 	Entries int
 	Probe   time.Duration // slot time of a probe
+	// ProbeBeside tells that targets answer probes without using a slot.
+	ProbeBeside bool
 }
 
 // Host is the engine as a policy sees it. All calls in both directions are
--- a/tools/bench/scenario/scenario_test.go
+++ b/tools/bench/scenario/scenario_test.go
@@ -54,3 +54,25 @@
 		})
 	}
 }
+
+// Guards against silent targets with two slots that are found late because
+// probes of full targets do not count, although they need no slot. The gap
+// before the first fault lets the owner learn that.
+func TestDetectionOfSilentTargetsWithLongerRequests(t *testing.T) {
+	for _, size := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(size.String(), func(t *testing.T) {
+			spec := Consents
+			spec.ProbeBeside = true
+			c := DetectionCase{
+				Spec: spec, Short: size, Idempotent: 0.2, Load: 0.6, Kind: fleet.Silent,
+				Count: 5, Length: 10 * time.Second, Gap: 40 * time.Second,
+			}
+			d := c.Run(virtual.Run, Policies()["sequoialane"](), 3)
+			assert.Zero(t, d.Missed)
+			assert.Zero(t, d.FalseTotal)
+			assert.LessOrEqual(t, d.Median, 2*time.Second)
+			assert.LessOrEqual(t, d.Worst, 5*time.Second)
+			assert.LessOrEqual(t, d.ProbeShare, 0.01)
+		})
+	}
+}
--- a/tools/bench/virtual/engine.go
+++ b/tools/bench/virtual/engine.go
@@ -118,7 +118,7 @@
 // Probe implements fleet.Host.
 func (e *Engine) Probe(target int, peer bool, timeout time.Duration, done func(owner.Outcome)) {
 	t := e.targets[target]
-	j := &job{size: e.spec.Probe, sentAt: e.now, probe: true, peer: peer, done: done}
+	j := &job{size: e.spec.Probe, sentAt: e.now, probe: true, peer: peer, beside: e.spec.ProbeBeside, done: done}
 	e.After(linkDelay, func() { t.arrive(j) })
 	e.After(timeout, func() {
 		if !j.ended {
--- a/tools/bench/virtual/target.go
+++ b/tools/bench/virtual/target.go
@@ -24,6 +24,7 @@
 	sentAt    time.Time
 	startedAt time.Time
 	probe     bool
+	beside    bool // needs no slot
 	peer      bool // sent by another entry
 	running   bool
 	ended     bool
@@ -37,7 +38,7 @@
 func (t *target) arrive(j *job) {
 	switch {
 	case j.ended:
-	case t.running < t.engine.spec.Slots:
+	case t.running < t.engine.spec.Slots, j.beside:
 		t.run(j)
 	case len(t.waiting) < maxWaiting:
 		t.waiting = append(t.waiting, j)
@@ -47,7 +48,9 @@
 }
 
 func (t *target) run(j *job) {
-	t.running++
+	if !j.beside {
+		t.running++
+	}
 	j.running = true
 	j.startedAt = t.engine.now
 	took := j.size
@@ -101,7 +104,9 @@
 		return
 	}
 	j.running = false
-	t.running--
+	if !j.beside {
+		t.running--
+	}
 	if j.probe {
 		t.probeTime += t.engine.now.Sub(j.startedAt)
 	}
