Return targets without a probe path by OPTIONS *

Cause: an ejected target without a probe path had trials only by idempotent requests, so without such traffic it returned only by a restart or the loss of the lease.

Ruled out: a non-idempotent trial, by the design; GET or HEAD of a path, which reaches a route of the service.

Change: after 5 s of the trial without an idempotent request, the trials are OPTIONS * on fresh connections. 501 counts as an answer.

No load was measured.

Conclusion: such targets return after four answers, which prove only that the HTTP server answers; the design page recommends a probe path.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -54,7 +54,7 @@
 	started := time.Now()
 	dialer := &net.Dialer{Timeout: limit, Control: setUserTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	r, err := newProbe(ctx, address, path)
 	if err != nil {
 		return owner.Outcome{Kind: owner.Canceled}
 	}
@@ -68,12 +68,25 @@
 		return owner.Outcome{Kind: owner.Truncated, ServiceTime: time.Since(started), BytesSent: true}
 	}
 	outcome := owner.Outcome{Kind: owner.OK, ServiceTime: time.Since(started), BytesSent: true}
-	if response.StatusCode >= http.StatusInternalServerError {
+	if response.StatusCode >= http.StatusInternalServerError && (path != "" || response.StatusCode != http.StatusNotImplemented) {
 		outcome.Kind = owner.UpstreamError
 	}
 	return outcome
 }
 
+// newProbe returns the request of a probe. Without a path it is OPTIONS *, which
+// asks about the server as a whole and has no effect on the service.
+func newProbe(ctx context.Context, address, path string) (*http.Request, error) {
+	if path != "" {
+		return http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+address, http.NoBody)
+	if err == nil {
+		r.URL.Opaque = "*"
+	}
+	return r, err
+}
+
 func probeFailure(ctx context.Context, err error, took time.Duration) owner.Outcome {
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// WantsReturnProbe reports whether a target without a probe path should get a
+// trial without a request, because no idempotent request came for its trial.
+func (t *Target) WantsReturnProbe(now time.Time) bool {
+	idle := !t.probing && !t.trialBusy && !now.Before(t.nextProbe)
+	return t.state == Trial && idle && now.Sub(t.trialSince) >= noRequests
+}
+
 // WantsPeerProbe reports whether another entry should probe the target: a
 // suspect, or a target at the end of a path at fault, that does not answer.
 func (t *Target) WantsPeerProbe(now time.Time) bool {
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -11,7 +11,8 @@
 type ActionKind string
 
 // The kinds of action. Probe and PeerProbe ask for work whose result is
-// reported with ProbeResult; the others tell of a change of state.
+// reported with ProbeResult; a target without a probe path is asked OPTIONS *,
+// which reaches no route of the service. The others tell of a change of state.
 const (
 	Probe     ActionKind = "probe"      // probe the target on a fresh connection
 	PeerProbe ActionKind = "peer_probe" // ask another entry to probe the target
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -34,10 +34,14 @@
 // wantProbes asks for probes of targets that need one.
 func (s *Service) wantProbes(now time.Time) {
 	for _, t := range s.targets {
-		if t.record.ProbePath == "" {
+		if _, ok := s.registry.Target(t.record.Address); !ok {
 			continue
 		}
-		if _, ok := s.registry.Target(t.record.Address); !ok {
+		if t.record.ProbePath == "" {
+			if t.health.WantsReturnProbe(now) && t.takeProbeCredit(now) {
+				t.health.BeginProbe()
+				s.askProbe(t, Probe, now)
+			}
 			continue
 		}
 		if t.health.WantsPeerProbe(now) {
