--- a/internal/owner/done.go
+++ b/internal/owner/done.go
@@ -29,6 +29,7 @@
 	s.followLimit(a, o, now)
 	s.judge(a, o, now)
 	a.target.inFlight--
+	a.target.ended++
 	a.ticket.live--
 	if a.long {
 		s.long--
@@ -74,7 +75,7 @@
 	t := a.target
 	evidence, counts := s.evidence(a, o)
 	if a.trial {
-		s.endTrial(a, evidence, counts, now)
+		s.endTrial(a, o.Kind, evidence, counts, now)
 		return
 	}
 	before := t.health.State()
@@ -87,6 +88,7 @@
 		t.health.Observe(evidence, now)
 	}
 	if o.Kind == OK {
+		s.fullProbes.requestAnswered(a, o.ServiceTime)
 		t.health.Latency(o.ServiceTime.Seconds() / a.size.Typical.Seconds())
 	}
 	s.noteChange(t, before)
@@ -140,12 +142,16 @@
 	}
 }
 
-func (s *Service) endTrial(a *attempt, evidence health.Evidence, counts bool, now time.Time) {
+func (s *Service) endTrial(a *attempt, kind OutcomeKind, evidence health.Evidence, counts bool, now time.Time) {
 	t := a.target
 	if !counts && evidence != health.Slow {
 		t.health.AbortTrial()
 		return
 	}
+	if kind == Timeout {
+		s.finishTrial(t, func() (bool, bool) { return t.health.EndLateTrial(now) })
+		return
+	}
 	s.finishTrial(t, func() (bool, bool) { return t.health.EndTrial(evidence, now) })
 }
 
