localfleet: keep the runs of killed upstreams and resend keys

Cause: A test that kills stand-in upstreams cannot check how often a key ran, because the counts are lost with the process. The load generator never sent a key again after its end, and the effect of earlier attempts was not recorded.

Ruled out: Reading the counts just before a kill, since a run may start between the reading and the kill.

Change: A stand-in upstream appends the key of each run to a file before the work starts; Fleet.Runs sums over all starts. The load generator sends a share of the keyed requests again and records the effect of each attempt. Fleet.Submit and Fleet.Version give tests an operator that chooses base versions. Control.EraseData empties a data folder.

Conclusion: Runs can be compared with answers although upstreams are killed.

--- a/internal/loadgen/config.go
+++ b/internal/loadgen/config.go
@@ -37,6 +37,7 @@
 	Work            settings.Duration `json:"work"` // service time asked of the upstream; 0: its own
 	StragglerShare  float64           `json:"straggler_share"`
 	StragglerFactor float64           `json:"straggler_factor"`
+	ResendShare     float64           `json:"resend_share"` // of keyed requests that are sent again after their end, whatever it was
 }
 
 // Swing changes the rate of a stream.
@@ -81,6 +82,9 @@
 	if s.Rate < 0 || s.Rate > 100_000 {
 		report(path+"rate", s.Rate, "want 0 to 100000 per second")
 	}
+	if s.ResendShare < 0 || s.ResendShare > 1 {
+		report(path+"resend_share", s.ResendShare, "want a number from 0 to 1")
+	}
 	if s.StragglerShare < 0 || s.StragglerShare > 1 {
 		report(path+"straggler_share", s.StragglerShare, "want a number from 0 to 1")
 	}
--- a/internal/loadgen/generator.go
+++ b/internal/loadgen/generator.go
@@ -17,6 +17,7 @@
 	dialTimeout    = time.Second
 	maxIdlePerHost = 512
 	connectionIdle = 30 * time.Second
+	resendStream   = 5 // of the random numbers that decide on resends
 )
 
 // Generator runs all streams.
@@ -85,7 +86,11 @@
 		case <-time.After(time.Until(next)):
 		}
 		if rate > 0 {
-			g.launch(s, g.results[index], planned{at: next, pick: rng.Float64(), straggler: rng.Float64() < s.StragglerShare, seed: rng.Uint64()})
+			p := planned{at: next, pick: rng.Float64(), straggler: rng.Float64() < s.StragglerShare, seed: rng.Uint64()}
+			// A generator of its own keeps the arrivals of a seed as they were
+			// before resends existed.
+			p.resend = rand.New(rand.NewPCG(p.seed, resendStream)).Float64()
+			g.launch(s, g.results[index], p)
 		}
 	}
 }
@@ -96,6 +101,7 @@
 	pick      float64 // which address, by weight
 	straggler bool
 	seed      uint64 // of the body
+	resend    float64
 }
 
 func (g *Generator) launch(s *Stream, r *result, p planned) {
@@ -113,6 +119,10 @@
 		if s.Keyed {
 			key = uuid.Must(uuid.NewV7()).String()
 		}
-		r.add(g.send(s, p, id, key), key, p)
+		o := g.send(s, p, id, key)
+		if key != "" && p.resend < s.ResendShare {
+			o = g.resend(s, p, id, key, o)
+		}
+		r.add(o, key, p)
 	}()
 }
--- a/internal/loadgen/keys.go
+++ b/internal/loadgen/keys.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -14,10 +15,11 @@
 type UsedKey struct {
 	Key     string
 	Outcome string
-	Effect  fault.Effect
+	Effect  fault.Effect   // of the last attempt
+	Effects []fault.Effect // of all attempts, resends included; empty if none was made
 }
 
-// WriteKeys writes a line "key outcome effect" for each keyed request.
+// WriteKeys writes a line "key outcome effect attempts" for each keyed request.
 func (g *Generator) WriteKeys(name string) error {
 	file, err := os.Create(name)
 	if err != nil {
@@ -27,7 +29,7 @@
 	w := bufio.NewWriter(file)
 	for _, r := range g.results {
 		for _, k := range r.keys {
-			fmt.Fprintf(w, "%s %s %s\n", k.Key, k.Outcome, k.Effect)
+			fmt.Fprintf(w, "%s %s %s [%s]\n", k.Key, k.Outcome, k.Effect, joinEffects(k.Effects))
 		}
 	}
 	return trace.Wrap(w.Flush())
@@ -44,10 +46,29 @@
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
 		var k UsedKey
-		if _, err := fmt.Sscan(lines.Text(), &k.Key, &k.Outcome, &k.Effect); err != nil {
+		var effects string
+		if _, err := fmt.Sscan(lines.Text(), &k.Key, &k.Outcome, &k.Effect, &effects); err != nil {
 			return nil, trace.Wrap(err)
 		}
+		k.Effects = splitEffects(effects)
 		keys = append(keys, k)
 	}
 	return keys, trace.Wrap(lines.Err())
 }
+
+func joinEffects(list []fault.Effect) string {
+	var parts []string
+	for _, e := range list {
+		parts = append(parts, string(e))
+	}
+	return strings.Join(parts, ",")
+}
+
+// splitEffects reads a list in brackets.
+func splitEffects(text string) []fault.Effect {
+	var list []fault.Effect
+	for _, part := range strings.FieldsFunc(text, func(r rune) bool { return strings.ContainsRune("[],", r) }) {
+		list = append(list, fault.Effect(part))
+	}
+	return list
+}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -56,7 +56,7 @@
 		r.details = append(r.details, o.name+": "+o.detail)
 	}
 	if key != "" {
-		r.keys = append(r.keys, UsedKey{key, o.name, o.effect})
+		r.keys = append(r.keys, UsedKey{key, o.name, o.effect, o.effects})
 	}
 	micros := min(max(o.latency.Microseconds(), minLatency), maxLatency)
 	switch {
--- a/internal/loadgen/send.go
+++ b/internal/loadgen/send.go
@@ -30,8 +30,9 @@
 	latency time.Duration
 	refused bool // an error of the fleet
 	tries   int
-	detail  string // of a failure
-	broken  int    // attempts whose connection broke after the request was sent
+	effects []fault.Effect // of all attempts, in order
+	detail  string         // of a failure
+	broken  int            // attempts whose connection broke after the request was sent
 }
 
 // send sends the request to one address after another until one answers.
@@ -46,11 +47,12 @@
 		if len(addresses) == 0 || time.Now().After(deadline) {
 			break
 		}
-		tries, broken := last.tries, last.broken
+		tries, broken, effects := last.tries, last.broken, last.effects
 		var next bool
 		last, next = g.try(ctx, s, p, addresses[i%len(addresses)], id, key, body, deadline)
 		last.tries = tries + 1
 		last.broken += broken
+		last.effects = append(effects, last.effect)
 		if !next {
 			break
 		}
@@ -62,6 +64,17 @@
 	return last
 }
 
+// resend sends a request again that ended as first. The outcome is that of the
+// resend; attempts are those of both.
+func (g *Generator) resend(s *Stream, p planned, id, key string, first outcome) outcome {
+	p.at = time.Now()
+	o := g.send(s, p, id, key)
+	o.tries += first.tries
+	o.broken += first.broken
+	o.effects = append(first.effects, o.effects...)
+	return o
+}
+
 // try sends one attempt. next tells whether another address may do better.
 func (g *Generator) try(ctx context.Context, s *Stream, p planned, at, id, key string, body []byte, deadline time.Time) (o outcome, next bool) {
 	r, err := g.request(ctx, s, p, at, id, key, body, deadline)
--- /dev/null
+++ b/internal/localfleet/operator.go
@@ -0,0 +1,92 @@
+package localfleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/sequoialane/sequoialane/internal/controlapi"
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/plan"
+)
+
+// Version returns the current catalog version by a linearizable read at one
+// control member.
+func (f *Fleet) Version(c *Control) (uint64, error) {
+	var list controlapi.PlanList
+	err := f.Get(c.APIAddress, "/v1/plans", &list)
+	return list.Version, trace.Wrap(err)
+}
+
+// Submit sends a change, with its base version and id as they are, to one
+// control member. An error means that the result is not known; the same change
+// may be sent again.
+func (f *Fleet) Submit(c *Control, ch plan.Change) (plan.Result, error) {
+	var result plan.Result
+	encoded, err := json.Marshal(ch)
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+c.APIAddress+"/v1/changes", bytes.NewReader(encoded))
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorToken)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := f.client.Do(r)
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return result, trace.Wrap(json.Unmarshal(raw, &result))
+	}
+	return refusedChange(raw)
+}
+
+// refusedChange returns the result that a refusal stands for, or an error if
+// the change may still be accepted.
+func refusedChange(raw []byte) (plan.Result, error) {
+	var refused controlapi.Error
+	if err := json.Unmarshal(raw, &refused); err != nil {
+		return plan.Result{}, trace.Wrap(err)
+	}
+	result := plan.Result{Detail: refused.Message}
+	if refused.CurrentVersion != nil {
+		result.Version = *refused.CurrentVersion
+	}
+	switch refused.Kind {
+	case fault.VersionConflict:
+		result.Outcome = plan.Stale
+	case fault.InvalidChange:
+		result.Outcome = plan.Invalid
+	default:
+		return plan.Result{}, trace.Wrap(&refused)
+	}
+	return result, nil
+}
+
+// ControlStatus returns the state of the control members as one of them sees
+// it.
+func (f *Fleet) ControlStatus(c *Control) (controlapi.Status, error) {
+	var s controlapi.Status
+	err := f.Get(c.APIAddress, "/v1/status", &s)
+	return s, trace.Wrap(err)
+}
+
+// EraseData ends a control member and empties its data folder.
+func (c *Control) EraseData() error {
+	c.Kill()
+	if err := os.RemoveAll(c.Settings.DataFolder); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(os.MkdirAll(c.Settings.DataFolder, 0o755))
+}
--- /dev/null
+++ b/internal/localfleet/runs.go
@@ -0,0 +1,29 @@
+package localfleet
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Runs returns how often each idempotency key ran on all stand-in upstreams,
+// over all their starts. It counts the runs of killed upstreams too.
+func (f *Fleet) Runs() (map[string]int, error) {
+	runs := map[string]int{}
+	for _, u := range f.Upstreams {
+		raw, err := os.ReadFile(u.runsFile)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		for _, key := range strings.Fields(string(raw)) {
+			runs[key]++
+		}
+	}
+	return runs, nil
+}
--- a/internal/localfleet/upstream.go
+++ b/internal/localfleet/upstream.go
@@ -21,6 +21,7 @@
 	*Process
 	Address        string
 	ControlAddress string
+	runsFile       string
 }
 
 // UpstreamOptions describe a stand-in upstream.
@@ -68,10 +69,13 @@
 		args = append(args, "--idempotent", prefix)
 	}
 	name := fmt.Sprintf("upstream-%d", len(f.Upstreams))
+	runsFile := f.path(name + ".runs")
+	args = append(args, "--runs-file", runsFile)
 	u := &Upstream{
 		Process:        newProcess(f.options.WorkDir, name, filepath.Join(f.options.BinDir, "upstream"), args...),
 		Address:        address,
 		ControlAddress: controlAddress,
+		runsFile:       runsFile,
 	}
 	f.Upstreams = append(f.Upstreams, u)
 	f.ports.release()
--- a/tools/upstream/main.go
+++ b/tools/upstream/main.go
@@ -41,6 +41,7 @@
 			&cli.StringSliceFlag{Name: "entry", Usage: "caller address of an entry; may be repeated"},
 			&cli.StringFlag{Name: "token-file", Usage: "file with the upstream token"},
 			&cli.StringSliceFlag{Name: "idempotent", Usage: "path prefix whose requests are idempotent with any method; may be repeated"},
+			&cli.StringFlag{Name: "runs-file", Usage: "file that the idempotency key of each run is appended to"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the random numbers of failure modes"},
 		},
 		Action: run,
@@ -67,6 +68,14 @@
 		return trace.Wrap(err)
 	}
 	target := newTarget(c.Int("slots"), c.Duration("service-time"), c.Uint64("seed"))
+	if name := c.String("runs-file"); name != "" {
+		log, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer log.Close()
+		target.runsLog = log
+	}
 	server := &http.Server{Handler: target, ReadHeaderTimeout: 5 * time.Second}
 	controlServer := &http.Server{Handler: target.controlHandler(), ReadHeaderTimeout: 5 * time.Second}
 	go serve(server, requests)
--- a/tools/upstream/target.go
+++ b/tools/upstream/target.go
@@ -36,6 +36,7 @@
 	inFlight int
 	lastID   string
 	stats    stats
+	runsLog  io.Writer // gets the key of each run; nil: none
 }
 
 func newTarget(slots int, serviceTime time.Duration, seed uint64) *target {
@@ -161,12 +162,21 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// countRun counts a run before its work starts. The log is written by then, so
+// that a process that is killed loses no run.
 func (t *target) countRun(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Requests++
-	if key != "" {
-		t.stats.Runs[key]++
+	if key == "" {
+		return
+	}
+	t.stats.Runs[key]++
+	if t.runsLog == nil {
+		return
+	}
+	if _, err := io.WriteString(t.runsLog, key+"\n"); err != nil {
+		panic("upstream: run cannot be recorded: " + err.Error())
 	}
 }
 
--- a/tools/upstream/target_test.go
+++ b/tools/upstream/target_test.go
@@ -79,3 +79,17 @@
 		})
 	}
 }
+
+// Guards against a run that is missing from the log when the process is killed
+// during its work.
+func TestRunIsLoggedBeforeItsWork(t *testing.T) {
+	var log strings.Builder
+	target := newTarget(1, time.Hour, 1)
+	target.runsLog = &log
+	server := httptest.NewServer(target)
+	defer server.Close()
+	assert.Equal(t, seen{silent: true}, ask(t, server.URL, "1"))
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	assert.Equal(t, "key-1\n", log.String())
+}
