--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,12 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Runs the random faults of make test with more seeds: SEEDS=20 FIRST_SEED=1.
+SEEDS ?= 20
+FIRST_SEED ?= 1
+soak:
+	$(GO) test -count=1 -timeout=0 -run='^TestRandomFaults$$' ./internal/fleettest -args -seeds=$(SEEDS) -first-seed=$(FIRST_SEED)
+
 # Runs a small fleet on loopback, disturbs it and prints what callers saw.
 demo: build
 	./bin/demo --bin bin
