Fence the claims of a single entry at its start; exit 2 on wrong flags

Cause: a fleet of one entry keeps claims in its memory and started empty after a restart, so it granted keys that its earlier run had sent. A wrong flag of a control subcommand ended with exit code 1.

Change: the memory is fenced at the start, so earlier keys are unknown; all subcommands report wrong use.

Conclusion: at most once also holds over a restart of a single entry.

--- a/cmd/sequoialane-control/main.go
+++ b/cmd/sequoialane-control/main.go
@@ -45,13 +45,11 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
+		OnUsageError:   wrongUse,
 		Commands: []*cli.Command{
-			{Name: "run", Usage: "serve until SIGTERM", Flags: settingsFlag(), Action: run},
-			{Name: "check-settings", Usage: "check the settings and the files they name", Flags: settingsFlag(), Action: checkSettings},
-			{Name: "print-defaults", Usage: "print the default settings", Action: printDefaults},
+			{Name: "run", Usage: "serve until SIGTERM", Flags: settingsFlag(), OnUsageError: wrongUse, Action: run},
+			{Name: "check-settings", Usage: "check the settings and the files they name", Flags: settingsFlag(), OnUsageError: wrongUse, Action: checkSettings},
+			{Name: "print-defaults", Usage: "print the default settings", OnUsageError: wrongUse, Action: printDefaults},
 		},
 	}
 	err := root.Run(ctx, args)
@@ -69,6 +67,8 @@
 
 type usageError struct{ error }
 
+func wrongUse(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} }
+
 func settingsFlag() []cli.Flag {
 	return []cli.Flag{&cli.StringFlag{Name: flagSettings, Aliases: []string{"s"}, Usage: "JSON settings `FILE`"}}
 }
--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -107,6 +107,8 @@
 	assert.Zero(t, code, stderr)
 	code, _, _ = runCommand("run")
 	assert.Equal(t, exitWrongSettings, code)
+	code, _, _ = runCommand("run", "--no-such-flag")
+	assert.Equal(t, exitWrongSettings, code)
 	code, stdout, _ := runCommand("print-defaults")
 	assert.Zero(t, code)
 	assert.Contains(t, stdout, `"drain_timeout": "10s"`)
--- a/internal/entry/claimgroups.go
+++ b/internal/entry/claimgroups.go
@@ -50,6 +50,7 @@
 	c := &Claims{Handlers: map[string]http.Handler{}, ready: make(chan struct{}), cancel: cancel}
 	if len(o.Groups) == 0 {
 		memory := claims.NewMemory(o.Clock, o.Limits)
+		memory.Fence(o.Clock.Now()) // an earlier run of this entry may have made claims
 		c.Client, c.Leases = memory, memory
 		close(c.ready)
 		return c, nil
