--- a/internal/claims/table_test.go
+++ b/internal/claims/table_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/sequoialane/sequoialane/internal/fixedseed"
 )
 
 const testNowMS = 1_800_000_000_000
--- a/internal/owner/property_test.go
+++ b/internal/owner/property_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/sequoialane/sequoialane/internal/fixedseed"
+
 	"github.com/sequoialane/sequoialane/internal/health"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/upstream"
--- a/internal/plan/machine_test.go
+++ b/internal/plan/machine_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/sequoialane/sequoialane/internal/fixedseed"
 )
 
 func sum(text string) [32]byte { return sha256.Sum256([]byte(text)) }
--- a/internal/upstream/registry_test.go
+++ b/internal/upstream/registry_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/sequoialane/sequoialane/internal/fixedseed"
 )
 
 var t0 = time.Date(2025, 3, 1, 8, 0, 0, 0, time.UTC)
