--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -76,7 +76,7 @@
 	if refused.checked {
 		w.Header().Set(headerClaimChecked, "1")
 	}
-	fault.Write(w, q.answerID(), e)
+	fault.Write(w, q.id, e)
 }
 
 // neverAccepted reports whether no entry ever accepts a request that is
@@ -97,7 +97,7 @@
 		h[name] = values
 	}
 	removeConnectionHeaders(h)
-	h.Set(headerRequestID, q.answerID())
+	h.Set(headerRequestID, q.id)
 	if a.Length >= 0 && bodyAllowed(q.method, a.Status) {
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -95,15 +95,20 @@
 // accept reads and checks a request of a caller. The returned request holds at
 // least the id, also beside a refusal.
 func (e *Entry) accept(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	id, err := requestID(r.Header)
 	q := &request{
+		id:       id,
 		keyed:    len(r.Header.Values(headerKey)) > 0,
 		method:   r.Method,
 		query:    r.URL.RawQuery,
 		header:   r.Header,
 		received: e.clock.Now(),
 	}
+	if err != nil {
+		limitRest(w, r)
+		return q, refuse(err)
+	}
 	for _, check := range []func() *fault.Error{
-		func() *fault.Error { return q.setID(r.Header) },
 		func() *fault.Error { return checkHead(r) },
 		func() *fault.Error { return q.readHead(r, servicePrefix) },
 		func() *fault.Error { return e.authorize(q, r) },
@@ -115,7 +120,6 @@
 	}
 	removeConnectionHeaders(q.header)
 	removeFleetHeaders(q.header)
-	var err *fault.Error
 	if q.body, err = readBody(w, r, q.keyed); err != nil {
 		return q, refuse(err)
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -22,8 +22,7 @@
 
 // request is a request on its way through this entry.
 type request struct {
-	id          string // of the request within the fleet and at the upstream; unique
-	callerID    string // given by the caller, or the same as id; empty for a request of a peer
+	id          string
 	service     string
 	path        string // path below the service, starts with "/"
 	query       string
@@ -46,30 +45,16 @@
 	Entitlement plan.Entitlement `json:"entitlement"`
 }
 
-// setID takes the caller's id or a new one. Callers may use one id for several
-// requests, and an answer is matched to its request by the id, so the id within
-// the fleet has a unique part of its own.
-func (q *request) setID(h http.Header) *fault.Error {
-	q.id = newID()
-	q.callerID = q.id
+// requestID returns the caller's id or a new one.
+func requestID(h http.Header) (string, *fault.Error) {
 	given := h.Get(headerRequestID)
 	if given == "" {
-		return nil
+		return newID(), nil
 	}
 	if len(given) > maxRequestID || strings.ContainsFunc(given, func(c rune) bool { return c <= ' ' || c > '~' }) {
-		return fault.New(fault.BadRequest, "X-Request-Id: want at most 128 printable ASCII characters without spaces")
-	}
-	q.callerID = given
-	q.id = given + "." + q.id
-	return nil
-}
-
-// answerID returns the id that the sender of the request knows it by.
-func (q *request) answerID() string {
-	if q.callerID != "" {
-		return q.callerID
+		return newID(), fault.New(fault.BadRequest, "X-Request-Id: want at most 128 printable ASCII characters without spaces")
 	}
-	return q.id
+	return given, nil
 }
 
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
