Keep equal request ids in use apart at the owner

Cause: an answer is matched to its request by X-Request-Id. Two callers with the same value got each other's answers from a target that crossed them. Ruled out: a unique part on each id, tried and reverted, since the upstream should see the caller's id.

Change: an id that is in use at the owner gets a unique part for the later request; all others reach the upstream unchanged.

Before: TestCrossedAnswersOfEqualRequestIDs got /b for /a. After: it passes.

Conclusion: open remains an id that a caller uses again while a request that is not idempotent still runs after its caller has left.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,7 @@
 	services *services
 	peers    *peers
 	spills   *spills
+	ids      *requestIDs
 	inFlight atomic.Int64
 	ready    chan struct{}
 	readied  sync.Once
@@ -100,6 +101,7 @@
 		services: newServices(self.Region, self.DataCentre, o.FloorPercent, o.Clock),
 		peers:    newPeers(o.Clock),
 		spills:   newSpills(),
+		ids:      newRequestIDs(),
 		ready:    make(chan struct{}),
 	}
 }
--- a/internal/entry/runhere.go
+++ b/internal/entry/runhere.go
@@ -39,9 +39,20 @@
 			return answer, refused
 		}
 	}
+	job.ID = e.ids.take(q.id)
 	result := e.runner.Run(ctx, dispatch.Owned(s.service), job)
 	countRequest(sideLocal, resultOutcome(result))
-	return e.settled(q, result)
+	answer, refused := e.settled(q, result)
+	if answer == nil {
+		e.ids.release(job.ID)
+		return nil, refused
+	}
+	closeBody := answer.Close
+	answer.Close = func() {
+		closeBody()
+		e.ids.release(job.ID)
+	}
+	return answer, nil
 }
 
 // askOther passes a request of another entry to the other entry that holds
@@ -106,7 +117,6 @@
 		body = http.NoBody
 	}
 	return dispatch.Request{
-		ID:                q.id,
 		Service:           q.service,
 		Method:            q.method,
 		URL:               &url.URL{Path: plain, RawPath: q.path, RawQuery: q.query},
