Keep the request id of a resend

Cause: TestOwnerFrozen failed with one wrong_body of 47 uploads. The frozen owner still held the first attempt when the resend with the same id arrived, so the resend got a unique part that its caller did not know.

Change: an id is shared by requests of the same plan, service, method, path, query, key and length; only another request gets a unique part.

--- a/internal/entry/requestid_test.go
+++ b/internal/entry/requestid_test.go
@@ -98,3 +98,18 @@
 	defer r.mu.Unlock()
 	return len(r.inUse) == 0
 }
+
+// Guards against a resend whose first attempt is still running at the owner
+// being answered under an id that its caller does not know.
+func TestResendKeepsTheRequestID(t *testing.T) {
+	ids := newRequestIDs()
+	assert.Equal(t, "abc", ids.take("abc", "lookup"))
+	assert.Equal(t, "abc", ids.take("abc", "lookup"))
+	other := ids.take("abc", "payment")
+	assert.NotEqual(t, "abc", other)
+	ids.release(other)
+	ids.release("abc")
+	assert.NotEqual(t, "abc", ids.take("abc", "payment"))
+	ids.release("abc")
+	assert.Equal(t, "abc", ids.take("abc", "payment"))
+}
--- a/internal/entry/runhere.go
+++ b/internal/entry/runhere.go
@@ -39,7 +39,7 @@
 			return answer, refused
 		}
 	}
-	job.ID = e.ids.take(q.id)
+	job.ID = e.ids.take(q.id, q.subject())
 	result := e.runner.Run(ctx, dispatch.Owned(s.service), job)
 	countRequest(sideLocal, resultOutcome(result))
 	answer, refused := e.settled(q, result)
