--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SHELL := /bin/bash
 
-.PHONY: build test race demo bench bench-check soak fuzz lint
+.PHONY: build test race demo bench bench-check soak lint
 
 build:
 	$(GO) build -o bin/ ./cmd/... ./tools/...
