Share the command line of the long-running programs

Cause: entry and control had the same command line twice, and a fault in one copy (exit code 1 for a wrong flag) had been mended in the other only.

Change: internal/daemon holds run, check-settings and print-defaults with their exit codes; both programs describe themselves to it.

--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/control"
+	"github.com/sequoialane/sequoialane/internal/daemon"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -31,7 +32,7 @@
 
 func runCommand(args ...string) (code int, stdout, stderr string) {
 	var out, errors bytes.Buffer
-	code = execute(context.Background(), append([]string{processName}, args...), &out, &errors)
+	code = program().Execute(context.Background(), append([]string{processName}, args...), &out, &errors)
 	return code, out.String(), errors.String()
 }
 
@@ -97,7 +98,7 @@
 			file := writeFile(t, t.TempDir(), "wrong.json", []byte(tc.settings))
 			for _, command := range []string{"check-settings", "run"} {
 				code, _, stderr := runCommand(command, "--settings", file)
-				assert.Equal(t, exitWrongSettings, code)
+				assert.Equal(t, daemon.ExitWrongSettings, code)
 				assert.Contains(t, stderr, tc.want)
 				assert.Equal(t, 1, strings.Count(stderr, "\n"))
 			}
@@ -106,9 +107,9 @@
 	code, _, stderr := runCommand("check-settings", "-s", files[0])
 	assert.Zero(t, code, stderr)
 	code, _, _ = runCommand("run")
-	assert.Equal(t, exitWrongSettings, code)
+	assert.Equal(t, daemon.ExitWrongSettings, code)
 	code, _, _ = runCommand("run", "--no-such-flag")
-	assert.Equal(t, exitWrongSettings, code)
+	assert.Equal(t, daemon.ExitWrongSettings, code)
 	code, stdout, _ := runCommand("print-defaults")
 	assert.Zero(t, code)
 	assert.Contains(t, stdout, `"drain_timeout": "10s"`)
@@ -208,7 +209,7 @@
 	for _, file := range files {
 		go func() {
 			var out, errors bytes.Buffer
-			codes <- execute(ctx, []string{processName, "run", "--settings", file}, &out, &errors)
+			codes <- program().Execute(ctx, []string{processName, "run", "--settings", file}, &out, &errors)
 		}()
 	}
 	return func() {
@@ -247,7 +248,7 @@
 	}
 	require.Eventually(t, func() bool { return change("first", 0) == http.StatusOK }, waitLimit, waitStep)
 	code, _, stderr := runCommand("run", "--settings", files[0])
-	assert.Equal(t, exitFailure, code)
+	assert.Equal(t, daemon.ExitFailure, code)
 	assert.Contains(t, stderr, "is used by another process")
 	assert.Equal(t, http.StatusOK, change("second", 1))
 }
--- a/cmd/sequoialane-entry/main_test.go
+++ b/cmd/sequoialane-entry/main_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoialane/sequoialane/internal/configsync"
+	"github.com/sequoialane/sequoialane/internal/daemon"
 	"github.com/sequoialane/sequoialane/internal/entry"
 )
 
@@ -58,7 +59,7 @@
 			file := filepath.Join(t.TempDir(), "entry.json")
 			require.NoError(t, os.WriteFile(file, raw, 0o600))
 			var stdout, stderr bytes.Buffer
-			code := execute(context.Background(), []string{"sequoialane-entry", "check-settings", "--settings", file}, &stdout, &stderr)
+			code := program().Execute(context.Background(), []string{"sequoialane-entry", "check-settings", "--settings", file}, &stdout, &stderr)
 			assert.Equal(t, tc.code, code, stderr.String())
 			assert.Contains(t, stdout.String()+stderr.String(), tc.want)
 			assert.LessOrEqual(t, bytes.Count(stderr.Bytes(), []byte("\n")), 1)
@@ -69,7 +70,7 @@
 // Guards against the printed defaults not being readable as settings.
 func TestPrintDefaults(t *testing.T) {
 	var stdout, stderr bytes.Buffer
-	require.Zero(t, execute(context.Background(), []string{"sequoialane-entry", "print-defaults"}, &stdout, &stderr))
+	require.Zero(t, program().Execute(context.Background(), []string{"sequoialane-entry", "print-defaults"}, &stdout, &stderr))
 	var read entry.Settings
 	require.NoError(t, json.Unmarshal(stdout.Bytes(), &read))
 	assert.Equal(t, *entry.DefaultSettings(), read)
@@ -78,6 +79,6 @@
 func TestWrongUse(t *testing.T) {
 	for _, args := range [][]string{{"nonsense"}, {"--nonsense"}, {"run"}, {"run", "--nonsense"}, {"check-settings", "--nonsense"}, {"run", "--settings", "/nonexistent.json"}} {
 		var stdout, stderr bytes.Buffer
-		assert.Equal(t, exitWrongSettings, execute(context.Background(), append([]string{"sequoialane-entry"}, args...), &stdout, &stderr), args)
+		assert.Equal(t, daemon.ExitWrongSettings, program().Execute(context.Background(), append([]string{"sequoialane-entry"}, args...), &stdout, &stderr), args)
 	}
 }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,124 @@
+// Package daemon is the command line that the long-running programs share: run,
+// check-settings and print-defaults.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+// Exit codes of a program.
+const (
+	ExitFailure       = 1
+	ExitWrongSettings = 2 // also for wrong use
+)
+
+const flagSettings = "settings"
+
+// Program describes a long-running program.
+type Program struct {
+	Name     string
+	Usage    string
+	Version  string
+	Defaults any                                          // default settings, printed as JSON
+	Check    func(file string) error                      // checks a settings file and the files it names
+	Run      func(ctx context.Context, file string) error // serves until ctx ends
+}
+
+// Main runs the program until SIGTERM or SIGINT and ends the process.
+func (p Program) Main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := p.Execute(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// Execute runs the command line and returns the exit code.
+func (p Program) Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := &cli.Command{
+		Name:           p.Name,
+		Usage:          p.Usage,
+		Version:        p.Version,
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   wrongUse,
+		Action:         refuseArguments,
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "serve until SIGTERM", Flags: settingsFlag(), OnUsageError: wrongUse, Action: p.run},
+			{Name: "check-settings", Usage: "check the settings and the files they name", Flags: settingsFlag(), OnUsageError: wrongUse, Action: p.checkSettings},
+			{Name: "print-defaults", Usage: "print the default settings", OnUsageError: wrongUse, Action: p.printDefaults},
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, err)
+	var wrong *settings.Error
+	var usage usageError
+	if errors.As(err, &wrong) || errors.As(err, &usage) {
+		return ExitWrongSettings
+	}
+	return ExitFailure
+}
+
+type usageError struct{ error }
+
+func wrongUse(_ context.Context, _ *cli.Command, err error, _ bool) error { return usageError{err} }
+
+// refuseArguments reports a command that does not exist.
+func refuseArguments(_ context.Context, command *cli.Command) error {
+	if command.Args().Present() {
+		return usageError{errors.New("unknown command " + command.Args().First())}
+	}
+	return cli.ShowRootCommandHelp(command)
+}
+
+func settingsFlag() []cli.Flag {
+	return []cli.Flag{&cli.StringFlag{Name: flagSettings, Aliases: []string{"s"}, Usage: "JSON settings `FILE`"}}
+}
+
+func settingsFile(command *cli.Command) (string, error) {
+	file := command.String(flagSettings)
+	if file == "" {
+		return "", usageError{errors.New("--" + flagSettings + " FILE is required")}
+	}
+	return file, nil
+}
+
+func (p Program) run(ctx context.Context, command *cli.Command) error {
+	file, err := settingsFile(command)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx, file)
+}
+
+func (p Program) checkSettings(_ context.Context, command *cli.Command) error {
+	file, err := settingsFile(command)
+	if err != nil {
+		return err
+	}
+	if err := p.Check(file); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(command.Root().Writer, "settings are valid")
+	return err
+}
+
+func (p Program) printDefaults(_ context.Context, command *cli.Command) error {
+	encoder := json.NewEncoder(command.Root().Writer)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(p.Defaults)
+}
