Let a consensus group take in and replace members while it runs

The platform names three seeds and no member list, so a group forms from the seeds and grows. Slots of a dynamic group are addresses; elections and commits count the configuration that the log ends in, since one that waits for the commit lets a candidate win with a majority of an older configuration. A member that is gone for good is removed once another one was admitted after it fell silent. Ruled out: a group of the three seeds alone, whose majority would differ from that of the core machines.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -24,6 +24,9 @@
 // maxMembers bounds the slots of a group. It is below epochStride.
 const maxMembers = 9
 
+// maxVoters bounds the voting members of a dynamic group.
+const maxVoters = 15
+
 // Member is a slot of a group and where it listens.
 type Member struct {
 	Slot    string `json:"slot"`
@@ -55,6 +58,15 @@
 	// round trip. It needs a monotonic clock that goes on while the VM is
 	// paused; otherwise a resumed leader may answer with old state.
 	LeaseReads bool
+
+	// Dynamic makes the slots changeable: a member that probes the group is
+	// admitted to it, and a member that is gone for good is removed once
+	// another one has been admitted in its place. A slot is named by the
+	// address of its member. Members then lists the slots that form the group,
+	// and Self need not be one of them.
+	Dynamic bool
+	// Bootstrap lets a blank member of a dynamic group take part in forming it.
+	Bootstrap bool
 }
 
 func (c Config) withDefaults() (Config, error) {
@@ -111,7 +123,7 @@
 		}
 		seen[member.Slot] = true
 	}
-	if !seen[c.Self] {
+	if !seen[c.Self] && !c.Dynamic {
 		return trace.BadParameter("consensus: slot %q is not a member of group %s", c.Self, c.Group)
 	}
 	return nil
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -27,8 +27,10 @@
 
 type coreOptions struct {
 	self              MemberID
-	slots             []string
-	durable           bool // state survives restarts; false: the group may form again
+	slots             []string // fixed slots; with dynamic set: the slots that form the group
+	dynamic           bool     // slots are added and removed through the log
+	mayForm           bool     // with dynamic set: this member may take part in forming the group
+	durable           bool     // state survives restarts; false: the group may form again
 	heartbeatInterval time.Duration
 	electionTimeout   time.Duration
 	learnerTimeout    time.Duration // silence of leaders after which a member of a memory group may start over
@@ -71,6 +73,7 @@
 	transfer       transferState
 
 	formation formationState
+	inLog     votingCache
 
 	messages     []message
 	readsDone    []readState
@@ -102,7 +105,7 @@
 	}
 	c.resetElection()
 	c.formAfter(now)
-	if len(c.slots) == 1 {
+	if len(c.slots) == 1 && c.slots[0] == c.id.Slot {
 		// Nobody else can lead or hold a promise.
 		c.electionDeadline = now
 		c.formation.formDue = now
@@ -110,11 +113,17 @@
 	return c
 }
 
-func (c *core) quorum() int { return len(c.slots)/2 + 1 }
+// quorum is the number of members that make a majority of the voting ones.
+func (c *core) quorum() int {
+	if c.dynamic && !c.blank() {
+		return len(c.voting())/2 + 1
+	}
+	return len(c.slots)/2 + 1
+}
 
 func (c *core) blank() bool { return c.epoch == 0 }
 
-func (c *core) voter() bool { return !c.blank() && c.config.names(c.id) }
+func (c *core) voter() bool { return !c.blank() && c.voting().names(c.id) }
 
 func (c *core) hard() hardState {
 	return hardState{
@@ -129,6 +138,9 @@
 }
 
 func (c *core) hasSlot(slot string) bool {
+	if c.dynamic {
+		return slot != ""
+	}
 	i := sort.SearchStrings(c.slots, slot)
 	return i < len(c.slots) && c.slots[i] == slot
 }
@@ -244,7 +256,7 @@
 			return true
 		}
 	}
-	if m.fromLeader() || m.Type == msgVote || c.config.names(m.From) {
+	if m.fromLeader() || m.Type == msgVote || c.voting().names(m.From) {
 		c.becomeFollower(m.Term)
 		return true
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -22,9 +22,10 @@
 	}
 	request.Index = c.log.lastIndex()
 	request.LogTerm = c.log.lastTerm()
-	for _, slot := range c.slots {
-		if slot != c.id.Slot && c.config[slot] != 0 {
-			request.To = MemberID{Slot: slot, Incarnation: c.config[slot]}
+	voting := c.voting()
+	for _, slot := range sortedSlots(voting) {
+		if slot != c.id.Slot && voting[slot] != 0 {
+			request.To = MemberID{Slot: slot, Incarnation: voting[slot]}
 			c.send(request)
 		}
 	}
@@ -59,7 +60,7 @@
 	if m.Type == msgPreVoteResp && granted && m.Term != c.term+1 {
 		return
 	}
-	if c.role == wanted && c.config.names(m.From) {
+	if c.role == wanted && c.voting().names(m.From) {
 		c.countVote(m.From, granted)
 	}
 }
@@ -93,7 +94,7 @@
 	c.learners = map[string]*progress{}
 	c.setPeers()
 	for _, entry := range c.log.slice(c.log.applied+1, c.log.lastIndex()) {
-		if entry.Kind == entryReplace {
+		if entry.changesMembers() {
 			c.pendingReplace = entry.Index
 		}
 	}
@@ -102,7 +103,13 @@
 
 // setPeers makes the progress records agree with the configuration.
 func (c *core) setPeers() {
-	for slot, incarnation := range c.config {
+	voting := c.voting()
+	for slot := range c.peers {
+		if voting[slot] == 0 {
+			delete(c.peers, slot)
+		}
+	}
+	for slot, incarnation := range voting {
 		id := MemberID{Slot: slot, Incarnation: incarnation}
 		if p := c.peers[slot]; p != nil && p.id != id {
 			delete(c.peers, slot)
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -16,6 +16,7 @@
 	formDue    time.Time
 	promisedAt time.Time
 	seen       map[string]peerStatus
+	leaderHint string              // slot that another member named as the leader; empty: none
 	epoch      uint64              // epoch that this member asks for; 0: none
 	grants     map[string]MemberID // of that epoch
 }
@@ -47,7 +48,10 @@
 
 // mayForm reports whether this member may ask for an epoch. All members of a
 // durable group must agree, so the first slot is always there to ask.
-func (c *core) mayForm() bool {
+func (c *core) mayStartFormation() bool {
+	if c.dynamic && !c.mayForm {
+		return false
+	}
 	return c.blank() && (!c.durable || c.slots[0] == c.id.Slot)
 }
 
@@ -63,7 +67,7 @@
 		c.formation.probeDue = c.now.Add(c.electionTimeout / 2)
 		c.broadcast(c.statusMessage(msgProbe))
 	}
-	if c.mayForm() && !c.now.Before(c.formation.formDue) && c.blankSeen() >= c.grantsNeeded() {
+	if c.mayStartFormation() && !c.now.Before(c.formation.formDue) && c.blankSeen() >= c.grantsNeeded() {
 		c.requestGrants()
 	}
 }
@@ -85,7 +89,7 @@
 func (c *core) formed() bool { return c.log.commit > firstIndex }
 
 func (c *core) broadcast(m message) {
-	for _, slot := range c.slots {
+	for _, slot := range c.formationSlots(m.Type) {
 		if slot != c.id.Slot {
 			m.To = MemberID{Slot: slot}
 			c.send(m)
@@ -94,7 +98,7 @@
 }
 
 func (c *core) statusMessage(kind messageType) message {
-	return message{Type: kind, Epoch: c.epoch, Promised: c.promised, Blank: c.blank()}
+	return message{Type: kind, Epoch: c.epoch, Promised: c.promised, Blank: c.blank(), Leader: c.leader.Slot}
 }
 
 func (c *core) blankSeen() int {
@@ -146,6 +150,9 @@
 	if !c.blank() && !c.durable && m.Formed && m.Epoch > c.epoch {
 		c.discard(m.Epoch)
 	}
+	if c.dynamic && m.Leader != "" && m.Leader != c.id.Slot {
+		c.formation.leaderHint = m.Leader
+	}
 	switch m.Type {
 	case msgProbe:
 		c.sendStatus(m.From)
@@ -168,7 +175,7 @@
 
 func (c *core) answerFormation(m message) {
 	repeated := m.Promised == c.promised && c.promisedTo == m.From
-	if !c.blank() || c.hearsLeader() || m.Promised <= c.promised && !repeated {
+	if !c.blank() || c.dynamic && !c.mayForm || c.hearsLeader() || m.Promised <= c.promised && !repeated {
 		c.sendStatus(m.From)
 		return
 	}
--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -137,7 +137,7 @@
 		},
 	})
 	var answer proposeAnswer
-	err := t.postBy(ctx, client, t.peers[slot].url+pathPropose, request, &answer)
+	err := t.postBy(ctx, client, t.link(slot).url+pathPropose, request, &answer)
 	if err != nil && context.Cause(ctx) == errSilent {
 		err = errSilent
 	}
@@ -147,7 +147,7 @@
 // askReadPoint asks the leader for a read point.
 func (t *transport) askReadPoint(ctx context.Context, slot string) (readAnswer, error) {
 	var answer readAnswer
-	err := t.post(ctx, t.peers[slot].url+pathRead, readRequest{Group: t.config.Group}, &answer)
+	err := t.post(ctx, t.link(slot).url+pathRead, readRequest{Group: t.config.Group}, &answer)
 	if err != nil {
 		return answer, fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -88,6 +88,8 @@
 	options := coreOptions{
 		self:              MemberID{Slot: g.config.Self, Incarnation: g.newIncarnation()},
 		slots:             g.config.slots(),
+		dynamic:           g.config.Dynamic,
+		mayForm:           g.config.Bootstrap,
 		durable:           g.config.Storage.durable(),
 		heartbeatInterval: g.config.HeartbeatInterval,
 		electionTimeout:   g.config.ElectionTimeout,
@@ -102,7 +104,7 @@
 	if stored.snapshot.Index == 0 {
 		return nil
 	}
-	if !g.core.sameSlots(stored.snapshot.Config) {
+	if !g.config.Dynamic && !g.core.sameSlots(stored.snapshot.Config) {
 		return trace.BadParameter("consensus: group %s has the slots %v, the settings list %v", g.config.Group, stored.snapshot.Config, options.slots)
 	}
 	return g.restoreMachine(stored.snapshot)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -10,7 +10,7 @@
 // name. A member that answered within the election timeout is not given up for
 // another one in its slot.
 func (c *core) addLearner(id MemberID) {
-	if c.role != leader || c.config.names(id) {
+	if c.role != leader || c.voting().names(id) {
 		return
 	}
 	if p := c.peers[id.Slot]; p != nil && c.now.Sub(p.contact) < c.electionTimeout {
@@ -35,6 +35,9 @@
 
 // admitLearner proposes Replace for a learner that holds all committed entries.
 func (c *core) admitLearner(p *progress) {
+	if c.dynamic && len(c.voting()) >= maxVoters && c.voting()[p.id.Slot] == 0 {
+		return
+	}
 	caughtUp := p.match >= c.log.commit && c.log.matches(c.log.commit, c.term)
 	if c.learners[p.id.Slot] != p || !caughtUp || c.pendingReplace != 0 {
 		return
@@ -45,6 +48,10 @@
 	}
 	entry := c.appendOwn(Entry{Kind: entryReplace, Data: data})
 	c.pendingReplace = entry.Index
+	p.admitted = c.now
+	if c.dynamic {
+		c.setPeers()
+	}
 	c.broadcastAppend()
 }
 
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -8,6 +8,7 @@
 	entryCommand EntryKind = 0 // a command of the state machine
 	entryNoop    EntryKind = 1 // first entry of a term
 	entryReplace EntryKind = 2 // a MemberID in CBOR
+	entryRemove  EntryKind = 3 // a slot; groups with changeable slots only
 )
 
 // Entry is an entry of the replicated log.
@@ -97,6 +98,7 @@
 	Promised uint64      `cbor:"14,keyasint,omitempty"`
 	Blank    bool        `cbor:"15,keyasint,omitempty"`
 	Formed   bool        `cbor:"16,keyasint,omitempty"` // Epoch has committed an entry
+	Leader   string      `cbor:"18,keyasint,omitempty"` // msgStatus: slot of the leader, if known
 	Transfer bool        `cbor:"17,keyasint,omitempty"` // msgVote: the leader of the term before asked for the election
 }
 
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -14,6 +14,7 @@
 	lastAck     time.Time // when match last moved, or the leader began to wait for it
 	contact     time.Time // send time of the last message that was answered
 	echo        int64     // message.Sent of the last message that was answered; 0: none in this term
+	admitted    time.Time // when the leader proposed its admission; zero: a member before
 	snapshotDue time.Time // a snapshot is not sent again before this time
 }
 
--- a/internal/consensus/random_test.go
+++ b/internal/consensus/random_test.go
@@ -61,13 +61,13 @@
 	}
 }
 
-func runRandom(t *testing.T, seed uint64, size int, durable, wipe bool) {
+func runRandom(t *testing.T, seed uint64, initial, size int, durable, wipe bool) {
 	defer func() {
 		if r := recover(); r != nil {
 			t.Fatalf("seed %d: %v", seed, r)
 		}
 	}()
-	s := newSim(seed, size, durable)
+	s := newDynamicSim(seed, initial, size, durable)
 	s.drop = 0.05
 	s.crashes = 0.0002
 	if durable {
@@ -100,21 +100,24 @@
 func TestRandomFaults(t *testing.T) {
 	cases := []struct {
 		desc          string
-		size          int
+		initial, size int
 		durable, wipe bool
 	}{
-		{"three on disk", 3, true, false},
-		{"three on disk with lost disks", 3, true, true},
-		{"five on disk with lost disks", 5, true, true},
-		{"three in memory", 3, false, false},
-		{"five in memory", 5, false, false},
+		{"three on disk", 3, 3, true, false},
+		{"three on disk with lost disks", 3, 3, true, true},
+		{"five on disk with lost disks", 5, 5, true, true},
+		{"five on disk, formed by three", 3, 5, true, false},
+		{"five on disk, formed by three, with lost disks", 3, 5, true, true},
+		{"seven on disk, formed by three, with lost disks", 3, 7, true, true},
+		{"three in memory", 3, 3, false, false},
+		{"five in memory", 5, 5, false, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.desc, func(t *testing.T) {
 			for seed := range *seeds {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					runRandom(t, uint64(seed), tc.size, tc.durable, tc.wipe)
+					runRandom(t, uint64(seed), tc.initial, tc.size, tc.durable, tc.wipe)
 				})
 			}
 		})
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -55,8 +55,11 @@
 		}
 		c.log.applied = entry.Index
 		c.log.grown += entry.size()
-		if entry.Kind == entryReplace {
+		switch entry.Kind {
+		case entryReplace:
 			c.applyReplace(entry)
+		case entryRemove:
+			c.applyRemove(entry)
 		}
 	}
 	if c.role == leader {
@@ -67,7 +70,7 @@
 
 func hasReplace(entries []Entry) bool {
 	for _, entry := range entries {
-		if entry.Kind == entryReplace {
+		if entry.changesMembers() {
 			return true
 		}
 	}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -17,6 +17,7 @@
 		return
 	}
 	c.dropSilentLearners()
+	c.removeReplaced()
 	if !c.now.Before(c.heartbeatDue) {
 		c.broadcastHeartbeat()
 	}
@@ -68,7 +69,7 @@
 
 // eachProgress visits the other members in the order of their slots.
 func (c *core) eachProgress(visit func(*progress)) {
-	for _, slot := range c.slots {
+	for _, slot := range c.progressSlots() {
 		if p := c.peers[slot]; p != nil {
 			visit(p)
 		}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -20,6 +20,7 @@
 	slot     string
 	core     *core // nil: down
 	frozen   bool
+	wiped    bool // it lost its disk, so it must not form a group
 	stored   storedState
 	commands []string // applied since the initial state
 }
@@ -36,6 +37,7 @@
 	*checker
 	random      *rand.Rand
 	durable     bool
+	initial     int // slots that form the group; fewer than all: slots are changeable
 	now         time.Time
 	nodes       []*simNode
 	slots       []string
@@ -50,7 +52,13 @@
 }
 
 func newSim(seed uint64, size int, durable bool) *sim {
+	return newDynamicSim(seed, size, size, durable)
+}
+
+// newDynamicSim returns a group that its first slots form and the others join.
+func newDynamicSim(seed uint64, initial, size int, durable bool) *sim {
 	s := &sim{
+		initial: initial,
 		checker: newChecker(), random: rand.New(rand.NewPCG(seed, 7)), durable: durable,
 		now: time.Unix(1_700_000_000, 0), cut: map[[2]string]bool{},
 	}
@@ -72,7 +80,8 @@
 // start runs a node from its stored state.
 func (s *sim) start(n *simNode) {
 	options := coreOptions{
-		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), s.slots...),
+		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), s.slots[:s.initial]...),
+		dynamic: s.initial < len(s.slots), mayForm: !n.wiped,
 		durable: s.durable, heartbeatInterval: 50 * time.Millisecond, electionTimeout: simElection,
 		learnerTimeout: 10 * time.Second, snapshotTimeout: 2 * time.Second, snapshotEvery: simCompactEvery, snapshotBytes: 1 << 20,
 		random:         rand.New(rand.NewPCG(s.random.Uint64(), 1)),
@@ -97,6 +106,7 @@
 	n.core = nil
 	if !keepState {
 		n.stored = storedState{}
+		n.wiped = true
 	}
 }
 
--- a/internal/consensus/snapshots.go
+++ b/internal/consensus/snapshots.go
@@ -26,7 +26,7 @@
 	if s == nil || s.Epoch != m.Epoch || s.Index == 0 {
 		return
 	}
-	if !c.sameSlots(s.Config) {
+	if !c.dynamic && !c.sameSlots(s.Config) {
 		c.foreignSlots = true
 		return
 	}
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -44,11 +44,12 @@
 
 // MemberStatus is one slot of a group.
 type MemberStatus struct {
-	Slot        string `json:"slot"`
-	Address     string `json:"address"`
-	Incarnation uint64 `json:"incarnation"` // that votes; 0: the slot is vacant
-	Learner     uint64 `json:"learner"`     // incarnation that is being admitted, known to the leader only; 0: none
-	Match       uint64 `json:"match"`       // last stored entry, known to the leader only
+	Slot        string        `json:"slot"`
+	Address     string        `json:"address"`
+	Incarnation uint64        `json:"incarnation"` // that votes; 0: the slot is vacant
+	Learner     uint64        `json:"learner"`     // incarnation that is being admitted, known to the leader only; 0: none
+	Silence     time.Duration `json:"silence"`     // since the member answered the leader, known to the leader only
+	Match       uint64        `json:"match"`       // last stored entry, known to the leader only
 }
 
 // Status returns the state of the member after its last round of work.
@@ -76,7 +77,7 @@
 	if c.log.snapshot.Fence != 0 {
 		s.Fence = time.Unix(0, c.log.snapshot.Fence)
 	}
-	for _, member := range g.config.Members {
+	for _, member := range g.members() {
 		s.Members = append(s.Members, c.memberStatus(member))
 	}
 	if stopped {
@@ -127,6 +128,7 @@
 	}
 	if p := c.peers[member.Slot]; p != nil {
 		s.Match = p.match
+		s.Silence = c.now.Sub(p.contact)
 	}
 	if p := c.learners[member.Slot]; p != nil {
 		s.Learner = p.id.Incarnation
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -67,7 +67,7 @@
 // the configuration, that has answered last.
 func (c *core) transferTarget() MemberID {
 	var best *progress
-	for _, slot := range c.slots {
+	for _, slot := range c.progressSlots() {
 		p := c.peers[slot]
 		if p == nil || p.echo == 0 || p.match < c.log.lastIndex() || p.commit < c.configIndex {
 			continue
@@ -85,7 +85,7 @@
 // stepTransfer campaigns without a pre-vote and without waiting for the
 // election timeout, since the leader has given up its lease.
 func (c *core) stepTransfer(m message) {
-	if c.voter() && c.role != leader && c.config.names(m.From) {
+	if c.voter() && c.role != leader && c.voting().names(m.From) {
 		c.requestVotes(candidate, true)
 	}
 }
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -39,7 +39,8 @@
 	fresh    *http.Client // opens a connection for each request
 	failed   chan<- MemberID
 	counters counters
-	peers    map[string]*peerLink
+	mu       sync.Mutex
+	peers    map[string]*peerLink // by slot
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -61,22 +62,38 @@
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	for _, member := range config.Members {
-		if member.Slot == config.Self {
-			continue
-		}
-		link := &peerLink{
-			url:       "http://" + member.Address + config.PathPrefix,
-			queue:     make(chan message, queuedMessages),
-			snapshots: make(chan message, 1),
+		if member.Slot != config.Self {
+			t.peers[member.Slot] = t.openLink(member.Address)
 		}
-		t.peers[member.Slot] = link
-		t.wg.Add(2)
-		go t.sendMessages(link)
-		go t.sendSnapshots(link)
 	}
 	return t
 }
 
+func (t *transport) openLink(address string) *peerLink {
+	link := &peerLink{
+		url:       "http://" + address + t.config.PathPrefix,
+		queue:     make(chan message, queuedMessages),
+		snapshots: make(chan message, 1),
+	}
+	t.wg.Add(2)
+	go t.sendMessages(link)
+	go t.sendSnapshots(link)
+	return link
+}
+
+// link returns the link to a slot, nil for an unknown one of a fixed group.
+// Slots of a dynamic group are addresses, so their links are opened on demand.
+func (t *transport) link(slot string) *peerLink {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	link := t.peers[slot]
+	if link == nil && t.config.Dynamic && slot != t.config.Self && t.ctx.Err() == nil {
+		link = t.openLink(slot)
+		t.peers[slot] = link
+	}
+	return link
+}
+
 func (t *transport) stop() {
 	t.cancel()
 	t.wg.Wait()
@@ -86,7 +103,7 @@
 // send queues messages and never blocks.
 func (t *transport) send(messages []message) {
 	for _, m := range messages {
-		link := t.peers[m.To.Slot]
+		link := t.link(m.To.Slot)
 		if link == nil {
 			continue
 		}
