--- /dev/null
+++ b/internal/routing/document.go
@@ -0,0 +1,129 @@
+// Package routing holds the document that tells which requests go to which
+// services, and under which limits. A document is replaced as a whole; the
+// highest version wins.
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request of a route may run.
+type Kind string
+
+// The kinds.
+const (
+	Idempotent Kind = "idempotent" // may run more than once
+	Once       Kind = "once"       // runs at most once for each attempt of a caller
+	Upload     Kind = "upload"     // large body, runs at most once
+)
+
+// Repeatable reports whether a request that may have run may be sent again.
+func (k Kind) Repeatable() bool { return k == Idempotent }
+
+// Document is a whole configuration of routes.
+type Document struct {
+	Version  uint64    `json:"version"`
+	Limits   Limits    `json:"limits"`
+	Hosts    []Host    `json:"hosts"`
+	Services []Service `json:"services"`
+}
+
+// Limits bound what a caller may send. Zero: no limit of the document.
+type Limits struct {
+	MaxHeaderBytes int64         `json:"max_header_bytes"`
+	MaxBodyBytes   int64         `json:"max_body_bytes"`
+	HeaderTimeout  time.Duration `json:"header_timeout"` // to send the header
+	IdleTimeout    time.Duration `json:"idle_timeout"`   // of a kept connection
+}
+
+// Host holds the routes of a host name.
+type Host struct {
+	Name   string  `json:"name"`
+	Routes []Route `json:"routes"`
+}
+
+// Route tells where requests under a path prefix go.
+type Route struct {
+	Name         string        `json:"name"`
+	Kind         Kind          `json:"kind"`
+	PathPrefix   string        `json:"path_prefix"` // begins and ends with a slash
+	Objective    time.Duration `json:"objective"`   // latency of a good answer
+	Timeout      time.Duration `json:"timeout"`     // a request gets its final answer by then
+	Priority     int           `json:"priority"`    // 0 is the most urgent
+	MaxAttempts  int           `json:"max_attempts"`
+	Destinations []Destination `json:"destinations"`
+}
+
+// Destination is a service with its share of a route.
+type Destination struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service is a group of targets that run the same requests.
+type Service struct {
+	Name           string `json:"name"`
+	HealthPath     string `json:"health_path"`
+	MaxConnections int    `json:"max_connections"` // to one target, from all entries
+}
+
+// Services returns the names of the services that the host's routes use.
+func (h Host) Services() []string {
+	var names []string
+	seen := map[string]bool{}
+	for _, r := range h.Routes {
+		for _, d := range r.Destinations {
+			if !seen[d.Service] {
+				seen[d.Service] = true
+				names = append(names, d.Service)
+			}
+		}
+	}
+	return names
+}
+
+// Table finds routes of a document.
+type Table struct {
+	Document *Document
+	hosts    map[string]*Host
+}
+
+// NewTable indexes a valid document.
+func NewTable(d *Document) *Table {
+	t := &Table{Document: d, hosts: make(map[string]*Host, len(d.Hosts))}
+	for _, h := range d.Hosts {
+		key := strings.ToLower(h.Name)
+		if known := t.hosts[key]; known != nil {
+			h.Routes = append(slices.Clone(known.Routes), h.Routes...)
+		}
+		t.hosts[key] = &h
+	}
+	return t
+}
+
+// Host returns the host with the name, which may carry a port; nil: none.
+func (t *Table) Host(name string) *Host {
+	if i := strings.LastIndexByte(name, ':'); i >= 0 && !strings.HasSuffix(name, "]") {
+		name = name[:i]
+	}
+	return t.hosts[strings.ToLower(name)]
+}
+
+// Match returns the route of the host with the longest prefix of the path;
+// nil: none.
+func (t *Table) Match(host, path string) *Route {
+	h := t.Host(host)
+	if h == nil {
+		return nil
+	}
+	var best *Route
+	for i := range h.Routes {
+		r := &h.Routes[i]
+		if strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	return best
+}
