Replicate targets, entries and the routing document in one state

Entries follow the state by long polls of the nearest control member; a poll is also the sign that the entry is alive. Acknowledged drains and leaves are committed by a majority, so they bind every entry that follows a fresh member. Ruled out: gossip between entries, whose datagrams cross regions every second.

--- /dev/null
+++ b/internal/fleetcontrol/poll.go
@@ -0,0 +1,100 @@
+package fleetcontrol
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+)
+
+// PollPath is the path of the call by which entries follow the state.
+const PollPath = "/fleet/v1/poll"
+
+// PollHold is how long a poll waits for a change.
+const PollHold = 500 * time.Millisecond
+
+// coalesce is how long a poll waits for further changes after the first one.
+const coalesce = 15 * time.Millisecond
+
+// PollRequest asks for what changed after an index, and says that the entry is
+// alive.
+type PollRequest struct {
+	Entry fleetstate.Entry `json:"entry"`
+	After uint64           `json:"after"` // index of the entry's copy
+}
+
+// PollAnswer is what changed, at once or at the end of PollHold.
+type PollAnswer struct {
+	// Fresh is set if the member is in contact with a leader.
+	Fresh  bool              `json:"fresh"`
+	Update fleetstate.Update `json:"update"`
+}
+
+func (m *Member) servePoll(w http.ResponseWriter, r *http.Request) {
+	var request PollRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	ctx := r.Context()
+	m.presence.begin(request.Entry, m.clock.Now())
+	m.noteEntry(request.Entry)
+	m.awaitChange(ctx, request.After)
+	gone := ctx.Err() != nil
+	m.presence.end(request.Entry.Name, gone, m.clock.Now())
+	if gone {
+		m.wakeSweep()
+		return
+	}
+	peerhttp.Answer(w, PollAnswer{Fresh: m.Fresh(), Update: m.machine.Since(request.After)})
+}
+
+// awaitChange waits until the state is newer than the index, for PollHold at
+// most.
+func (m *Member) awaitChange(ctx context.Context, after uint64) {
+	timer := time.NewTimer(PollHold)
+	defer timer.Stop()
+	for {
+		changed, index := m.machine.Changed()
+		if index > after {
+			_ = m.clock.Sleep(ctx, coalesce)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-m.stopping:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// noteEntry proposes the record of an entry that the state does not hold as it
+// is now.
+func (m *Member) noteEntry(e fleetstate.Entry) {
+	e.Via = m.self.PeerAddress
+	record, ok := m.machine.Entry(e.Name)
+	e.Changed = record.Changed
+	if ok && (record == e || record.Incarnation > e.Incarnation) {
+		return
+	}
+	if !m.presence.startProposal(e.Name) {
+		return
+	}
+	go func() {
+		defer m.presence.endProposal(e.Name)
+		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+		defer cancel()
+		if _, err := m.batch.submit(ctx, fleetstate.Command{Entries: []fleetstate.Entry{e}}); err != nil {
+			m.log.Warn("entry not recorded", zap.String("entry", e.Name), zap.String("state", string(e.State)), zap.Error(err))
+			return
+		}
+		m.log.Info("entry recorded", zap.String("entry", e.Name), zap.String("state", string(e.State)), zap.Uint64("incarnation", e.Incarnation))
+	}()
+}
--- /dev/null
+++ b/internal/fleetcontrol/process.go
@@ -0,0 +1,140 @@
+package fleetcontrol
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/consensus"
+	"github.com/sequoialane/sequoialane/internal/disk"
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+const (
+	groupName       = "fleet"
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = time.Minute
+	transferTimeout = time.Second
+	endPart         = 0.8 // of the grace time, after which connections are cut
+	maxHeaderBytes  = 64 << 10
+)
+
+// Process is a control member as a process.
+type Process struct {
+	settings *Settings
+	log      *zap.Logger
+	group    *consensus.Group
+	member   *Member
+	peers    *http.Server
+	control  *http.Server
+	opened   []net.Listener // of peers, control
+}
+
+// NewProcess opens the data folder and the listeners. API makes the handler of
+// operators and targets.
+func NewProcess(s *Settings, api func(*Member) http.Handler, clock sys.Clock, log *zap.Logger) (*Process, error) {
+	dir, err := disk.Open(s.DataFolder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	machine := fleetstate.NewMachine()
+	group, err := consensus.Start(consensus.Config{
+		Group: groupName, Self: s.PeerAddress, Dynamic: true, Bootstrap: s.Bootstrap,
+		Members: lo.Map(settings.WithPort(s.Seeds, s.SeedPort), func(address string, _ int) consensus.Member {
+			return consensus.Member{Slot: address, Address: address}
+		}),
+		Storage: consensus.DiskStorage(dir), StateMachine: machine, Clock: clock, Logger: log,
+		HeartbeatInterval: HeartbeatInterval, ElectionTimeout: ElectionTimeout,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	member := New(Options{
+		Self: fleetstate.Member{
+			PeerAddress: s.PeerAddress, ControlAddress: s.ControlAddress, Region: s.Region, DataCentre: s.DataCentre,
+		},
+		Group: group, Machine: machine, Clock: clock, Log: log,
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/fleet/v1/", member.Handler())
+	mux.Handle(group.PathPrefix()+"/", group.Handler())
+	mux.Handle("GET /metrics", telemetry.MetricsHandler())
+	mux.HandleFunc("GET /fleet/v1/group", func(w http.ResponseWriter, _ *http.Request) { peerhttp.Answer(w, group.Status()) })
+	p := &Process{
+		settings: s, log: log, group: group, member: member,
+		peers: newServer(mux, log), control: newServer(api(member), log),
+	}
+	for _, address := range []string{s.PeerAddress, s.ControlAddress} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			group.Stop()
+			return nil, trace.Wrap(err)
+		}
+		p.opened = append(p.opened, listener)
+	}
+	return p, nil
+}
+
+func newServer(handler http.Handler, log *zap.Logger) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(log),
+	}
+}
+
+// Run serves until ctx ends or the storage fails.
+func (p *Process) Run(ctx context.Context) error {
+	failed := make(chan error, 2)
+	for i, s := range []*http.Server{p.peers, p.control} {
+		go func() {
+			if err := s.Serve(p.opened[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- trace.Wrap(err)
+			}
+		}()
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go p.member.Run(background)
+	p.log.Info("control member started", zap.String("peers", p.settings.PeerAddress), zap.Bool("bootstrap", p.settings.Bootstrap), zap.Strings("seeds", p.settings.Seeds))
+	select {
+	case err := <-failed:
+		p.group.Stop()
+		return err
+	case <-p.group.Done():
+		return trace.Wrap(p.group.Err(), "consensus member stopped")
+	case <-ctx.Done():
+	}
+	p.drain()
+	return nil
+}
+
+// drain hands over the lead, answers what is under way and stops.
+func (p *Process) drain() {
+	p.log.Info("control member draining", zap.String("role", string(p.group.Status().Role)))
+	p.member.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(endPart*float64(p.settings.Grace.Std())))
+	defer cancel()
+	transfer, done := context.WithTimeout(ctx, transferTimeout)
+	defer done()
+	if err := p.group.TransferLeadership(transfer); err != nil {
+		p.log.Warn("lead not handed over", zap.Error(err))
+	}
+	if err := p.control.Shutdown(ctx); err != nil {
+		p.log.Warn("calls cut", zap.Error(err))
+	}
+	if err := p.peers.Shutdown(ctx); err != nil {
+		p.log.Warn("calls of peers cut", zap.Error(err))
+	}
+	p.group.Stop()
+	p.log.Info("control member stopped")
+}
--- /dev/null
+++ b/internal/fleetcontrol/settings.go
@@ -0,0 +1,49 @@
+package fleetcontrol
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+)
+
+// Settings of a control member.
+type Settings struct {
+	Name           string            `json:"name"`
+	Region         string            `json:"region"`
+	DataCentre     string            `json:"data_centre"`
+	ControlAddress string            `json:"control_address"` // for operators and targets
+	PeerAddress    string            `json:"peer_address"`    // for other processes of the fleet; metrics
+	Seeds          []string          `json:"seeds"`           // addresses of control members, which may be old
+	SeedPort       int               `json:"seed_port"`       // peer port of control members; 0: as in seeds
+	DataFolder     string            `json:"data_folder"`
+	Bootstrap      bool              `json:"bootstrap"` // the fleet starts for the first time
+	Grace          settings.Duration `json:"grace"`     // from SIGTERM to the end of the process
+
+	Telemetry telemetry.Settings `json:"telemetry"`
+}
+
+// Defaults returns the settings without names, addresses and folder.
+func Defaults() *Settings {
+	return &Settings{Grace: settings.Duration(30 * time.Second), Telemetry: telemetry.Defaults()}
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check(report settings.Report) {
+	settings.RequireText(report, "name", s.Name)
+	settings.RequireText(report, "region", s.Region)
+	settings.RequireText(report, "data_centre", s.DataCentre)
+	settings.RequireText(report, "data_folder", s.DataFolder)
+	settings.RequireAddress(report, "control_address", s.ControlAddress)
+	settings.RequireAddress(report, "peer_address", s.PeerAddress)
+	if len(s.Seeds) == 0 {
+		report("seeds", s.Seeds, "want one address at least")
+	}
+	for i, seed := range s.Seeds {
+		settings.RequireAddress(report, "seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	settings.RequireCount(report, "seed_port", s.SeedPort, 0, 65_535)
+	settings.RequireRange(report, "grace", s.Grace, time.Second, time.Hour)
+	s.Telemetry.Check(func(path string, value any, allowed string) { report("telemetry."+path, value, allowed) })
+}
--- /dev/null
+++ b/internal/fleetview/rank.go
@@ -0,0 +1,41 @@
+package fleetview
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+)
+
+// Serving returns the entries of a region that serve; an empty region means all.
+func (v *View) Serving(region string) []fleetstate.Entry {
+	var serving []fleetstate.Entry
+	for _, e := range v.Entries {
+		if e.State == fleetstate.Serving && (region == "" || e.Region == region) {
+			serving = append(serving, e)
+		}
+	}
+	return serving
+}
+
+// Rank returns the serving entries of the region in the order in which they own
+// the key. All entries with the same view come to the same order, and the loss
+// of one moves only its own keys.
+func (v *View) Rank(key, region string) []fleetstate.Entry {
+	ranked := v.Serving(region)
+	slices.SortFunc(ranked, func(a, b fleetstate.Entry) int {
+		x, y := score(a.Name, key), score(b.Name, key)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return ranked
+}
+
+func score(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
--- /dev/null
+++ b/internal/fleetview/view.go
@@ -0,0 +1,78 @@
+// Package fleetview keeps an entry's copy of the fleet state up to date by
+// polling control members.
+package fleetview
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/routing"
+)
+
+// View is the fleet state at one index. It is never changed.
+type View struct {
+	Index   uint64
+	Routes  *routing.Table // nil: no document is known yet
+	Targets []fleetstate.Target
+	Entries []fleetstate.Entry
+	Members []fleetstate.Member
+}
+
+// Service returns the usable targets of a service, in the order of their ids.
+func (v *View) Service(name string) []fleetstate.Target {
+	var targets []fleetstate.Target
+	for _, t := range v.Targets {
+		if t.Service == name && t.Usable() {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
+// Version returns the version of the routing document; 0: none.
+func (v *View) Version() uint64 {
+	if v.Routes == nil {
+		return 0
+	}
+	return v.Routes.Document.Version
+}
+
+// with returns the view after the update. The routing document never goes back
+// to a lower version.
+func (v *View) with(u fleetstate.Update) *View {
+	next := &View{Index: u.Index, Routes: v.Routes}
+	if u.Held != nil && u.Held.Document.Version > v.Version() {
+		next.Routes = routing.NewTable(u.Held.Document)
+	}
+	targets, entries, members := v.Targets, v.Entries, v.Members
+	if u.Reset {
+		targets, entries, members = nil, nil, nil
+	}
+	next.Targets = merge(targets, u.Targets, func(t fleetstate.Target) string { return t.ID })
+	next.Targets = slices.DeleteFunc(next.Targets, func(t fleetstate.Target) bool { return t.State == fleetstate.Gone })
+	next.Entries = merge(entries, u.Entries, func(e fleetstate.Entry) string { return e.Name })
+	next.Members = merge(members, u.Members, func(m fleetstate.Member) string { return m.PeerAddress })
+	return next
+}
+
+// merge returns the old records with the changed ones in their place, in the
+// order of their keys.
+func merge[V any](old, changed []V, key func(V) string) []V {
+	if len(changed) == 0 {
+		return slices.Clone(old)
+	}
+	table := make(map[string]V, len(old)+len(changed))
+	for _, v := range old {
+		table[key(v)] = v
+	}
+	for _, v := range changed {
+		table[key(v)] = v
+	}
+	merged := make([]V, 0, len(table))
+	for _, v := range table {
+		merged = append(merged, v)
+	}
+	slices.SortFunc(merged, func(a, b V) int { return strings.Compare(key(a), key(b)) })
+	return merged
+}
