Grant targets by the estimated chance of failure

Targets fail in spells of seconds. One entry for each service and region estimates, from the outcomes of all entries, how likely the next request on a target fails, and grants the target with the lowest expected cost.

--- /dev/null
+++ b/internal/grants/grants.go
@@ -0,0 +1,294 @@
+// Package grants lets the entries of a region share one pool for each service.
+// The entry that ranks first for a service owns its pool; the others ask it for
+// each request, and turn to the next ones, at last to a pool of their own, if
+// it does not answer.
+package grants
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// Paths of the calls between entries.
+const (
+	AcquirePath = "/fleet/v1/grants"
+	ReleasePath = "/fleet/v1/releases"
+)
+
+const (
+	holdLimit      = 200 * time.Millisecond // wait at an owner for one call
+	answerLimit    = 250 * time.Millisecond // on top of holdLimit, after which an owner is left
+	avoidFor       = time.Second            // an owner that did not answer is not asked
+	releaseTimeout = time.Second
+	ownersAsked    = 2 // before the entry decides for itself
+)
+
+// ErrGaveUp says that the request ended while it waited for a grant.
+var ErrGaveUp = errors.New("grants: the request ended while it waited")
+
+// AcquireRequest asks the owner for a grant.
+type AcquireRequest struct {
+	Service string        `json:"service"`
+	Request pool.Request  `json:"request"`
+	MaxWait time.Duration `json:"max_wait"`
+}
+
+// AcquireAnswer is a grant, or why there is none.
+type AcquireAnswer struct {
+	Grant   pool.Grant `json:"grant"`
+	Refused string     `json:"refused,omitempty"` // busy, no_target, budget; empty: granted
+}
+
+// ReleaseRequest ends a grant.
+type ReleaseRequest struct {
+	Service string       `json:"service"`
+	Lease   uint64       `json:"lease"`
+	Outcome pool.Outcome `json:"outcome"`
+}
+
+var refusals = map[string]error{
+	"busy":      pool.ErrBusy,
+	"no_target": pool.ErrNoTarget,
+	"budget":    pool.ErrBudget,
+}
+
+func refusalOf(err error) string {
+	for name, e := range refusals {
+		if errors.Is(err, e) {
+			return name
+		}
+	}
+	return "busy"
+}
+
+// Options configure a broker.
+type Options struct {
+	Self     fleetstate.Entry
+	Settings pool.Settings
+	Regions  map[string]string // region of each data centre
+	View     func() *fleetview.View
+	Peers    *peerhttp.Client
+	Clock    sys.Clock
+	Log      *zap.Logger
+}
+
+// Broker finds the pool that grants a request. It is safe for concurrent use.
+type Broker struct {
+	options Options
+
+	mu      sync.Mutex
+	pools   map[string]*pool.Pool // by service
+	avoided map[string]time.Time  // entries that did not answer, by name
+
+	remote, local, fallback *metrics.Counter
+	asked                   *metrics.Histogram
+}
+
+// New returns a broker without pools.
+func New(o Options) *Broker {
+	return &Broker{
+		options: o, pools: map[string]*pool.Pool{}, avoided: map[string]time.Time{},
+		remote:   metrics.GetOrCreateCounter("sequoialane_grants_remote_total"),
+		local:    metrics.GetOrCreateCounter("sequoialane_grants_local_total"),
+		fallback: metrics.GetOrCreateCounter("sequoialane_grants_without_owner_total"),
+		asked:    metrics.GetOrCreateHistogram("sequoialane_grants_remote_seconds"),
+	}
+}
+
+// Handler serves the calls of other entries.
+func (b *Broker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+AcquirePath, b.serveAcquire)
+	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
+	return mux
+}
+
+func (b *Broker) serveAcquire(w http.ResponseWriter, r *http.Request) {
+	var request AcquireRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	g, err := b.pool(request.Service).Acquire(r.Context(), request.Request, min(request.MaxWait, holdLimit))
+	if err != nil {
+		peerhttp.Answer(w, AcquireAnswer{Refused: refusalOf(err)})
+		return
+	}
+	if r.Context().Err() != nil {
+		b.pool(request.Service).Release(g.Lease, pool.Outcome{Kind: pool.Unsent})
+		return
+	}
+	peerhttp.Answer(w, AcquireAnswer{Grant: g})
+}
+
+func (b *Broker) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var request ReleaseRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	b.pool(request.Service).Release(request.Lease, request.Outcome)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// pool returns this entry's pool of the service.
+func (b *Broker) pool(service string) *pool.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[service]
+	if p == nil {
+		p = pool.New(pool.Config{Service: service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock})
+		b.pools[service] = p
+		b.load(p, service, b.options.View())
+	}
+	return p
+}
+
+func (b *Broker) load(p *pool.Pool, service string, v *fleetview.View) {
+	p.SetTargets(v.Service(service), func(dataCentre string) bool {
+		return b.options.Regions[dataCentre] == b.options.Self.Region
+	})
+}
+
+// ViewChanged hands the targets of a new view to the pools.
+func (b *Broker) ViewChanged(v *fleetview.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, p := range b.pools {
+		b.load(p, service, v)
+	}
+}
+
+// Status returns the estimates of this entry's pools.
+func (b *Broker) Status() map[string][]pool.TargetStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	status := map[string][]pool.TargetStatus{}
+	for service, p := range b.pools {
+		status[service] = p.Status()
+	}
+	return status
+}
+
+// Lease is a grant with the pool that gave it.
+type Lease struct {
+	pool.Grant
+	Owner   string // name of the entry
+	broker  *Broker
+	service string
+	peer    string // peer address of the owner; empty: this entry
+	request pool.Request
+}
+
+// Acquire waits for a grant for at most maxWait.
+func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
+	until := b.options.Clock.Now().Add(maxWait)
+	for {
+		left := until.Sub(b.options.Clock.Now())
+		if left <= 0 {
+			return nil, pool.ErrBusy
+		}
+		l, err := b.acquireOnce(ctx, service, r, min(left, holdLimit))
+		if err == nil {
+			return l, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ErrGaveUp
+		}
+		if !errors.Is(err, pool.ErrBusy) {
+			return nil, err
+		}
+	}
+}
+
+func (b *Broker) acquireOnce(ctx context.Context, service string, r pool.Request, wait time.Duration) (*Lease, error) {
+	for _, owner := range b.owners(service) {
+		if owner.Name == b.options.Self.Name {
+			return b.acquireHere(ctx, service, r, wait, b.local)
+		}
+		l, err := b.ask(ctx, owner, service, r, wait)
+		if err == nil || isRefusal(err) || ctx.Err() != nil {
+			return l, err
+		}
+		b.avoid(owner.Name, err)
+	}
+	return b.acquireHere(ctx, service, r, wait, b.fallback)
+}
+
+func isRefusal(err error) bool {
+	return errors.Is(err, pool.ErrBusy) || errors.Is(err, pool.ErrNoTarget) || errors.Is(err, pool.ErrBudget)
+}
+
+func (b *Broker) acquireHere(ctx context.Context, service string, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
+	g, err := b.pool(service).Acquire(ctx, r, wait)
+	if err != nil {
+		return nil, err
+	}
+	counter.Inc()
+	return &Lease{Grant: g, Owner: b.options.Self.Name, broker: b, service: service, request: r}, nil
+}
+
+func (b *Broker) ask(ctx context.Context, owner fleetstate.Entry, service string, r pool.Request, wait time.Duration) (*Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
+	defer cancel()
+	started := b.options.Clock.Now()
+	var answer AcquireAnswer
+	err := b.options.Peers.Post(ctx, owner.PeerAddress, AcquirePath, AcquireRequest{Service: service, Request: r, MaxWait: wait}, &answer)
+	if err != nil {
+		return nil, err
+	}
+	b.asked.Update(b.options.Clock.Now().Sub(started).Seconds())
+	if answer.Refused != "" {
+		return nil, refusals[answer.Refused]
+	}
+	b.remote.Inc()
+	return &Lease{Grant: answer.Grant, Owner: owner.Name, broker: b, service: service, peer: owner.PeerAddress, request: r}, nil
+}
+
+// owners returns the entries to ask for the service, the owner first, without
+// those that did not answer lately.
+func (b *Broker) owners(service string) []fleetstate.Entry {
+	ranked := b.options.View().Rank(service, b.options.Self.Region)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock.Now()
+	ranked = slices.DeleteFunc(ranked, func(e fleetstate.Entry) bool { return now.Before(b.avoided[e.Name]) })
+	return ranked[:min(len(ranked), ownersAsked)]
+}
+
+func (b *Broker) avoid(name string, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.avoided[name] = b.options.Clock.Now().Add(avoidFor)
+	b.options.Log.Warn("owner did not answer", zap.String("owner", name), zap.Error(err))
+}
+
+// Release ends the lease and reports the outcome to its owner.
+func (l *Lease) Release(o pool.Outcome) {
+	if l.peer == "" {
+		l.broker.pool(l.service).Release(l.Lease, o)
+		return
+	}
+	if o.Kind != pool.Unsent {
+		l.broker.pool(l.service).Observe(l.Target, l.request, o)
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		request := ReleaseRequest{Service: l.service, Lease: l.Lease, Outcome: o}
+		if err := l.broker.options.Peers.Post(ctx, l.peer, ReleasePath, request, nil); err != nil {
+			l.broker.options.Log.Debug("release did not arrive; the lease expires", zap.String("owner", l.Owner), zap.Error(err))
+		}
+	}()
+}
