--- /dev/null
+++ b/cmd/sequoialane-platform/wire.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/samber/do/v2"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetcontrol"
+	"github.com/sequoialane/sequoialane/internal/fleetentry"
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/telemetry"
+	"github.com/sequoialane/sequoialane/platform"
+)
+
+const (
+	entryName   = "sequoialane-entry"
+	controlName = "sequoialane-control"
+)
+
+func loadEntry(file string) (*fleetentry.Settings, error) {
+	s := fleetentry.Defaults()
+	return s, settings.Load(file, s)
+}
+
+func loadControl(file string) (*fleetcontrol.Settings, error) {
+	s := fleetcontrol.Defaults()
+	return s, settings.Load(file, s)
+}
+
+func checkEntry(_ context.Context, file string) error {
+	_, err := loadEntry(file)
+	return err
+}
+
+func checkControl(_ context.Context, file string) error {
+	_, err := loadControl(file)
+	return err
+}
+
+func runEntry(ctx context.Context, file string) error {
+	s, err := loadEntry(file)
+	if err != nil {
+		return err
+	}
+	log, flush, err := startTelemetry(ctx, s.Telemetry, entryName, s.Name)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, log)
+	do.ProvideValue[sys.Clock](i, sys.RealClock{})
+	do.Provide(i, func(i do.Injector) (*fleetentry.Process, error) {
+		return fleetentry.New(do.MustInvoke[*fleetentry.Settings](i), platform.EntryHandlers(), do.MustInvoke[sys.Clock](i), do.MustInvoke[*zap.Logger](i))
+	})
+	process, err := do.Invoke[*fleetentry.Process](i)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go onReload(ctx, log, func() error {
+		changed, err := loadEntry(file)
+		if err == nil {
+			process.SetSeeds(changed)
+		}
+		return err
+	})
+	return process.Run(ctx)
+}
+
+func runControl(ctx context.Context, file string) error {
+	s, err := loadControl(file)
+	if err != nil {
+		return err
+	}
+	log, flush, err := startTelemetry(ctx, s.Telemetry, controlName, s.Name)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, log)
+	do.ProvideValue[sys.Clock](i, sys.RealClock{})
+	do.Provide(i, func(i do.Injector) (*fleetcontrol.Process, error) {
+		log := do.MustInvoke[*zap.Logger](i)
+		return fleetcontrol.NewProcess(do.MustInvoke[*fleetcontrol.Settings](i), platform.ControlHandler(log), do.MustInvoke[sys.Clock](i), log)
+	})
+	process, err := do.Invoke[*fleetcontrol.Process](i)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go onReload(ctx, log, func() error {
+		_, err := loadControl(file)
+		return err
+	})
+	return process.Run(ctx)
+}
+
+// startTelemetry returns the logger, and a function that writes out what logs
+// and spans wait.
+func startTelemetry(ctx context.Context, s telemetry.Settings, process, name string) (*zap.Logger, func(), error) {
+	log, err := telemetry.NewStdoutLogger(s, process)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	log = log.With(zap.String("name", name))
+	stop, err := telemetry.SetupTracing(ctx, s, process)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	return log, func() {
+		if err := stop(context.WithoutCancel(ctx)); err != nil {
+			log.Warn("spans not exported", zap.Error(err))
+		}
+		_ = log.Sync()
+	}, nil
+}
+
+// onReload reads the settings again at each SIGHUP. Wrong settings are logged
+// and leave those in force.
+func onReload(ctx context.Context, log *zap.Logger, reload func() error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		if err := reload(); err != nil {
+			log.Error("settings not reloaded", zap.Error(err))
+			continue
+		}
+		log.Info("settings read again")
+	}
+}
