Refuse documents without a timeout; poll and announce at the nearest member

Routes without a timeout, attempts or weight, and two routes for one place are refused now. An entry without a copy is told the nearer members instead of being sent the whole state across regions; targets are told the member of their data centre.

--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -90,7 +90,8 @@
 	do.ProvideValue[sys.Clock](i, sys.RealClock{})
 	do.Provide(i, func(i do.Injector) (*fleetcontrol.Process, error) {
 		log := do.MustInvoke[*zap.Logger](i)
-		return fleetcontrol.NewProcess(do.MustInvoke[*fleetcontrol.Settings](i), platform.ControlHandler(log), do.MustInvoke[sys.Clock](i), log)
+		s := do.MustInvoke[*fleetcontrol.Settings](i)
+		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
 	})
 	process, err := do.Invoke[*fleetcontrol.Process](i)
 	if err != nil {
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -220,6 +220,25 @@
 	return m.record(ctx, fleetstate.Target{ID: id, State: fleetstate.Gone, Born: born})
 }
 
+// Nearest returns the control address of the member that targets in the data
+// centre should call: one in it, or else one in its region. It is empty if this
+// member does as well.
+func (m *Member) Nearest(dataCentre, region string) string {
+	if dataCentre == m.self.DataCentre {
+		return ""
+	}
+	best := ""
+	for _, r := range m.machine.Members() {
+		switch {
+		case r.DataCentre == dataCentre:
+			return r.ControlAddress
+		case r.Region == region && m.self.Region != region:
+			best = r.ControlAddress
+		}
+	}
+	return best
+}
+
 func (m *Member) record(ctx context.Context, t fleetstate.Target) error {
 	started := m.clock.Now()
 	_, err := m.batch.submit(ctx, fleetstate.Command{Targets: []fleetstate.Target{t}})
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,13 +26,18 @@
 type PollRequest struct {
 	Entry fleetstate.Entry `json:"entry"`
 	After uint64           `json:"after"` // index of the entry's copy
+	// Insists is set if the nearer members did not answer.
+	Insists bool `json:"insists,omitempty"`
 }
 
 // PollAnswer is what changed, at once or at the end of PollHold.
 type PollAnswer struct {
 	// Fresh is set if the member is in contact with a leader.
-	Fresh  bool              `json:"fresh"`
-	Update fleetstate.Update `json:"update"`
+	Fresh bool `json:"fresh"`
+	// Nearer lists the members if one of them is nearer to the entry, which
+	// should ask that one. The update is empty then.
+	Nearer []fleetstate.Member `json:"nearer,omitempty"`
+	Update fleetstate.Update   `json:"update"`
 }
 
 func (m *Member) servePoll(w http.ResponseWriter, r *http.Request) {
@@ -39,6 +45,10 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
+	if nearer := m.nearer(request); nearer != nil {
+		peerhttp.Answer(w, PollAnswer{Fresh: true, Nearer: nearer})
+		return
+	}
 	ctx := r.Context()
 	m.presence.begin(request.Entry, m.clock.Now())
 	m.noteEntry(request.Entry)
@@ -52,6 +62,20 @@
 	peerhttp.Answer(w, PollAnswer{Fresh: m.Fresh(), Update: m.machine.Since(request.After)})
 }
 
+// nearer returns all members if the entry has no copy yet and one of the other
+// members is in its region while this one is not. A whole copy is not sent to
+// another region without need.
+func (m *Member) nearer(request PollRequest) []fleetstate.Member {
+	if request.After != 0 || request.Insists || request.Entry.Region == m.self.Region || !m.Fresh() {
+		return nil
+	}
+	members := m.machine.Members()
+	if slices.ContainsFunc(members, func(r fleetstate.Member) bool { return r.Region == request.Entry.Region }) {
+		return members
+	}
+	return nil
+}
+
 // awaitChange waits until the state is newer than the index, for PollHold at
 // most.
 func (m *Member) awaitChange(ctx context.Context, after uint64) {
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -13,6 +13,7 @@
 	Name           string            `json:"name"`
 	Region         string            `json:"region"`
 	DataCentre     string            `json:"data_centre"`
+	DataCentres    map[string]string `json:"data_centres"`    // region of each data centre
 	ControlAddress string            `json:"control_address"` // for operators and targets
 	PeerAddress    string            `json:"peer_address"`    // for other processes of the fleet; metrics
 	Seeds          []string          `json:"seeds"`           // addresses of control members, which may be old
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -51,7 +51,8 @@
 	seeds   []string
 	kick    context.CancelFunc // ends the poll under way
 	source  string
-	since   time.Time // with the source
+	told    []fleetstate.Member // members that another one named before there was a copy
+	since   time.Time           // with the source
 	avoided map[string]time.Time
 	start   time.Time
 
@@ -117,7 +118,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	if f.source != "" && !now.Before(f.avoided[f.source]) && now.Sub(f.since) < preferAgain {
+	stay := f.source != "" && !now.Before(f.avoided[f.source])
+	if stay && (now.Sub(f.since) < preferAgain || f.distance(f.source) == 0) {
 		return f.source
 	}
 	best, bestRank := "", 0
@@ -143,7 +145,7 @@
 // its own so that they spread over the members.
 func (f *Follower) candidates() []string {
 	var addresses []string
-	for _, m := range f.View().Members {
+	for _, m := range f.members() {
 		addresses = append(addresses, m.PeerAddress)
 	}
 	for _, seed := range f.seeds {
@@ -161,7 +163,7 @@
 // distance is 0 for a member in the data centre of this entry, 1 for one in its
 // region, and 2 for any other.
 func (f *Follower) distance(address string) int {
-	for _, m := range f.View().Members {
+	for _, m := range f.members() {
 		switch {
 		case m.PeerAddress != address:
 		case m.DataCentre == f.self.DataCentre:
@@ -182,7 +184,7 @@
 	defer kick()
 	f.mu.Lock()
 	f.kick = kick
-	request := fleetcontrol.PollRequest{Entry: f.self, After: f.View().Index}
+	request := fleetcontrol.PollRequest{Entry: f.self, After: f.View().Index, Insists: f.told != nil}
 	f.mu.Unlock()
 	f.polls.Inc()
 	asked := f.options.Clock.Now()
@@ -199,6 +201,10 @@
 		f.avoid(source, err.Error())
 		return false
 	}
+	if answer.Nearer != nil {
+		f.learnMembers(answer.Nearer)
+		return true
+	}
 	f.take(answer.Update)
 	if !answer.Fresh || answer.Update.Index < request.After {
 		f.avoid(source, "the member is not in contact with a leader")
@@ -208,6 +214,22 @@
 	return true
 }
 
+// learnMembers takes in the members before there is a copy of the state.
+func (f *Follower) learnMembers(members []fleetstate.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = members
+	f.source = ""
+}
+
+// members returns the control members that are known.
+func (f *Follower) members() []fleetstate.Member {
+	if known := f.View().Members; len(known) > 0 {
+		return known
+	}
+	return f.told
+}
+
 func (f *Follower) avoid(source, reason string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -8,7 +8,7 @@
 const (
 	// spellTime is the time in which knowledge about a target fades: spells of
 	// failure last some seconds.
-	spellTime = 2500 * time.Millisecond
+	spellTime = 7 * time.Second
 	// failsInSpell and failsOutside are the shares of requests that a target
 	// fails in a spell of failure and outside of one.
 	failsInSpell = 0.8
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -13,8 +14,12 @@
 func (d *Document) Validate() error {
 	services := map[string]bool{}
 	for _, s := range d.Services {
+		if services[s.Name] {
+			return fmt.Errorf("service %q is listed twice", s.Name)
+		}
 		services[s.Name] = true
 	}
+	places := map[string]bool{}
 	for _, h := range d.Hosts {
 		if h.Name == "" {
 			return fmt.Errorf("a host is empty")
@@ -23,6 +28,11 @@
 			if err := r.validate(services); err != nil {
 				return fmt.Errorf("host %q, route %q: %w", h.Name, r.Name, err)
 			}
+			place := strings.ToLower(h.Name) + r.PathPrefix
+			if places[place] {
+				return fmt.Errorf("host %q has two routes for %q", h.Name, r.PathPrefix)
+			}
+			places[place] = true
 		}
 	}
 	return nil
@@ -34,13 +44,21 @@
 	default:
 		return fmt.Errorf("unknown kind %q", r.Kind)
 	}
-	if r.Timeout > 0 && r.Objective >= r.Timeout+maxObjectiveBeyondTimeout {
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		return fmt.Errorf("path prefix %q does not begin and end with a slash", r.PathPrefix)
+	}
+	if r.Timeout <= 0 || r.Objective < 0 || r.Priority < 0 || r.MaxAttempts < 1 {
+		return fmt.Errorf("timeout %v, objective %v, priority %d or attempts %d out of range", r.Timeout, r.Objective, r.Priority, r.MaxAttempts)
+	}
+	if r.Objective >= r.Timeout+maxObjectiveBeyondTimeout {
 		return fmt.Errorf("objective %v is a minute or more above the timeout %v", r.Objective, r.Timeout)
 	}
 	if len(r.Destinations) == 0 {
 		return fmt.Errorf("no destination")
 	}
+	total := 0.0
 	for _, d := range r.Destinations {
+		total += d.Weight
 		if !services[d.Service] {
 			return fmt.Errorf("unknown service %q", d.Service)
 		}
@@ -48,5 +66,8 @@
 			return fmt.Errorf("weight %v of service %q is below zero", d.Weight, d.Service)
 		}
 	}
+	if total <= 0 {
+		return fmt.Errorf("all weights are zero")
+	}
 	return nil
 }
