--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -267,7 +267,10 @@
 	}
 	var c fleetstate.Command
 	for _, e := range m.presence.silent(now) {
-		c.Entries = append(c.Entries, m.lost(e, m.self.PeerAddress))
+		record, ok := m.machine.Entry(e.Name)
+		if ok && record.Via == m.self.PeerAddress && record.Incarnation == e.Incarnation && record.State != fleetstate.Lost {
+			c.Entries = append(c.Entries, m.lost(e, m.self.PeerAddress))
+		}
 	}
 	if fresh && !m.registered() {
 		c.Members = append(c.Members, m.self)
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -4,15 +4,15 @@
 
 // Costs are in units of the worth of one request.
 const (
-	repeatableRisk = 0.35 // of a failure that can be repeated elsewhere, against 1 where it cannot
+	repeatableRisk = 0.25 // of a failure that can be repeated elsewhere, against 1 where it cannot
 	busyCost       = 0.01 // of each share of the slots in use
 	waitCost       = 0.05 // of an expected answer at the objective
 	lateCost       = 0.8  // of each objective beyond lateFrom
 	lateFrom       = 0.6  // share of the objective from which an answer may be late
 
 	// Links between data centres and regions are paid by volume.
-	zoneByteCost     = 0.006 / 1024
-	regionByteCost   = 0.045 / 1024
+	zoneByteCost     = 0.003 / 1024
+	regionByteCost   = 0.02 / 1024
 	answerBytes      = 2_000 // of a usual answer with its headers
 	overdueSuspicion = 0.5   // chance that a target whose answer is overdue fails
 )
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -23,7 +23,7 @@
 type Request struct {
 	ID         string        `json:"id"`
 	Class      string        `json:"class"`            // route, for which durations are learned
-	Repeatable bool          `json:"repeatable"`       // it may run more than once
+	Repeatable bool          `json:"repeatable"`       // after a failure it may go to another target
 	Priority   int           `json:"priority"`         // 0 is the most urgent
 	Bytes      int           `json:"bytes"`            // of the body
 	Objective  time.Duration `json:"objective"`        // time left in which an answer is good
