--- a/internal/fleetentry/directory.go
+++ b/internal/fleetentry/directory.go
@@ -24,11 +24,11 @@
 }
 
 // Addresses returns the entries for a caller in a data centre, and how long the
-// answer may be kept. It returns none if this entry does not know the state
-// well enough to tell.
+// answer may be kept. It returns none before this entry has a copy of the state.
+// An old copy is used as well: entries that are cut off from control still serve.
 func (d *Directory) Addresses(host, region, dataCentre string) ([]string, time.Duration) {
 	v := d.follower.View()
-	if v.Routes == nil || !d.follower.Fresh() {
+	if v.Routes == nil {
 		return nil, 0
 	}
 	return addresses(v, host, region, dataCentre, d.thin), d.ttl
