--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -50,8 +50,10 @@
 		return
 	}
 	ctx := r.Context()
-	m.presence.begin(request.Entry, m.clock.Now())
-	m.noteEntry(request.Entry)
+	if m.Fresh() {
+		m.presence.begin(request.Entry, m.clock.Now())
+		m.noteEntry(request.Entry)
+	}
 	m.awaitChange(ctx, request.After)
 	gone := ctx.Err() != nil
 	m.presence.end(request.Entry.Name, gone, m.clock.Now())
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -24,9 +24,6 @@
 	avoidFor = 3 * time.Second
 	// staleAfter is the time without contact after which the copy counts as old.
 	staleAfter = 2500 * time.Millisecond
-	// preferAgain is how long an entry stays with a member that is not the
-	// nearest one.
-	preferAgain = 10 * time.Second
 )
 
 // Options configure a follower.
@@ -119,7 +116,7 @@
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
 	stay := f.source != "" && !now.Before(f.avoided[f.source])
-	if stay && (now.Sub(f.since) < preferAgain || f.distance(f.source) == 0) {
+	if stay && !f.nearerThan(f.source, now) {
 		return f.source
 	}
 	best, bestRank := "", 0
@@ -137,10 +134,18 @@
 		f.options.Log.Info("control member chosen", zap.String("source", best), zap.String("before", f.source))
 	}
 	f.source = best
-	f.since = now
 	return best
 }
 
+// nearerThan reports whether a member that did not fail lately is nearer than
+// the source.
+func (f *Follower) nearerThan(source string, now time.Time) bool {
+	own := f.distance(source)
+	return slices.ContainsFunc(f.members(), func(m fleetstate.Member) bool {
+		return !now.Before(f.avoided[m.PeerAddress]) && f.distance(m.PeerAddress) < own
+	})
+}
+
 // candidates returns the known members and the seeds, each entry in an order of
 // its own so that they spread over the members.
 func (f *Follower) candidates() []string {
