Pass evidence about targets on between regions

Cause: owners of different regions knew nothing of each other's targets, so spilled requests met failing or crowded ones. Each owner sends its estimates to the owners of other regions every 2 s, and at once after a large change.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -48,6 +48,7 @@
 	log      *zap.Logger
 	clock    sys.Clock
 	follower *fleetview.Follower
+	broker   *grants.Broker
 	gateway  *gateway.Gateway
 	client   *targetconn.Client
 	servers  []*server
@@ -83,6 +84,7 @@
 		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, View: p.follower.View,
 		Peers: peers, Clock: clock, Log: log,
 	})
+	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Names: h.Names, View: p.follower.View, Broker: broker,
 		Sender: p.client, Clock: clock, Log: log, BodyMemory: s.bodyMemory(),
@@ -159,6 +161,7 @@
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	go p.follower.Run(following)
+	go p.broker.Run(following)
 	p.log.Info("entry started", zap.String("callers", p.settings.CallerAddress), zap.String("peers", p.settings.PeerAddress))
 	select {
 	case err := <-failed:
--- /dev/null
+++ b/internal/grants/exchange.go
@@ -0,0 +1,93 @@
+package grants
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/samber/lo"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/pool"
+)
+
+// EvidencePath is the path of the call by which owners of other regions hear
+// what a pool knows of its targets.
+const EvidencePath = "/fleet/v1/evidence"
+
+const (
+	evidenceInterval = 2 * time.Second
+	evidenceDelay    = 15 * time.Millisecond // joins changes that come together
+	evidenceTimeout  = 500 * time.Millisecond
+	evidenceAge      = 3 * time.Second // older outcomes are not passed on
+)
+
+// EvidenceRequest passes on what the pool of a region knows.
+type EvidenceRequest struct {
+	Service  string          `json:"service"`
+	Evidence []pool.Evidence `json:"evidence"`
+}
+
+// Run exchanges evidence with other regions until ctx ends: regularly, and at
+// once where an estimate has changed much. A few bytes about suspects are all
+// that crosses regions for it.
+func (b *Broker) Run(ctx context.Context) {
+	ticker := b.options.Clock.NewTicker(evidenceInterval)
+	defer ticker.Stop()
+	for {
+		only := ""
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C():
+		case only = <-b.notable:
+			_ = b.options.Clock.Sleep(ctx, evidenceDelay)
+		}
+		for service, p := range b.ownPools() {
+			if only == "" || only == service {
+				b.sendEvidence(ctx, service, p.Evidence(evidenceAge))
+			}
+		}
+	}
+}
+
+// ownPools returns the pools of the services that this entry owns.
+func (b *Broker) ownPools() map[string]*pool.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return lo.PickBy(b.pools, func(service string, _ *pool.Pool) bool {
+		ranked := b.options.View().Rank(service, b.options.Self.Region)
+		return len(ranked) > 0 && ranked[0].Name == b.options.Self.Name
+	})
+}
+
+func (b *Broker) sendEvidence(ctx context.Context, service string, evidence []pool.Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
+	for _, region := range lo.Uniq(lo.Values(b.options.Regions)) {
+		ranked := b.options.View().Rank(service, region)
+		if region != b.options.Self.Region && len(ranked) > 0 {
+			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Service: service, Evidence: evidence})
+		}
+	}
+}
+
+func (b *Broker) sendEvidenceTo(ctx context.Context, owner fleetstate.Entry, request EvidenceRequest) {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
+	defer cancel()
+	if err := b.options.Peers.Post(ctx, owner.PeerAddress, EvidencePath, request, nil); err != nil {
+		b.options.Log.Debug("evidence did not arrive", zap.String("owner", owner.Name), zap.String("service", request.Service), zap.Error(err))
+	}
+}
+
+func (b *Broker) serveEvidence(w http.ResponseWriter, r *http.Request) {
+	var request EvidenceRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	b.pool(request.Service).Merge(request.Evidence)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -33,6 +33,7 @@
 	answerLimit    = 250 * time.Millisecond // on top of holdLimit, after which an owner is left
 	avoidFor       = time.Second            // an owner that did not answer is not asked
 	releaseTimeout = time.Second
+	notableQueue   = 16
 	ownersAsked    = 2 // before the entry decides for itself
 )
 
@@ -92,6 +93,7 @@
 	mu      sync.Mutex
 	pools   map[string]*pool.Pool // by service
 	avoided map[string]time.Time  // entries that did not answer, by name
+	notable chan string           // services with an estimate that has changed much
 
 	remote, local, fallback *metrics.Counter
 	asked                   *metrics.Histogram
@@ -100,7 +102,7 @@
 // New returns a broker without pools.
 func New(o Options) *Broker {
 	return &Broker{
-		options: o, pools: map[string]*pool.Pool{}, avoided: map[string]time.Time{},
+		options: o, pools: map[string]*pool.Pool{}, avoided: map[string]time.Time{}, notable: make(chan string, notableQueue),
 		remote:   metrics.GetOrCreateCounter("sequoialane_grants_remote_total"),
 		local:    metrics.GetOrCreateCounter("sequoialane_grants_local_total"),
 		fallback: metrics.GetOrCreateCounter("sequoialane_grants_without_owner_total"),
@@ -113,6 +115,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+AcquirePath, b.serveAcquire)
 	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
+	mux.HandleFunc("POST "+EvidencePath, b.serveEvidence)
 	return mux
 }
 
@@ -148,13 +151,22 @@
 	defer b.mu.Unlock()
 	p := b.pools[service]
 	if p == nil {
-		p = pool.New(pool.Config{Service: service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock})
+		p = pool.New(pool.Config{Service: service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock, Notable: func() { b.noteChange(service) }})
 		b.pools[service] = p
 		b.load(p, service, b.options.View())
 	}
 	return p
 }
 
+// noteChange wakes the exchange. While it is busy, the next regular exchange
+// passes the change on.
+func (b *Broker) noteChange(service string) {
+	select {
+	case b.notable <- service:
+	default:
+	}
+}
+
 func (b *Broker) load(p *pool.Pool, service string, v *fleetview.View) {
 	p.SetTargets(v.Service(service), func(dataCentre string) bool {
 		return b.options.Regions[dataCentre] == b.options.Self.Region
--- a/internal/pool/estimate.go
+++ b/internal/pool/estimate.go
@@ -37,9 +37,10 @@
 
 // estimate is the chance that a target is in a spell of failure.
 type estimate struct {
-	bad  float64
-	at   time.Time
-	seen time.Time // last evidence; zero: none
+	bad     float64
+	at      time.Time
+	seen    time.Time // last evidence; zero: none
+	foreign bool      // the last evidence came from the pool of another region
 }
 
 // now returns the chance at a time: without evidence it returns to the share of
@@ -65,6 +66,7 @@
 	e.bad = prior * l.inSpell / (prior*l.inSpell + (1-prior)*l.outside)
 	e.at = t
 	e.seen = t
+	e.foreign = false
 }
 
 // failure is the chance that the next request on the target fails.
--- /dev/null
+++ b/internal/pool/evidence.go
@@ -0,0 +1,52 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// notable is the change of an estimate that other regions hear of at once.
+	notable = 0.3
+	// evidenceRounding keeps two decimals of an estimate.
+	evidenceRounding = 100
+)
+
+// Evidence is what a pool knows of a target, for the pools of other regions.
+type Evidence struct {
+	Target string        `json:"t"`
+	Bad    float64       `json:"b"` // chance that it is in a spell of failure
+	Age    time.Duration `json:"a"` // since the outcome that it rests on
+}
+
+// Evidence returns the estimates that rest on outcomes younger than maxAge.
+func (p *Pool) Evidence(maxAge time.Duration) []Evidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock.Now()
+	var evidence []Evidence
+	for _, t := range p.targets {
+		age := now.Sub(t.estimate.seen)
+		if t.estimate.seen.IsZero() || t.estimate.foreign || age > maxAge {
+			continue
+		}
+		bad := math.Round(t.estimate.bad*evidenceRounding) / evidenceRounding
+		evidence = append(evidence, Evidence{Target: t.record.ID, Bad: bad, Age: age.Truncate(time.Millisecond)})
+	}
+	return evidence
+}
+
+// Merge takes in what the pool of another region knows, where it is newer.
+func (p *Pool) Merge(evidence []Evidence) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock.Now()
+	for _, e := range evidence {
+		at := now.Add(-e.Age)
+		for _, t := range p.targets {
+			if t.record.ID == e.Target && at.After(t.estimate.seen) {
+				t.estimate = estimate{bad: e.Bad, at: at, seen: at, foreign: true}
+			}
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	Region   string
 	Settings Settings
 	Clock    sys.Clock
+	// Notable is called, with the lock of the pool held, when an estimate has
+	// changed much; nil: not called.
+	Notable func()
 }
 
 // Pool is the aggregate of one service in one region. It is safe for concurrent
@@ -267,7 +271,11 @@
 	if o.Kind == Shed && t.inFlight >= t.record.Slots {
 		return // it is full, which says nothing about its health
 	}
+	before := t.estimate.now(now, p.share.value)
 	t.estimate.observe(o.Kind, now, p.share.value)
+	if math.Abs(t.estimate.bad-before) > notable && p.cfg.Notable != nil {
+		p.cfg.Notable()
+	}
 	p.share.update(lo.Map(p.targets, func(t *target, _ int) estimate { return t.estimate }), now)
 }
 
