Keep requests on the floor's share of sound targets at all times

Now the least risky of the rested targets gets a request whenever fewer than the floor's share were used.

--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -31,6 +31,7 @@
 	slots := float64(max(t.record.Slots, 1))
 	cost += busyCost * float64(t.inFlight) / slots
 	cost += p.timeCost(t, r, now)
+	cost -= p.floorDue(t, r, now)
 	bytes := float64(r.Bytes + answerBytes)
 	switch {
 	case t.record.DataCentre == r.DataCentre:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,6 +47,7 @@
 	durations durations
 	share     badShare
 	budget    budget
+	below     bool // too few sound targets got requests lately
 
 	granted, busy, budgetSpent *metrics.Counter
 	waited                     *metrics.Histogram
@@ -58,6 +59,8 @@
 	home      bool // in the region of the pool
 	estimate  estimate
 	inFlight  int
+	usedAt    time.Time // last grant
+	failedAt  time.Time // last failure
 	leases    map[uint64]*lease
 	ratio     float64 // of its durations to the usual ones; 0: none known
 	restUntil time.Time
@@ -204,6 +207,7 @@
 
 // grant picks the target with the lowest cost.
 func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
+	p.below = p.belowFloor(now)
 	var best *target
 	bestCost, bestRisk := 0.0, 0.0
 	for _, t := range p.targets {
@@ -223,6 +227,7 @@
 	p.leases[p.lastLease] = l
 	best.leases[p.lastLease] = l
 	best.inFlight++
+	best.usedAt = now
 	p.granted.Inc()
 	return Grant{
 		Lease: p.lastLease, Target: best.record.ID, Address: best.record.Address,
@@ -263,7 +268,10 @@
 		p.learnDuration(t, r, o.Took)
 	case Shed:
 		t.restUntil = now.Add(shedRest)
+	case Failed, Reset, NoAnswer, Broken:
+		t.failedAt = now
 	case ConnectFailed:
+		t.failedAt = now
 		t.restUntil = now.Add(connectRest)
 	case Misdirected:
 		t.elsewhere = true
