--- a/cmd/sequoialane-control/main_test.go
+++ b/cmd/sequoialane-control/main_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/control"
 	"github.com/sequoialane/sequoialane/internal/daemon"
+	"github.com/sequoialane/sequoialane/internal/freeports"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -43,13 +43,12 @@
 	return path
 }
 
-// freeAddress returns an address with a port that the kernel chose.
-func freeAddress(t testing.TB) string {
+// freeAddress reserves a port, which is held until all ports of a test are drawn.
+func freeAddress(t testing.TB, ports *freeports.Ports, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.TCP(host)
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 // writeSettings writes the settings of a group of three and returns the files.
@@ -59,9 +58,13 @@
 	s := control.DefaultSettings()
 	s.OperatorTokenFile = writeFile(t, folder, "operator.token", []byte("operator\n"))
 	s.FleetTokenFile = writeFile(t, folder, "fleet.token", []byte("fleet\n"))
+	var ports freeports.Ports
+	defer ports.Release()
 	for n := range 3 {
+		host := ports.Host()
 		s.Members = append(s.Members, control.MemberSettings{
-			Name: fmt.Sprintf("c%d", n), Region: "norte", DataCentre: "n1", APIAddress: freeAddress(t), PeerAddress: freeAddress(t),
+			Name: fmt.Sprintf("c%d", n), Region: "norte", DataCentre: "n1",
+			APIAddress: freeAddress(t, &ports, host), PeerAddress: freeAddress(t, &ports, host),
 		})
 	}
 	var files []string
--- /dev/null
+++ b/internal/fleetcontrol/cluster_test.go
@@ -0,0 +1,251 @@
+package fleetcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetcontrol"
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/freeports"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/routing"
+	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// limit is far beyond what any step takes.
+const limit = 30 * time.Second
+
+// cluster runs control members in this process, on loopback addresses.
+type cluster struct {
+	t       *testing.T
+	ports   freeports.Ports
+	folder  string
+	all     []*fleetcontrol.Settings
+	mu      sync.Mutex
+	members map[int]*fleetcontrol.Member // that run
+	stops   map[int]func()
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), members: map[int]*fleetcontrol.Member{}, stops: map[int]func(){}}
+	for n := range size {
+		s := fleetcontrol.Defaults()
+		host := c.ports.Host()
+		s.Name, s.Region, s.DataCentre = fmt.Sprint("c", n), fmt.Sprint("r", n%3), fmt.Sprint("d", n)
+		var err error
+		s.ControlAddress, err = c.ports.TCP(host)
+		require.NoError(t, err)
+		s.PeerAddress, err = c.ports.TCP(host)
+		require.NoError(t, err)
+		s.DataFolder = filepath.Join(c.folder, s.Name)
+		s.Grace = settings.Duration(5 * time.Second)
+		c.all = append(c.all, s)
+	}
+	for _, s := range c.all {
+		for _, seed := range c.all[:3] {
+			s.Seeds = append(s.Seeds, seed.PeerAddress)
+		}
+	}
+	c.ports.Release()
+	t.Cleanup(func() {
+		for n := range c.all {
+			c.stop(n)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(n int, bootstrap bool) {
+	c.t.Helper()
+	s := *c.all[n]
+	s.Bootstrap = bootstrap
+	api := func(m *fleetcontrol.Member) http.Handler {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.members[n] = m
+		return http.NewServeMux()
+	}
+	p, err := fleetcontrol.NewProcess(&s, api, sys.RealClock{}, zap.NewNop())
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Run(ctx)
+	}()
+	c.stops[n] = func() { cancel(); <-done }
+}
+
+func (c *cluster) stop(n int) {
+	if stop := c.stops[n]; stop != nil {
+		stop()
+		delete(c.stops, n)
+		c.mu.Lock()
+		delete(c.members, n)
+		c.mu.Unlock()
+	}
+}
+
+func (c *cluster) member(n int) *fleetcontrol.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members[n]
+}
+
+func document(version uint64) *routing.Document {
+	return &routing.Document{
+		Version: version, Services: []routing.Service{{Name: "s"}},
+		Hosts: []routing.Host{{Name: "h", Routes: []routing.Route{{
+			Name: "r", Kind: routing.Once, PathPrefix: "/", Timeout: time.Second, MaxAttempts: 1,
+			Destinations: []routing.Destination{{Service: "s", Weight: 1}},
+		}}}},
+	}
+}
+
+func (c *cluster) mustPut(n int, version uint64) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	held, err := c.member(n).PutDocument(ctx, document(version), []byte(fmt.Sprint("text ", version)))
+	require.NoError(c.t, err)
+	require.Equal(c.t, version, held)
+}
+
+func (c *cluster) mustRead(n int, version uint64) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		held, err := c.member(n).Document(ctx)
+		if err != nil {
+			return false
+		}
+		assert.Equal(c.t, fmt.Sprint("text ", version), string(held.Text))
+		return true
+	}, limit, 50*time.Millisecond)
+}
+
+func (c *cluster) mustAnnounce(n int, target fleetstate.Target) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	require.NoError(c.t, c.member(n).Announce(ctx, target))
+}
+
+func target(state fleetstate.TargetState) fleetstate.Target {
+	return fleetstate.Target{ID: "i", Service: "s", Address: "10.0.0.1:1", DataCentre: "d0", Slots: 1, State: state, Born: 1, Sequence: 1}
+}
+
+func startAll(t *testing.T, size int) *cluster {
+	c := newCluster(t, size)
+	for n := range size {
+		c.start(n, true)
+	}
+	return c
+}
+
+// Guards against members that do not find each other, against a group that
+// forms anew after a lost disk, and against a document or a target that is lost
+// when all processes end and one disk is gone.
+func TestFormsOnceAndKeepsTheState(t *testing.T) {
+	c := startAll(t, 5)
+	c.mustPut(4, 7)
+	c.mustAnnounce(3, target(fleetstate.Ready))
+	for n := range 5 {
+		c.mustRead(n, 7)
+	}
+	for n := range 5 {
+		c.stop(n)
+	}
+	c.all[1].DataFolder = filepath.Join(c.folder, "new disk")
+	for n := range 5 {
+		c.start(n, false)
+	}
+	for n := range 5 {
+		c.mustRead(n, 7)
+	}
+	c.mustPut(1, 9)
+	c.mustRead(0, 9)
+}
+
+// Guards against a minority that accepts or reads a document.
+func TestMinorityRefuses(t *testing.T) {
+	c := startAll(t, 5)
+	c.mustPut(0, 3)
+	require.Eventually(t, func() bool { return len(c.status()) == 5 }, limit, 20*time.Millisecond)
+	for _, n := range []int{0, 1, 2} {
+		c.stop(n)
+	}
+	require.Eventually(t, func() bool { return !c.member(3).Fresh() && !c.member(4).Fresh() }, limit, 20*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := c.member(3).PutDocument(ctx, document(4), nil)
+	require.ErrorIs(t, err, fleetcontrol.ErrUnavailable)
+	_, err = c.member(4).Document(ctx)
+	require.Error(t, err)
+}
+
+// status returns the voting slots that member 3 knows.
+func (c *cluster) status() []string { return c.member(3).Slots() }
+
+// Guards against an entry that misses a change, serves a copy that went back,
+// or stays with a member that has ended; and against an entry that is named
+// after its end.
+func TestEntriesFollow(t *testing.T) {
+	c := startAll(t, 3)
+	c.mustPut(0, 3)
+	views := make(chan *fleetview.View, 1024)
+	f := fleetview.NewFollower(fleetview.Options{
+		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", Incarnation: 5, State: fleetstate.Serving},
+		Seeds: c.all[0].Seeds, Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		OnChange: func(v *fleetview.View) { views <- v },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	require.Eventually(t, func() bool { return f.View().Version() == 3 && f.Fresh() }, limit, 10*time.Millisecond)
+	c.mustAnnounce(1, target(fleetstate.Ready))
+	require.Eventually(t, func() bool { return len(f.View().Service("s")) == 1 }, limit, 10*time.Millisecond)
+	c.mustAnnounce(2, target(fleetstate.Draining))
+	require.Eventually(t, func() bool { return len(f.View().Service("s")) == 0 }, limit, 10*time.Millisecond)
+	c.stop(1) // the member in its data centre
+	c.mustPut(0, 8)
+	require.Eventually(t, func() bool { return f.View().Version() == 8 && len(f.View().Serving("r1")) == 1 }, limit, 10*time.Millisecond)
+	f.SetState(fleetstate.Leaving)
+	require.Eventually(t, func() bool { return len(f.View().Serving("r1")) == 0 }, limit, 10*time.Millisecond)
+	cancel()
+	<-done
+	require.Eventually(t, func() bool { return c.entryState() == fleetstate.Lost }, limit, 10*time.Millisecond)
+	close(views)
+	index := uint64(0)
+	for v := range views {
+		assert.Greater(t, v.Index, index)
+		index = v.Index
+	}
+}
+
+func (c *cluster) entryState() fleetstate.EntryState {
+	entry, _ := c.member(0).Entry("e")
+	return entry.State
+}
+
+// Guards against an announcement for a service that no route can lead to.
+func TestUnknownService(t *testing.T) {
+	c := startAll(t, 3)
+	c.mustPut(0, 3)
+	other := target(fleetstate.Ready)
+	other.Service = "nobody's"
+	c.mustRead(0, 3)
+	assert.ErrorIs(t, c.member(0).Announce(context.Background(), other), fleetcontrol.ErrUnknownService)
+}
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/consensus"
@@ -257,6 +258,14 @@
 	return nil
 }
 
+// Slots returns the voting slots of the group.
+func (m *Member) Slots() []string {
+	return lo.Map(m.group.Status().Members, func(s consensus.MemberStatus, _ int) string { return s.Slot })
+}
+
+// Entry returns the record of an entry as this member holds it.
+func (m *Member) Entry(name string) (fleetstate.Entry, bool) { return m.machine.Entry(name) }
+
 // sweep finds entries and members that are gone.
 func (m *Member) sweep(now time.Time) {
 	status := m.group.Status()
--- /dev/null
+++ b/internal/fleetstate/machine_test.go
@@ -0,0 +1,138 @@
+package fleetstate
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/routing"
+)
+
+func announced(id, address string, state TargetState, born int64, sequence uint64) Target {
+	return Target{ID: id, Service: "s", Address: address, DataCentre: "d", Slots: 2, State: state, Born: born, Sequence: sequence}
+}
+
+type recorder struct {
+	machine *Machine
+	index   uint64
+}
+
+func (r *recorder) apply(c Command) Result {
+	r.index++
+	result, err := DecodeResult(r.machine.Apply(r.index, c.Encode()))
+	if err != nil {
+		panic(err)
+	}
+	return result
+}
+
+func newRecorder() *recorder { return &recorder{machine: NewMachine()} }
+
+// Guards against late, crossed and repeated announcements that bring back a
+// target which drains or has gone, or that take an address from a younger one.
+func TestAnnouncements(t *testing.T) {
+	cases := []struct {
+		desc string
+		sent []Target
+		want map[string]TargetState
+	}{
+		{"draining stays", []Target{announced("i", "a:1", Ready, 5, 1), announced("i", "a:1", Draining, 5, 2), announced("i", "a:1", Ready, 5, 3)}, map[string]TargetState{"i": Draining}},
+		{"gone stays", []Target{announced("i", "a:1", Ready, 5, 1), {ID: "i", State: Gone}, announced("i", "a:1", Ready, 5, 9)}, map[string]TargetState{"i": Gone}},
+		{"started again under its id", []Target{announced("i", "a:1", Ready, 5, 8), {ID: "i", State: Gone}, announced("i", "a:1", Ready, 6, 1)}, map[string]TargetState{"i": Ready}},
+		{"leave of an older incarnation", []Target{announced("i", "a:1", Ready, 6, 1), {ID: "i", State: Gone, Born: 5}}, map[string]TargetState{"i": Ready}},
+		{"leave before the announcement", []Target{{ID: "i", State: Gone, Born: 5}, announced("i", "a:1", Ready, 5, 1)}, map[string]TargetState{"i": Gone}},
+		{"address used again", []Target{announced("i", "a:1", Ready, 5, 1), announced("j", "a:1", Ready, 7, 1)}, map[string]TargetState{"i": Gone, "j": Ready}},
+		{"late announcement of the former holder", []Target{announced("j", "a:1", Ready, 7, 1), announced("i", "a:1", Ready, 5, 9)}, map[string]TargetState{"j": Ready}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := newRecorder()
+			for _, target := range tc.sent {
+				r.apply(Command{Targets: []Target{target}})
+			}
+			got := map[string]TargetState{}
+			for id, target := range r.machine.state.Targets {
+				got[id] = target.State
+			}
+			assert.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// Guards against a document that is replaced by one of the same or a lower
+// version.
+func TestHighestVersionWins(t *testing.T) {
+	r := newRecorder()
+	for _, c := range []struct {
+		version, held uint64
+		text          string
+	}{{3, 3, "first"}, {3, 3, "other content"}, {2, 3, "older"}, {9, 9, "newer"}, {8, 9, "late"}} {
+		result := r.apply(Command{Document: &routing.Document{Version: c.version}, Text: []byte(c.text)})
+		assert.Equal(t, c.held, result.Version)
+	}
+	assert.Equal(t, "newer", string(r.machine.Held().Text))
+}
+
+// Guards against copies that miss a change or go back, whatever updates they
+// take, also after a snapshot.
+func TestUpdatesLeadToTheState(t *testing.T) {
+	r := newRecorder()
+	r.apply(Command{Targets: []Target{announced("i", "a:1", Ready, 5, 1)}})
+	first := r.machine.Since(0)
+	require.True(t, first.Reset)
+	r.apply(Command{Targets: []Target{{ID: "i", State: Gone}}, Entries: []Entry{{Name: "e", Incarnation: 1, State: Serving}}})
+
+	snapshot, err := r.machine.Snapshot()
+	require.NoError(t, err)
+	restored := NewMachine()
+	require.NoError(t, restored.Restore(snapshot))
+	for _, m := range []*Machine{r.machine, restored} {
+		update := m.Since(first.Index)
+		assert.False(t, update.Reset)
+		require.Len(t, update.Targets, 1)
+		assert.Equal(t, Gone, update.Targets[0].State)
+		assert.Len(t, update.Entries, 1)
+	}
+	assert.Empty(t, r.machine.Since(r.index).Targets)
+	ahead := r.machine.Since(r.index + 5)
+	assert.False(t, ahead.Reset, "a copy that is ahead of the member must not be reset")
+}
+
+// Guards against the loss of an entry that has turned to another member, or of
+// a later incarnation.
+func TestLossOfAnEntry(t *testing.T) {
+	serving := Entry{Name: "e", Incarnation: 5, State: Serving, Via: "m1"}
+	cases := []struct {
+		desc string
+		loss Entry
+		want EntryState
+	}{
+		{"same member", Entry{Name: "e", Incarnation: 5, State: Lost, Via: "m1"}, Lost},
+		{"former member", Entry{Name: "e", Incarnation: 5, State: Lost, Via: "m2"}, Serving},
+		{"former incarnation", Entry{Name: "e", Incarnation: 4, State: Lost, Via: "m1"}, Serving},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := newRecorder()
+			r.apply(Command{Entries: []Entry{serving}})
+			r.apply(Command{Entries: []Entry{tc.loss}})
+			e, _ := r.machine.Entry("e")
+			assert.Equal(t, tc.want, e.State)
+		})
+	}
+}
+
+// Guards against tombstones that grow without bound, and against copies that
+// miss targets forgotten since.
+func TestForgetsGoneTargets(t *testing.T) {
+	r := newRecorder()
+	r.apply(Command{Targets: []Target{announced("stays", "a:1", Ready, 1, 1)}})
+	old := r.index
+	for n := range maxGone + 1 {
+		r.apply(Command{Targets: []Target{{ID: string(rune('a'+n%26)) + string(rune(0x4e00+n)), State: Gone, Born: 1}}})
+	}
+	assert.LessOrEqual(t, len(r.machine.state.Targets), maxGone+1)
+	assert.True(t, r.machine.Since(old).Reset)
+	assert.False(t, r.machine.Since(r.index-1).Reset)
+}
--- /dev/null
+++ b/internal/freeports/ports_test.go
@@ -0,0 +1,23 @@
+package freeports
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a port that is handed out twice because the first one was
+// closed before the next was drawn.
+func TestPortsDiffer(t *testing.T) {
+	var p Ports
+	defer p.Release()
+	host := p.Host()
+	seen := map[string]bool{}
+	for range 200 {
+		address, err := p.TCP(host)
+		require.NoError(t, err)
+		assert.False(t, seen[address], address)
+		seen[address] = true
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,331 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/routing"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetconn"
+)
+
+var names = targetconn.HeaderNames{
+	RequestID: "X-Id", Deadline: "X-Left", Instance: "X-Instance", NotExecuted: "X-Not-Run", Signature: "X-Mark",
+}
+
+const targets = 6
+
+// fakeFleet grants the targets in turn and plays their outcomes.
+type fakeFleet struct {
+	mu       sync.Mutex
+	outcome  func(n int) targetconn.Result // of the n-th attempt
+	sent     []string                      // targets that a request went to
+	header   http.Header                   // of the last request
+	left     time.Duration
+	ran      int // attempts that may have run
+	released int
+	refuse   error
+	gone     map[string]bool // targets that the entry's own copy does not hold
+}
+
+func (f *fakeFleet) Acquire(_ context.Context, _ string, r pool.Request, _ time.Duration) (*grants.Lease, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse != nil {
+		return nil, f.refuse
+	}
+	for n := range targets {
+		id := fmt.Sprint("t", n)
+		tried := false
+		for _, t := range r.Tried {
+			tried = tried || t == id
+		}
+		if !tried {
+			g := pool.Grant{Target: id, Address: "10.0.0.1:80", HedgeAfter: time.Hour}
+			return grants.NewLease(g, "owner", func(pool.Outcome) { f.mu.Lock(); f.released++; f.mu.Unlock() }), nil
+		}
+	}
+	return nil, pool.ErrNoTarget
+}
+
+func (f *fakeFleet) Send(_ context.Context, t targetconn.Target, r targetconn.Request) targetconn.Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = append(f.sent, t.ID)
+	f.header = r.Header
+	f.left = r.TimeLeft
+	result := f.outcome(len(f.sent) - 1)
+	if result.Sent {
+		f.ran++
+	}
+	return result
+}
+
+func (f *fakeFleet) view() *fleetview.View {
+	route := func(name string, kind routing.Kind, prefix string) routing.Route {
+		return routing.Route{
+			Name: name, Kind: kind, PathPrefix: prefix, Objective: time.Second, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Destinations: []routing.Destination{{Service: "s", Weight: 1}},
+		}
+	}
+	v := &fleetview.View{Routes: routing.NewTable(&routing.Document{
+		Version: 3, Limits: routing.Limits{MaxBodyBytes: 1000}, Services: []routing.Service{{Name: "s"}},
+		Hosts: []routing.Host{{Name: "h", Routes: []routing.Route{
+			route("reads", routing.Idempotent, "/reads/"), route("once", routing.Once, "/once/"), route("upload", routing.Upload, "/upload/"),
+		}}},
+	})}
+	for n := range targets {
+		id := fmt.Sprint("t", n)
+		if !f.gone[id] {
+			v.Targets = append(v.Targets, fleetstate.Target{ID: id, Service: "s", Address: "10.0.0.1:80", State: fleetstate.Ready})
+		}
+	}
+	return v
+}
+
+func newGateway(f *fakeFleet) *Gateway {
+	return New(Options{
+		Name: "e", DataCentre: "d", Names: names, View: f.view, Broker: f, Sender: f,
+		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: 1 << 20,
+	})
+}
+
+func good() targetconn.Result {
+	return targetconn.Result{Outcome: pool.OK, Sent: true, Answer: &targetconn.Answer{
+		Status: 200, Header: http.Header{"X-Mark": {"m"}, "Connection": {"close"}}, Body: []byte("whole"), Length: 5,
+	}}
+}
+
+func failed(status int) targetconn.Result {
+	return targetconn.Result{Outcome: pool.Failed, Sent: true, Answer: &targetconn.Answer{Status: status, Header: http.Header{}, Body: []byte("bad")}}
+}
+
+func reset() targetconn.Result {
+	return targetconn.Result{Outcome: pool.Reset, Sent: true, Err: errors.New("reset")}
+}
+
+func shed() targetconn.Result {
+	return targetconn.Result{Outcome: pool.Shed, Answer: &targetconn.Answer{Status: 503}}
+}
+
+// call sends a request over a real connection, whose deadlines the gateway
+// sets.
+func call(t *testing.T, g *Gateway, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	t.Helper()
+	server := httptest.NewServer(g)
+	defer server.Close()
+	r, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Id", "id-1")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := server.Client().Do(r)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	w := httptest.NewRecorder()
+	w.Code = response.StatusCode
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	_, err = io.Copy(w.Body, response.Body)
+	require.NoError(t, err)
+	return w
+}
+
+// Guards against a second run of a request that may run once, against a "not
+// run" that is not true, and against answers that a target did not give.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		desc    string
+		path    string
+		results []targetconn.Result
+		status  int
+		sent    int
+	}{
+		{"answered", "/once/1", []targetconn.Result{good()}, 200, 1},
+		{"reset is unknown", "/once/1", []targetconn.Result{reset()}, 502, 1},
+		{"upload is not repeated", "/upload/1", []targetconn.Result{reset()}, 502, 1},
+		{"shed goes to another target", "/once/1", []targetconn.Result{shed(), good()}, 200, 2},
+		{"shed twice was not run", "/once/1", []targetconn.Result{shed(), shed()}, 503, 2},
+		{"shed, then reset", "/once/1", []targetconn.Result{shed(), reset()}, 502, 2},
+		{"no connection does not count as an attempt", "/once/1", []targetconn.Result{{Outcome: pool.ConnectFailed}, {Outcome: pool.ConnectFailed}, good()}, 200, 3},
+		{"failure of the target is passed on", "/once/1", []targetconn.Result{failed(500)}, 500, 1},
+		{"a 503 of a target that ran is no promise", "/once/1", []targetconn.Result{failed(503)}, 502, 1},
+		{"read is repeated after a reset", "/reads/1", []targetconn.Result{reset(), good()}, 200, 2},
+		{"read is repeated after a failure", "/reads/1", []targetconn.Result{failed(500), good()}, 200, 2},
+		{"read fails twice", "/reads/1", []targetconn.Result{failed(500), reset()}, 500, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			f := &fakeFleet{outcome: func(n int) targetconn.Result { return tc.results[n] }}
+			w := call(t, newGateway(f), http.MethodPost, tc.path, "body")
+			assert.Equal(t, tc.status, w.Code)
+			assert.Len(t, f.sent, tc.sent)
+			if tc.status == 503 {
+				assert.Contains(t, w.Header().Get("Retry-After"), "0.")
+			}
+		})
+	}
+}
+
+// Guards, over random rows of outcomes, against the rules that the table shows
+// by example.
+func TestRandomOutcomes(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	all := []func() targetconn.Result{
+		good, reset, shed,
+		func() targetconn.Result { return failed(500) },
+		func() targetconn.Result { return failed(503) },
+		func() targetconn.Result { return targetconn.Result{Outcome: pool.ConnectFailed} },
+		func() targetconn.Result {
+			return targetconn.Result{Outcome: pool.Broken, Sent: true, Err: errors.New("broken")}
+		},
+		func() targetconn.Result {
+			return targetconn.Result{Outcome: pool.Misdirected, Answer: &targetconn.Answer{Status: 421}}
+		},
+	}
+	for n := range 1500 {
+		f := &fakeFleet{outcome: func(int) targetconn.Result { return all[random.IntN(len(all))]() }}
+		path := []string{"/once/1", "/upload/1", "/reads/1"}[n%3]
+		w := call(t, newGateway(f), http.MethodPost, path, "body")
+		if path != "/reads/1" {
+			require.LessOrEqual(t, f.ran, 1, "run %d: the request may have run %d times", n, f.ran)
+		}
+		if w.Code == 503 || w.Code == 429 {
+			require.Zero(t, f.ran, "run %d: the answer %d says that the request did not run", n, w.Code)
+		}
+		if w.Code == 200 {
+			require.Equal(t, "whole", w.Body.String())
+		}
+		require.Equal(t, len(f.sent), f.released, "run %d: every grant is released", n)
+	}
+}
+
+// Guards against a send to a target that this entry knows to drain, while the
+// owner has not heard of it.
+func TestOwnCopyOverridesTheOwner(t *testing.T) {
+	f := &fakeFleet{gone: map[string]bool{"t0": true, "t1": true}, outcome: func(int) targetconn.Result { return good() }}
+	w := call(t, newGateway(f), http.MethodPost, "/once/1", "")
+	assert.Equal(t, 200, w.Code)
+	assert.Equal(t, []string{"t2"}, f.sent)
+}
+
+func TestRefusals(t *testing.T) {
+	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+	g := newGateway(f)
+	cases := []struct {
+		desc   string
+		status int
+		do     func() *httptest.ResponseRecorder
+	}{
+		{"no route", 404, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/none/", "") }},
+		{"body over the limit", 413, func() *httptest.ResponseRecorder { return call(t, g, "POST", "/upload/1", strings.Repeat("x", 1001)) }},
+		{"deadline that is no number", 400, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/reads/1", "", "X-Left", "soon") }},
+		{"no time left", 504, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/reads/1", "", "X-Left", "0") }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) { assert.Equal(t, tc.status, tc.do().Code) })
+	}
+	assert.Empty(t, f.sent)
+	assert.Zero(t, g.bodies.Load(), "bytes of bodies are given back")
+}
+
+// Guards against a 404 from an entry that knows no routes yet.
+func TestNoDocumentYet(t *testing.T) {
+	f := &fakeFleet{}
+	g := New(Options{Names: names, View: func() *fleetview.View { return &fleetview.View{} }, Broker: f, Sender: f, Clock: sys.RealClock{}, Log: zap.NewNop()})
+	assert.Equal(t, 503, call(t, g, "GET", "/reads/1", "").Code)
+}
+
+// Guards against headers of one connection, or of the product, that reach a
+// target or a caller, and against more time than is left.
+func TestHeaders(t *testing.T) {
+	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+	w := call(t, newGateway(f), "POST", "/once/1", "b", "Connection", "X-Hop", "X-Hop", "1", "X-Left", "700", "X-Instance", "forged", "X-Kept", "yes")
+	assert.Equal(t, "yes", f.header.Get("X-Kept"))
+	for _, name := range []string{"X-Hop", "Connection", "X-Left", "X-Instance"} {
+		assert.Empty(t, f.header.Get(name), name)
+	}
+	assert.LessOrEqual(t, f.left, 700*time.Millisecond)
+	assert.Equal(t, "m", w.Header().Get("X-Mark"))
+	assert.Empty(t, w.Header().Get("Connection"))
+}
+
+// brokenBody ends with an error after its first bytes.
+type brokenBody struct{}
+
+func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("cut") }
+func (brokenBody) Close() error             { return nil }
+
+// Guards against a long answer that breaks off and looks whole.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	f := &fakeFleet{outcome: func(int) targetconn.Result {
+		r := good()
+		r.Answer.Rest = brokenBody{}
+		r.Answer.Length = -1
+		return r
+	}}
+	server := httptest.NewServer(newGateway(f))
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodGet, server.URL+"/reads/1", nil)
+	require.NoError(t, err)
+	request.Host = "h"
+	request.Header.Set("X-Id", "id-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return // cut before the header, which is as good
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.Error(t, err)
+}
+
+// Guards against work for a caller that has left: a read ends, a request that
+// may run once goes on.
+func TestCallerLeaves(t *testing.T) {
+	for path, ends := range map[string]bool{"/reads/1": true, "/once/1": false} {
+		ctx, cancel := context.WithCancel(context.Background())
+		seen := make(chan bool, 1)
+		f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+		g := newGateway(f)
+		g.options.Sender = senderFunc(func(ctx context.Context) targetconn.Result {
+			cancel()
+			select {
+			case <-ctx.Done():
+				seen <- true
+			case <-time.After(300 * time.Millisecond):
+				seen <- false
+			}
+			return reset()
+		})
+		r := httptest.NewRequest(http.MethodPost, "http://h"+path, nil).WithContext(ctx)
+		r.Header.Set("X-Id", "id-1")
+		assert.Panics(t, func() { g.ServeHTTP(httptest.NewRecorder(), r) }, path)
+		assert.Equal(t, ends, <-seen, path)
+	}
+}
+
+type senderFunc func(ctx context.Context) targetconn.Result
+
+func (s senderFunc) Send(ctx context.Context, _ targetconn.Target, _ targetconn.Request) targetconn.Result {
+	return s(ctx)
+}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -197,12 +197,17 @@
 type Lease struct {
 	pool.Grant
 	Owner   string // name of the entry
-	broker  *Broker
-	service string
-	peer    string // peer address of the owner; empty: this entry
-	request pool.Request
+	release func(pool.Outcome)
 }
 
+// NewLease returns a lease that calls release at its end.
+func NewLease(g pool.Grant, owner string, release func(pool.Outcome)) *Lease {
+	return &Lease{Grant: g, Owner: owner, release: release}
+}
+
+// Release ends the lease and reports the outcome to its owner.
+func (l *Lease) Release(o pool.Outcome) { l.release(o) }
+
 // Acquire waits for a grant for at most maxWait.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	until := b.options.Clock.Now().Add(maxWait)
@@ -248,7 +253,7 @@
 		return nil, err
 	}
 	counter.Inc()
-	return &Lease{Grant: g, Owner: b.options.Self.Name, broker: b, service: service, request: r}, nil
+	return NewLease(g, b.options.Self.Name, func(o pool.Outcome) { b.pool(service).Release(g.Lease, o) }), nil
 }
 
 func (b *Broker) ask(ctx context.Context, owner fleetstate.Entry, service string, r pool.Request, wait time.Duration) (*Lease, error) {
@@ -265,7 +270,7 @@
 		return nil, refusals[answer.Refused]
 	}
 	b.remote.Inc()
-	return &Lease{Grant: answer.Grant, Owner: owner.Name, broker: b, service: service, peer: owner.PeerAddress, request: r}, nil
+	return NewLease(answer.Grant, owner.Name, func(o pool.Outcome) { b.releaseTo(owner, service, r, answer.Grant, o) }), nil
 }
 
 // owners returns the entries to ask for the service, the owner first, without
@@ -286,21 +291,18 @@
 	b.options.Log.Warn("owner did not answer", zap.String("owner", name), zap.Error(err))
 }
 
-// Release ends the lease and reports the outcome to its owner.
-func (l *Lease) Release(o pool.Outcome) {
-	if l.peer == "" {
-		l.broker.pool(l.service).Release(l.Lease, o)
-		return
-	}
+// releaseTo reports the outcome to the owner that gave the grant, and to this
+// entry's own pool, which is used where no owner answers.
+func (b *Broker) releaseTo(owner fleetstate.Entry, service string, r pool.Request, g pool.Grant, o pool.Outcome) {
 	if o.Kind != pool.Unsent {
-		l.broker.pool(l.service).Observe(l.Target, l.request, o)
+		b.pool(service).Observe(g.Target, r, o)
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		request := ReleaseRequest{Service: l.service, Lease: l.Lease, Outcome: o}
-		if err := l.broker.options.Peers.Post(ctx, l.peer, ReleasePath, request, nil); err != nil {
-			l.broker.options.Log.Debug("release did not arrive; the lease expires", zap.String("owner", l.Owner), zap.Error(err))
+		request := ReleaseRequest{Service: service, Lease: g.Lease, Outcome: o}
+		if err := b.options.Peers.Post(ctx, owner.PeerAddress, ReleasePath, request, nil); err != nil {
+			b.options.Log.Debug("release did not arrive; the lease expires", zap.String("owner", owner.Name), zap.Error(err))
 		}
 	}()
 }
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/control"
 	"github.com/sequoialane/sequoialane/internal/entry"
+	"github.com/sequoialane/sequoialane/internal/freeports"
 	"github.com/sequoialane/sequoialane/internal/settings"
 )
 
@@ -47,7 +48,7 @@
 	Upstreams []*Upstream
 
 	options Options
-	ports   ports
+	ports   freeports.Ports
 	client  *http.Client
 }
 
@@ -86,7 +87,7 @@
 	if err := f.prepare(); err != nil {
 		return f, trace.Wrap(err)
 	}
-	f.ports.release()
+	f.ports.Release()
 	for _, p := range f.processes() {
 		if err := p.Start(); err != nil {
 			return f, trace.Wrap(err)
@@ -125,7 +126,7 @@
 		_ = p.Thaw()
 		p.Kill()
 	}
-	f.ports.release()
+	f.ports.Release()
 	f.client.CloseIdleConnections()
 }
 
@@ -164,12 +165,12 @@
 func (f *Fleet) prepareControls() error {
 	var members []control.MemberSettings
 	for i := range f.options.Controls {
-		host := f.ports.host()
-		api, err := f.ports.tcp(host)
+		host := f.ports.Host()
+		api, err := f.ports.TCP(host)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		peer, err := f.ports.tcp(host)
+		peer, err := f.ports.TCP(host)
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -245,15 +246,15 @@
 		self, _ := c.Settings.Self()
 		s.Control = append(s.Control, configsync.ControlMember{Name: self.Name, Region: self.Region, Address: self.APIAddress})
 	}
-	host := f.ports.host()
+	host := f.ports.Host()
 	var err error
-	if s.CallerAddress, err = f.ports.tcp(host); err != nil {
+	if s.CallerAddress, err = f.ports.TCP(host); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.PeerAddress, err = f.ports.tcp(host); err != nil {
+	if s.PeerAddress, err = f.ports.TCP(host); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if s.GossipAddress, err = f.ports.udp(host); err != nil {
+	if s.GossipAddress, err = f.ports.UDP(host); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return s, nil
--- a/internal/localfleet/upstream.go
+++ b/internal/localfleet/upstream.go
@@ -48,12 +48,12 @@
 	if o.Region == "" {
 		o.Region = f.options.Regions[0]
 	}
-	host := f.ports.host()
-	address, err := f.ports.tcp(host)
+	host := f.ports.Host()
+	address, err := f.ports.TCP(host)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	controlAddress, err := f.ports.tcp(host)
+	controlAddress, err := f.ports.TCP(host)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -78,7 +78,7 @@
 		runsFile:       runsFile,
 	}
 	f.Upstreams = append(f.Upstreams, u)
-	f.ports.release()
+	f.ports.Release()
 	if err := u.Start(); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,235 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+type rig struct {
+	*Pool
+	clock *sys.ManualClock
+}
+
+func newRig(targets, slots int) *rig {
+	clock := sys.NewManualClock(time.Unix(1_700_000_000, 0))
+	p := New(Config{Service: "s", Region: "r", Clock: clock, Settings: Settings{RetryRatio: 0.2, RetrySlack: 2, RetryWindow: 10 * time.Second, FloorShare: 0.7}})
+	r := &rig{Pool: p, clock: clock}
+	r.setTargets(targets, slots)
+	return r
+}
+
+func (r *rig) setTargets(count, slots int) {
+	var records []fleetstate.Target
+	for n := range count {
+		records = append(records, fleetstate.Target{ID: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.", n, ":80"), DataCentre: "d", Slots: slots, State: fleetstate.Ready, Born: 1})
+	}
+	r.SetTargets(records, func(string) bool { return true })
+}
+
+func once() Request {
+	return Request{ID: "q", Class: "c", Objective: time.Second, TimeLeft: 2 * time.Second, DataCentre: "d"}
+}
+
+func (r *rig) mustAcquire(t *testing.T, q Request) Grant {
+	t.Helper()
+	g, err := r.Acquire(context.Background(), q, 0)
+	require.NoError(t, err)
+	return g
+}
+
+// Guards against a target that goes on getting requests after it failed one.
+func TestOneResetMovesRequestsAway(t *testing.T) {
+	r := newRig(4, 2)
+	for range 40 {
+		g := r.mustAcquire(t, once())
+		r.clock.Advance(50 * time.Millisecond)
+		r.Release(g.Lease, Outcome{Kind: OK, Took: 50 * time.Millisecond})
+	}
+	g := r.mustAcquire(t, once())
+	r.Release(g.Lease, Outcome{Kind: Reset})
+	for range 20 {
+		next := r.mustAcquire(t, once())
+		assert.NotEqual(t, g.Target, next.Target)
+		r.clock.Advance(50 * time.Millisecond)
+		r.Release(next.Lease, Outcome{Kind: OK, Took: 50 * time.Millisecond})
+	}
+}
+
+// Guards against more requests at a target than its slots and one that waits,
+// and against grants that are lost when their sender does not return.
+func TestSlots(t *testing.T) {
+	r := newRig(2, 2)
+	for range 2 * (2 + queuePerTarget) {
+		r.mustAcquire(t, once())
+	}
+	_, err := r.Acquire(context.Background(), once(), 0)
+	assert.ErrorIs(t, err, ErrBusy)
+	r.clock.Advance(4 * time.Second)
+	r.mustAcquire(t, once())
+}
+
+// Guards against a request of low priority that is granted before a waiting one
+// of high priority.
+func TestPriorityOfWaiters(t *testing.T) {
+	r := newRig(1, 1)
+	var leases []Grant
+	for range 1 + queuePerTarget {
+		leases = append(leases, r.mustAcquire(t, once()))
+	}
+	order := make(chan int, 2)
+	for _, priority := range []int{2, 0} {
+		q := once()
+		q.Priority = priority
+		before := r.queued()
+		go func() {
+			if _, err := r.Acquire(context.Background(), q, 5*time.Second); err == nil {
+				order <- priority
+			}
+		}()
+		require.Eventually(t, func() bool { return r.queued() == before+1 }, time.Second, time.Millisecond)
+	}
+	r.Release(leases[0].Lease, Outcome{Kind: OK, Took: time.Millisecond})
+	assert.Equal(t, 0, <-order)
+	r.Release(leases[1].Lease, Outcome{Kind: OK, Took: time.Millisecond})
+	assert.Equal(t, 2, <-order)
+}
+
+func (r *rig) queued() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.waiters)
+}
+
+// Guards against repeats beyond the shared budget.
+func TestRetryBudget(t *testing.T) {
+	r := newRig(8, 100)
+	for range 10 {
+		r.mustAcquire(t, once())
+	}
+	repeat := once()
+	repeat.Repeat = true
+	for range 4 { // 0.2 of 10, and 2
+		r.mustAcquire(t, repeat)
+	}
+	_, err := r.Acquire(context.Background(), repeat, 0)
+	assert.ErrorIs(t, err, ErrBudget)
+	r.clock.Advance(11 * time.Second)
+	r.mustAcquire(t, repeat)
+}
+
+// Guards against a request that returns to a target it was sent to.
+func TestTriedTargets(t *testing.T) {
+	r := newRig(3, 2)
+	q := once()
+	for range 3 {
+		g := r.mustAcquire(t, q)
+		assert.NotContains(t, q.Tried, g.Target)
+		q.Tried = append(q.Tried, g.Target)
+	}
+	_, err := r.Acquire(context.Background(), q, 0)
+	assert.ErrorIs(t, err, ErrNoTarget)
+}
+
+// Guards against a service that rests on few of its sound targets: in each two
+// seconds the floor's share of those that did not fail gets a request.
+func TestFloor(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	r := newRig(10, 2)
+	start := r.clock.Now()
+	used := map[string]time.Time{}
+	failed := map[string]time.Time{}
+	bad := map[string]bool{"t1": true, "t4": true, "t7": true}
+	for n := range 2000 {
+		g := r.mustAcquire(t, once())
+		used[g.Target] = r.clock.Now()
+		r.clock.Advance(25 * time.Millisecond)
+		kind := OK
+		if bad[g.Target] && random.Float64() < 0.85 {
+			kind = Reset
+			failed[g.Target] = r.clock.Now()
+		}
+		r.Release(g.Lease, Outcome{Kind: kind, Took: 25 * time.Millisecond})
+		if n%400 == 399 {
+			bad = map[string]bool{fmt.Sprint("t", random.IntN(10)): true, fmt.Sprint("t", random.IntN(10)): true}
+		}
+		if r.clock.Now().Sub(start) < 3*time.Second {
+			continue
+		}
+		sound, got := 0.0, 0.0
+		for i := range 10 {
+			id := fmt.Sprint("t", i)
+			// A target is sound again 2 s after a failure; it counts if it was
+			// sound in the whole window.
+			if r.clock.Now().Sub(failed[id]) <= 4*time.Second {
+				continue
+			}
+			sound++
+			if r.clock.Now().Sub(used[id]) <= 2*time.Second {
+				got++
+			}
+		}
+		require.GreaterOrEqual(t, got/sound, 0.7, "after %d requests", n)
+	}
+}
+
+// Guards against estimates that leave 0 to 1 or that evidence moves the wrong
+// way, over random outcomes and times.
+func TestEstimates(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	now := time.Unix(1000, 0)
+	var e estimate
+	for range 5000 {
+		now = now.Add(time.Duration(random.Int64N(int64(3 * time.Second))))
+		kinds := []OutcomeKind{OK, Failed, Reset, NoAnswer, Broken, ConnectFailed, Shed}
+		kind := kinds[random.IntN(len(kinds))]
+		before := e.now(now, 0.2)
+		e.observe(kind, now, 0.2)
+		require.False(t, math.IsNaN(e.bad))
+		require.True(t, e.bad >= 0 && e.bad <= 1)
+		if kind == OK {
+			require.LessOrEqual(t, e.bad, before)
+		} else {
+			require.GreaterOrEqual(t, e.bad, before)
+		}
+	}
+	assert.InDelta(t, 0.2, e.now(now.Add(time.Hour), 0.2), 1e-6)
+}
+
+// Guards against evidence of another region that replaces newer evidence of
+// this one, or that is passed back.
+func TestMergeKeepsTheNewer(t *testing.T) {
+	r := newRig(2, 2)
+	g := r.mustAcquire(t, once())
+	r.Release(g.Lease, Outcome{Kind: OK, Took: 100 * time.Millisecond})
+	r.clock.Advance(100 * time.Millisecond)
+	r.Merge([]Evidence{{Target: g.Target, Bad: 0.9, Age: time.Second}})
+	assert.Less(t, r.Evidence(time.Hour)[0].Bad, 0.2)
+	r.Merge([]Evidence{{Target: g.Target, Bad: 0.9, Age: 10 * time.Millisecond}})
+	assert.Empty(t, r.Evidence(time.Hour))
+	for _, s := range r.Status() {
+		if s.ID == g.Target {
+			assert.Greater(t, s.Bad, 0.8)
+		}
+	}
+}
+
+// Guards against a target that keeps its estimate when it starts again.
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	r := newRig(1, 2)
+	g := r.mustAcquire(t, once())
+	r.Release(g.Lease, Outcome{Kind: Misdirected})
+	_, err := r.Acquire(context.Background(), once(), 0)
+	require.ErrorIs(t, err, ErrNoTarget)
+	r.SetTargets([]fleetstate.Target{{ID: "t0", Service: "s", Address: "10.0.0.0:80", Slots: 2, State: fleetstate.Ready, Born: 2}}, func(string) bool { return true })
+	r.mustAcquire(t, once())
+}
--- /dev/null
+++ b/internal/targetconn/send_test.go
@@ -0,0 +1,279 @@
+package targetconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+var names = HeaderNames{RequestID: "X-Id", Deadline: "X-Left", Instance: "X-Instance", NotExecuted: "X-Not-Run", Signature: "X-Mark"}
+
+// fakeTarget plays a script for each request that it reads.
+type fakeTarget struct {
+	listener net.Listener
+	script   func(n int, c net.Conn, r *http.Request)
+	mu       sync.Mutex
+	requests int
+	accepted int
+}
+
+func startTarget(t *testing.T, script func(n int, c net.Conn, r *http.Request)) *fakeTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fakeTarget{listener: listener, script: script}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.accepted++
+			f.mu.Unlock()
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+func (f *fakeTarget) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		f.mu.Lock()
+		n := f.requests
+		f.requests++
+		f.mu.Unlock()
+		f.script(n, c, r)
+	}
+}
+
+func (f *fakeTarget) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.accepted
+}
+
+func (f *fakeTarget) target() Target { return Target{ID: "i-1", Address: f.listener.Addr().String()} }
+
+func answer(c net.Conn, id, head, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\n%sContent-Length: %d\r\n\r\n%s", id, head, len(body), body)
+}
+
+func dropHard(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func send(c *Client, t Target, id, body string) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return c.Send(ctx, t, Request{ID: id, Method: "POST", URI: "/p?q=1", Host: "h", Header: http.Header{"X-Id": {id}}, Body: []byte(body), TimeLeft: time.Second})
+}
+
+// Guards against an answer that is taken for whole, for that of another
+// request, or for a proof that the request was not run.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		desc    string
+		script  func(c net.Conn, id string)
+		outcome pool.OutcomeKind
+		sent    bool
+	}{
+		{"whole", func(c net.Conn, id string) { answer(c, id, "", "body") }, pool.OK, true},
+		{"reset after the request", func(c net.Conn, _ string) { dropHard(c) }, pool.Reset, true},
+		{"closed after the request", func(c net.Conn, _ string) { _ = c.Close() }, pool.Reset, true},
+		{"cut in the body", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\nContent-Length: 100\r\n\r\nhalf", id)
+			_ = c.Close()
+		}, pool.Broken, true},
+		{"reset of an answer without length", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\n\r\nhalf", id)
+			time.Sleep(30 * time.Millisecond)
+			dropHard(c)
+		}, pool.Broken, true},
+		{"answer without length", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Mark: m\r\n\r\nbody", id)
+			_ = c.Close()
+		}, pool.OK, true},
+		{"bytes that are no answer", func(c net.Conn, _ string) { _, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n") }, pool.Broken, true},
+		{"success without the mark", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}, pool.Broken, true},
+		{"no id", func(c net.Conn, _ string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Mark: m\r\nContent-Length: 0\r\n\r\n")
+		}, pool.Broken, true},
+		{"late answer to another request first", func(c net.Conn, id string) {
+			answer(c, "other", "", "wrong")
+			answer(c, id, "", "body")
+		}, pool.OK, true},
+		{"failure", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 500 Error\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}, pool.Failed, true},
+		{"full", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+		}, pool.Shed, false},
+		{"503 without the mark", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}, pool.Failed, true},
+		{"another target at the address", func(c net.Conn, id string) {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		}, pool.Misdirected, false},
+		{"no answer", func(net.Conn, string) {}, pool.NoAnswer, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			f := startTarget(t, func(_ int, c net.Conn, r *http.Request) { tc.script(c, r.Header.Get("X-Id")) })
+			result := send(New(sys.RealClock{}, names), f.target(), "id-1", "x")
+			assert.Equal(t, tc.outcome, result.Outcome, "%v", result.Err)
+			assert.Equal(t, tc.sent, result.Sent)
+			if tc.outcome == pool.OK {
+				assert.Equal(t, "body", string(result.Answer.Body))
+			}
+		})
+	}
+}
+
+// Guards against a refused connection that counts as sent.
+func TestNoConnection(t *testing.T) {
+	f := startTarget(t, nil)
+	target := f.target()
+	require.NoError(t, f.listener.Close())
+	result := send(New(sys.RealClock{}, names), target, "id-1", "x")
+	assert.Equal(t, pool.ConnectFailed, result.Outcome)
+	assert.False(t, result.Sent)
+}
+
+// Guards against a request on a connection that the target has closed, or that
+// holds bytes which belong to no request.
+func TestIdleConnections(t *testing.T) {
+	cases := []struct {
+		desc  string
+		after func(c net.Conn)
+		conns int
+	}{
+		{"kept", func(net.Conn) {}, 1},
+		{"closed while idle", func(c net.Conn) { _ = c.Close() }, 2},
+		{"extra answer while idle", func(c net.Conn) { answer(c, "id-1", "", "again") }, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			f := startTarget(t, func(n int, c net.Conn, r *http.Request) {
+				answer(c, r.Header.Get("X-Id"), "", fmt.Sprint("body ", n))
+				if n == 0 {
+					time.AfterFunc(20*time.Millisecond, func() { tc.after(c) })
+				}
+			})
+			client := New(sys.RealClock{}, names)
+			require.Equal(t, pool.OK, send(client, f.target(), "id-1", "").Outcome)
+			time.Sleep(80 * time.Millisecond)
+			second := send(client, f.target(), "id-2", "")
+			require.Equal(t, pool.OK, second.Outcome, "%v", second.Err)
+			assert.Equal(t, "body 1", string(second.Answer.Body))
+			assert.Equal(t, tc.conns, f.connections())
+		})
+	}
+}
+
+// Guards against reuse beyond the time that a target keeps idle connections,
+// and after "Connection: close".
+func TestConnectionsThatAreNotReused(t *testing.T) {
+	for _, head := range []string{"Connection: close\r\n", "Keep-Alive: timeout=1\r\n"} {
+		f := startTarget(t, func(_ int, c net.Conn, r *http.Request) { answer(c, r.Header.Get("X-Id"), head, "b") })
+		client := New(sys.RealClock{}, names)
+		send(client, f.target(), "id-1", "")
+		time.Sleep(700 * time.Millisecond)
+		send(client, f.target(), "id-2", "")
+		assert.Equal(t, 2, f.connections(), head)
+	}
+}
+
+// Guards against repeated resets where targets drop idle connections without
+// notice: the idle limit falls below the time that led to the reset.
+func TestIdleLimitFollowsResets(t *testing.T) {
+	clock := sys.NewManualClock(time.Unix(1000, 0))
+	c := New(clock, names)
+	c.resetAfterIdle(2 * time.Second)
+	assert.Equal(t, time.Second, c.currentIdleLimit(clock.Now()))
+	c.resetAfterIdle(100 * time.Millisecond)
+	assert.Equal(t, minIdleLimit, c.currentIdleLimit(clock.Now()))
+	clock.Advance(10 * idleLimitRecovers)
+	assert.Equal(t, startIdleLimit, c.currentIdleLimit(clock.Now()))
+}
+
+// Guards against other bytes where the rest of a long body is due: a target
+// that answers early gets no second request on that connection.
+func TestEarlyAnswer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	seen := make(chan int, 8)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				answer(c, r.Header.Get("X-Id"), "", "early")
+				time.Sleep(50 * time.Millisecond)
+				n, _ := io.Copy(io.Discard, r.Body)
+				seen <- int(n)
+			}()
+		}
+	}()
+	client := New(sys.RealClock{}, names)
+	target := Target{ID: "i", Address: listener.Addr().String()}
+	body := strings.Repeat("x", 32<<20)
+	for range 2 {
+		result := send(client, target, "id-1", body)
+		require.Equal(t, pool.OK, result.Outcome, "%v", result.Err)
+		assert.LessOrEqual(t, <-seen, len(body))
+	}
+}
+
+// Guards against a cancelled request that holds on to its target.
+func TestCancel(t *testing.T) {
+	closed := make(chan struct{})
+	f := startTarget(t, func(_ int, c net.Conn, _ *http.Request) {
+		_, _ = c.Read(make([]byte, 1)) // ends when the client closes
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	result := New(sys.RealClock{}, names).Send(ctx, f.target(), Request{ID: "i", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: time.Second})
+	assert.Equal(t, pool.Canceled, result.Outcome)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
