--- a/internal/disk/fakedisk/fakedisk.go
+++ b/internal/disk/fakedisk/fakedisk.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"io/fs"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -33,6 +34,7 @@
 type content struct {
 	written []byte
 	synced  []byte
+	ends    []int // of the writes since the last sync, in written
 }
 
 var _ disk.Dir = (*Dir)(nil)
@@ -65,16 +67,22 @@
 	return d.syncs
 }
 
-// Crash drops all that is not durable. If random is set, a prefix of random
-// length of the unsynced end of each file survives, and its last byte may be
-// damaged. Open files fail from then on.
+// Crash drops all that is not durable. If random is set, each write since the
+// last sync of its file is present, missing or torn, each name since the last
+// sync of the folder is as before or after, independently of the others, and
+// the last byte of a file may be damaged. Open files fail from then on.
 func (d *Dir) Crash(random *rand.Rand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.generation++
+	durable := d.durable
+	if random != nil {
+		durable = d.survivingNames(random)
+	}
 	d.names = map[string]*content{}
-	for _, name := range sortedNames(d.durable) {
-		c := d.durable[name]
+	d.durable = map[string]*content{}
+	for _, name := range sortedNames(durable) {
+		c := durable[name]
 		survived := append([]byte(nil), c.synced...)
 		if random != nil {
 			survived = append(survived, tornTail(c, random)...)
@@ -89,14 +97,47 @@
 	if len(c.written) <= len(c.synced) {
 		return nil
 	}
-	tail := c.written[len(c.synced):]
-	torn := append([]byte(nil), tail[:random.IntN(len(tail)+1)]...)
-	if len(torn) > 0 && random.IntN(2) == 0 {
-		torn[len(torn)-1] ^= 0x5a
+	tail := make([]byte, len(c.written)-len(c.synced)) // zeros where a write is missing
+	length, start := 0, len(c.synced)
+	for _, end := range c.ends {
+		survived := 0
+		switch random.IntN(3) {
+		case 0:
+			survived = end - start
+		case 1:
+			survived = random.IntN(end - start + 1)
+		}
+		if survived > 0 {
+			copy(tail[start-len(c.synced):], c.written[start:start+survived])
+			length = start - len(c.synced) + survived
+		}
+		start = end
+	}
+	torn := tail[:length]
+	if length > 0 && random.IntN(4) == 0 {
+		torn[length-1] ^= 0x5a
 	}
 	return torn
 }
 
+// survivingNames returns the names after a crash.
+func (d *Dir) survivingNames(random *rand.Rand) map[string]*content {
+	survived := map[string]*content{}
+	all := map[string]*content{}
+	maps.Copy(all, d.durable)
+	maps.Copy(all, d.names)
+	for _, name := range sortedNames(all) {
+		from := d.durable
+		if random.IntN(2) == 0 {
+			from = d.names
+		}
+		if c := from[name]; c != nil {
+			survived[name] = c
+		}
+	}
+	return survived
+}
+
 // FlipBit inverts one bit of a file, in its written and durable state.
 func (d *Dir) FlipBit(name string, offset int, bit uint) {
 	d.mu.Lock()
@@ -244,6 +285,7 @@
 		n = f.dir.space
 	}
 	f.content.written = append(f.content.written, p[:n]...)
+	f.content.ends = append(f.content.ends, len(f.content.written))
 	if f.dir.space >= 0 {
 		f.dir.space -= n
 	}
@@ -261,9 +303,11 @@
 	}
 	if err := f.dir.countSync(); err != nil {
 		f.content.written = append([]byte(nil), f.content.synced...)
+		f.content.ends = nil
 		return err
 	}
 	f.content.synced = append([]byte(nil), f.content.written...)
+	f.content.ends = nil
 	return nil
 }
 
--- a/internal/wal/load.go
+++ b/internal/wal/load.go
@@ -99,7 +99,7 @@
 	if _, _, _, ok := readRecord(last.content); ok {
 		return segments, nil
 	}
-	if hasRecord(last.content) {
+	if hasRecord(last.content, kindSynced) {
 		return nil, fmt.Errorf("%w: first record of %s", ErrCorrupt, last.name)
 	}
 	if len(segments) == 1 && last.sequence > 1 {
@@ -124,12 +124,14 @@
 	return 0, fmt.Errorf("%w: no segment holds a checkpoint", ErrCorrupt)
 }
 
-// replaySegment stops before an incomplete write at the end of the last
-// segment.
+// replaySegment stops at damage in the last segment that no sync has covered:
+// after a loss of power each write since the last sync may be missing, so whole
+// records may follow the damage. A marker behind it shows that all before the
+// marker were synced, so that the damage is not the trace of such a write.
 func replaySegment(s segment, last bool, state *State) error {
 	for offset := 0; offset < len(s.content); {
 		kind, payload, n, ok := readRecord(s.content[offset:])
-		if !ok && last && !hasRecord(s.content[offset+1:]) {
+		if !ok && last && !hasRecord(s.content[offset+1:], kindSynced) {
 			return nil
 		}
 		if !ok {
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -54,13 +54,13 @@
 	return recordKind(b[12]), body[1:], headerBytes + length, true
 }
 
-// hasRecord reports whether an undamaged record starts anywhere in b.
-func hasRecord(b []byte) bool {
+// hasRecord reports whether an undamaged record of the kind starts anywhere in b.
+func hasRecord(b []byte, wanted recordKind) bool {
 	for i := 0; i+headerBytes <= len(b); i++ {
 		if binary.LittleEndian.Uint32(b[i:]) != recordMagic {
 			continue
 		}
-		if _, _, _, ok := readRecord(b[i:]); ok {
+		if kind, _, _, ok := readRecord(b[i:]); ok && kind == wanted {
 			return true
 		}
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,10 +1,10 @@
 // Package wal is a checksummed log in segments with snapshot files, on top of
 // package disk. It stores log entries, an opaque hard state and snapshots.
 //
-// An incomplete record at the end of the last segment is the trace of a write
-// that was never synced and is cut off. A damaged record anywhere else is
-// ErrCorrupt. Behind each sync an unsynced marker record is written, so that
-// damage to the last synced record is usually told from a torn write.
+// Behind each sync an unsynced marker record is written. A damaged record in
+// the last segment without a marker behind it is the trace of writes that were
+// never synced: it is cut off with all that follows. Any other damaged record
+// is ErrCorrupt.
 //
 // After the first failed write or sync the log refuses all further writes with
 // ErrFailed, because the state of the written bytes is then unknown. A kernel
