Split services over owners; keep uploads off the owners' links

Two parts: one owner for up to 64 targets of a region, and links of 4 Mbit/s on which grants wait behind uploads (the same without processor time). A service of 24 targets or more in a region is split into groups with an owner each; where links are thin, each host has entries of its own and entries with uploads own no group.

--- a/cmd/sequoialane-platform/main.go
+++ b/cmd/sequoialane-platform/main.go
@@ -19,7 +19,11 @@
 	flagSettings = "settings"
 )
 
+// reloads gets a signal at each SIGHUP, from the start of the process on.
+var reloads = make(chan os.Signal, 1)
+
 func main() {
+	signal.Notify(reloads, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := command().Run(ctx, os.Args)
 	stop()
--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/gravitational/trace"
 	"github.com/samber/do/v2"
@@ -64,7 +61,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go onReload(ctx, log, func() error {
+	go onReload(log, func() error {
 		changed, err := loadEntry(file)
 		if err == nil {
 			process.SetSeeds(changed)
@@ -97,7 +94,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go onReload(ctx, log, func() error {
+	go onReload(log, func() error {
 		_, err := loadControl(file)
 		return err
 	})
@@ -124,18 +121,11 @@
 	}, nil
 }
 
-// onReload reads the settings again at each SIGHUP. Wrong settings are logged
+// onReload reads the settings again at each SIGHUP, for the life of the process:
+// a SIGHUP that comes while it drains must not end it. Wrong settings are logged
 // and leave those in force.
-func onReload(ctx context.Context, log *zap.Logger, reload func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
+func onReload(log *zap.Logger, reload func() error) {
+	for range reloads {
 		if err := reload(); err != nil {
 			log.Error("settings not reloaded", zap.Error(err))
 			continue
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -81,7 +81,7 @@
 		},
 	})
 	broker = grants.New(grants.Options{
-		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, View: p.follower.View,
+		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, Thin: s.thin(), View: p.follower.View,
 		Peers: peers, Clock: clock, Log: log,
 	})
 	p.broker = broker
@@ -89,7 +89,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Names: h.Names, View: p.follower.View, Broker: broker,
 		Sender: p.client, Clock: clock, Log: log, BodyMemory: s.bodyMemory(),
 	})
-	directory := &Directory{follower: p.follower, thin: s.LinkMbps > 0 && s.LinkMbps < thinLink, ttl: s.AddressTTL.Std()}
+	directory := &Directory{follower: p.follower, thin: s.thin(), ttl: s.AddressTTL.Std()}
 	p.callers = &server{name: "callers", http: &http.Server{Handler: p.gateway}}
 	p.servers = []*server{
 		p.callers,
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -50,7 +50,7 @@
 	maxTTL     = time.Minute
 	minMemory  = 32 // MB
 	maxMemory  = 1 << 20
-	thinLink   = 50.0 // Mbit/s; below it, callers are spread over all entries
+	thinLink   = 50.0 // Mbit/s; below it, hosts get entries of their own
 	bodyShare  = 4    // part of the memory that bodies may take: 1/bodyShare
 	retryPart  = 0.75 // part of the allowed retries that is used
 	retryRatio = 0.8
@@ -116,4 +116,7 @@
 	}
 }
 
+// thin reports whether uploads would hold up other requests on the link.
+func (s *Settings) thin() bool { return s.LinkMbps > 0 && s.LinkMbps < thinLink }
+
 func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyShare }
--- a/internal/fleetview/rank.go
+++ b/internal/fleetview/rank.go
@@ -24,6 +24,11 @@
 // the key. All entries with the same view come to the same order, and the loss
 // of one moves only its own keys.
 func (v *View) Rank(key, region string) []fleetstate.Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if ranked, ok := v.ranks[rankKey{key, region}]; ok {
+		return ranked
+	}
 	ranked := v.Serving(region)
 	slices.SortFunc(ranked, func(a, b fleetstate.Entry) int {
 		x, y := score(a.Name, key), score(b.Name, key)
@@ -35,7 +40,13 @@
 		}
 		return strings.Compare(a.Name, b.Name)
 	})
+	if v.ranks == nil {
+		v.ranks = map[rankKey][]fleetstate.Entry{}
+	}
+	v.ranks[rankKey{key, region}] = ranked
 	return ranked
 }
 
+type rankKey struct{ key, region string }
+
 func score(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -5,28 +5,44 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/routing"
 )
 
-// View is the fleet state at one index. It is never changed.
+// View is the fleet state at one index. It is never changed, and what its
+// methods return must not be changed either: it is kept for later calls.
 type View struct {
 	Index   uint64
 	Routes  *routing.Table // nil: no document is known yet
 	Targets []fleetstate.Target
 	Entries []fleetstate.Entry
 	Members []fleetstate.Member
+
+	mu        sync.Mutex
+	services  map[string][]fleetstate.Target // usable targets
+	ranks     map[rankKey][]fleetstate.Entry
+	uploading map[string]bool // entries that carry uploads; nil: not known yet
 }
 
 // Service returns the usable targets of a service, in the order of their ids.
 func (v *View) Service(name string) []fleetstate.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if targets, ok := v.services[name]; ok {
+		return targets
+	}
 	var targets []fleetstate.Target
 	for _, t := range v.Targets {
 		if t.Service == name && t.Usable() {
 			targets = append(targets, t)
 		}
 	}
+	if v.services == nil {
+		v.services = map[string][]fleetstate.Target{}
+	}
+	v.services[name] = targets
 	return targets
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -155,10 +155,14 @@
 
 // note adds an attempt to the request's log line.
 func (x *execution) note(l *grants.Lease) int {
-	x.q.attempts = append(x.q.attempts, attempt{Target: l.Target, Owner: l.Owner, Risk: l.Risk, Outcome: pool.Unsent})
+	x.q.attempts = append(x.q.attempts, attempt{Target: l.Target, Owner: l.Owner, Risk: l.Risk, Outcome: pool.Unsent, StartMS: x.sinceArrival()})
 	return len(x.q.attempts) - 1
 }
 
+func (x *execution) sinceArrival() float64 {
+	return float64(x.g.options.Clock.Now().Sub(x.q.started).Microseconds()) / 1000
+}
+
 func (x *execution) start(l *grants.Lease) {
 	index := x.note(l)
 	x.inFlight++
@@ -205,7 +209,7 @@
 func (x *execution) describe(end attemptEnd) {
 	a := &x.q.attempts[end.index]
 	a.Outcome, a.Sent, a.Reused = end.result.Outcome, end.result.Sent, end.result.Reused
-	a.TookMS = float64(x.g.options.Clock.Now().Sub(x.q.started).Microseconds()) / 1000
+	a.EndMS = x.sinceArrival()
 	if end.result.Err != nil {
 		a.Error = end.result.Err.Error()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,8 @@
 	Outcome pool.OutcomeKind `json:"outcome"`
 	Sent    bool             `json:"sent"`
 	Reused  bool             `json:"reused"`
-	TookMS  float64          `json:"took_ms"`
+	StartMS float64          `json:"start_ms"` // since the request arrived
+	EndMS   float64          `json:"end_ms"`   // since the request arrived
 	Error   string           `json:"error,omitempty"`
 }
 
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -26,7 +26,7 @@
 
 // EvidenceRequest passes on what the pool of a region knows.
 type EvidenceRequest struct {
-	Service  string          `json:"service"`
+	Group    Group           `json:"group"`
 	Evidence []pool.Evidence `json:"evidence"`
 }
 
@@ -37,40 +37,41 @@
 	ticker := b.options.Clock.NewTicker(evidenceInterval)
 	defer ticker.Stop()
 	for {
-		only := ""
+		var only *Group
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C():
-		case only = <-b.notable:
+		case changed := <-b.notable:
+			only = &changed
 			_ = b.options.Clock.Sleep(ctx, evidenceDelay)
 		}
-		for service, p := range b.ownPools() {
-			if only == "" || only == service {
-				b.sendEvidence(ctx, service, p.Evidence(evidenceAge))
+		for group, p := range b.ownPools() {
+			if only == nil || *only == group {
+				b.sendEvidence(ctx, group, p.Evidence(evidenceAge))
 			}
 		}
 	}
 }
 
-// ownPools returns the pools of the services that this entry owns.
-func (b *Broker) ownPools() map[string]*pool.Pool {
+// ownPools returns the pools of the groups that this entry owns.
+func (b *Broker) ownPools() map[Group]*pool.Pool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return lo.PickBy(b.pools, func(service string, _ *pool.Pool) bool {
-		ranked := b.options.View().Rank(service, b.options.Self.Region)
+	return lo.PickBy(b.pools, func(group Group, _ *pool.Pool) bool {
+		ranked := b.rank(group, b.options.Self.Region)
 		return len(ranked) > 0 && ranked[0].Name == b.options.Self.Name
 	})
 }
 
-func (b *Broker) sendEvidence(ctx context.Context, service string, evidence []pool.Evidence) {
+func (b *Broker) sendEvidence(ctx context.Context, group Group, evidence []pool.Evidence) {
 	if len(evidence) == 0 {
 		return
 	}
 	for _, region := range lo.Uniq(lo.Values(b.options.Regions)) {
-		ranked := b.options.View().Rank(service, region)
+		ranked := b.rank(group, region)
 		if region != b.options.Self.Region && len(ranked) > 0 {
-			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Service: service, Evidence: evidence})
+			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Group: group, Evidence: evidence})
 		}
 	}
 }
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	if err := b.options.Peers.Post(ctx, owner.PeerAddress, EvidencePath, request, nil); err != nil {
-		b.options.Log.Debug("evidence did not arrive", zap.String("owner", owner.Name), zap.String("service", request.Service), zap.Error(err))
+		b.options.Log.Debug("evidence did not arrive", zap.String("owner", owner.Name), zap.String("group", request.Group.key()), zap.Error(err))
 	}
 }
 
@@ -88,6 +89,6 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
-	b.pool(request.Service).Merge(request.Evidence)
+	b.pool(request.Group).Merge(request.Evidence)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -8,11 +8,11 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
@@ -42,7 +42,7 @@
 
 // AcquireRequest asks the owner for a grant.
 type AcquireRequest struct {
-	Service string        `json:"service"`
+	Group   Group         `json:"group"`
 	Request pool.Request  `json:"request"`
 	MaxWait time.Duration `json:"max_wait"`
 }
@@ -55,7 +55,7 @@
 
 // ReleaseRequest ends a grant.
 type ReleaseRequest struct {
-	Service string       `json:"service"`
+	Group   Group        `json:"group"`
 	Lease   uint64       `json:"lease"`
 	Outcome pool.Outcome `json:"outcome"`
 }
@@ -80,6 +80,7 @@
 	Self     fleetstate.Entry
 	Settings pool.Settings
 	Regions  map[string]string // region of each data centre
+	Thin     bool              // links are thin, so entries with uploads own no group
 	View     func() *fleetview.View
 	Peers    *peerhttp.Client
 	Clock    sys.Clock
@@ -91,9 +92,9 @@
 	options Options
 
 	mu      sync.Mutex
-	pools   map[string]*pool.Pool // by service
-	avoided map[string]time.Time  // entries that did not answer, by name
-	notable chan string           // services with an estimate that has changed much
+	pools   map[Group]*pool.Pool
+	avoided map[string]time.Time // entries that did not answer, by name
+	notable chan Group           // groups with an estimate that has changed much
 
 	remote, local, fallback *metrics.Counter
 	asked                   *metrics.Histogram
@@ -102,7 +103,7 @@
 // New returns a broker without pools.
 func New(o Options) *Broker {
 	return &Broker{
-		options: o, pools: map[string]*pool.Pool{}, avoided: map[string]time.Time{}, notable: make(chan string, notableQueue),
+		options: o, pools: map[Group]*pool.Pool{}, avoided: map[string]time.Time{}, notable: make(chan Group, notableQueue),
 		remote:   metrics.GetOrCreateCounter("sequoialane_grants_remote_total"),
 		local:    metrics.GetOrCreateCounter("sequoialane_grants_local_total"),
 		fallback: metrics.GetOrCreateCounter("sequoialane_grants_without_owner_total"),
@@ -124,13 +125,13 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
-	g, err := b.pool(request.Service).Acquire(r.Context(), request.Request, min(request.MaxWait, holdLimit))
+	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, holdLimit))
 	if err != nil {
 		peerhttp.Answer(w, AcquireAnswer{Refused: refusalOf(err)})
 		return
 	}
 	if r.Context().Err() != nil {
-		b.pool(request.Service).Release(g.Lease, pool.Outcome{Kind: pool.Unsent})
+		b.pool(request.Group).Release(g.Lease, pool.Outcome{Kind: pool.Unsent})
 		return
 	}
 	peerhttp.Answer(w, AcquireAnswer{Grant: g})
@@ -141,44 +142,46 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
-	b.pool(request.Service).Release(request.Lease, request.Outcome)
+	b.pool(request.Group).Release(request.Lease, request.Outcome)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// pool returns this entry's pool of the service.
-func (b *Broker) pool(service string) *pool.Pool {
+// pool returns this entry's pool of the group.
+func (b *Broker) pool(group Group) *pool.Pool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.pools[service]
+	p := b.pools[group]
 	if p == nil {
-		p = pool.New(pool.Config{Service: service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock, Notable: func() { b.noteChange(service) }})
-		b.pools[service] = p
-		b.load(p, service, b.options.View())
+		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock, Notable: func() { b.noteChange(group) }})
+		b.pools[group] = p
+		b.load(p, group, b.options.View())
 	}
 	return p
 }
 
 // noteChange wakes the exchange. While it is busy, the next regular exchange
 // passes the change on.
-func (b *Broker) noteChange(service string) {
+func (b *Broker) noteChange(group Group) {
 	select {
-	case b.notable <- service:
+	case b.notable <- group:
 	default:
 	}
 }
 
-func (b *Broker) load(p *pool.Pool, service string, v *fleetview.View) {
-	p.SetTargets(v.Service(service), func(dataCentre string) bool {
-		return b.options.Regions[dataCentre] == b.options.Self.Region
-	})
+func (b *Broker) load(p *pool.Pool, group Group, v *fleetview.View) {
+	p.SetTargets(group.targets(v), b.isHome)
+}
+
+func (b *Broker) isHome(dataCentre string) bool {
+	return b.options.Regions[dataCentre] == b.options.Self.Region
 }
 
 // ViewChanged hands the targets of a new view to the pools.
 func (b *Broker) ViewChanged(v *fleetview.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for service, p := range b.pools {
-		b.load(p, service, v)
+	for group, p := range b.pools {
+		b.load(p, group, v)
 	}
 }
 
@@ -187,8 +190,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	status := map[string][]pool.TargetStatus{}
-	for service, p := range b.pools {
-		status[service] = p.Status()
+	for group, p := range b.pools {
+		status[group.key()] = p.Status()
 	}
 	return status
 }
@@ -211,12 +214,14 @@
 // Acquire waits for a grant for at most maxWait.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	until := b.options.Clock.Now().Add(maxWait)
+	home := lo.Filter(b.options.View().Service(service), func(t fleetstate.Target, _ int) bool { return b.isHome(t.DataCentre) })
+	group := groupFor(home, service, r.ID, len(r.Tried))
 	for {
 		left := until.Sub(b.options.Clock.Now())
 		if left <= 0 {
 			return nil, pool.ErrBusy
 		}
-		l, err := b.acquireOnce(ctx, service, r, min(left, holdLimit))
+		l, err := b.acquireOnce(ctx, group, r, min(left, holdLimit))
 		if err == nil {
 			return l, nil
 		}
@@ -229,39 +234,39 @@
 	}
 }
 
-func (b *Broker) acquireOnce(ctx context.Context, service string, r pool.Request, wait time.Duration) (*Lease, error) {
-	for _, owner := range b.owners(service) {
+func (b *Broker) acquireOnce(ctx context.Context, group Group, r pool.Request, wait time.Duration) (*Lease, error) {
+	for _, owner := range b.owners(group) {
 		if owner.Name == b.options.Self.Name {
-			return b.acquireHere(ctx, service, r, wait, b.local)
+			return b.acquireHere(ctx, group, r, wait, b.local)
 		}
-		l, err := b.ask(ctx, owner, service, r, wait)
+		l, err := b.ask(ctx, owner, group, r, wait)
 		if err == nil || isRefusal(err) || ctx.Err() != nil {
 			return l, err
 		}
 		b.avoid(owner.Name, err)
 	}
-	return b.acquireHere(ctx, service, r, wait, b.fallback)
+	return b.acquireHere(ctx, group, r, wait, b.fallback)
 }
 
 func isRefusal(err error) bool {
 	return errors.Is(err, pool.ErrBusy) || errors.Is(err, pool.ErrNoTarget) || errors.Is(err, pool.ErrBudget)
 }
 
-func (b *Broker) acquireHere(ctx context.Context, service string, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
-	g, err := b.pool(service).Acquire(ctx, r, wait)
+func (b *Broker) acquireHere(ctx context.Context, group Group, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
+	g, err := b.pool(group).Acquire(ctx, r, wait)
 	if err != nil {
 		return nil, err
 	}
 	counter.Inc()
-	return NewLease(g, b.options.Self.Name, func(o pool.Outcome) { b.pool(service).Release(g.Lease, o) }), nil
+	return NewLease(g, b.options.Self.Name, func(o pool.Outcome) { b.pool(group).Release(g.Lease, o) }), nil
 }
 
-func (b *Broker) ask(ctx context.Context, owner fleetstate.Entry, service string, r pool.Request, wait time.Duration) (*Lease, error) {
+func (b *Broker) ask(ctx context.Context, owner fleetstate.Entry, group Group, r pool.Request, wait time.Duration) (*Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
 	started := b.options.Clock.Now()
 	var answer AcquireAnswer
-	err := b.options.Peers.Post(ctx, owner.PeerAddress, AcquirePath, AcquireRequest{Service: service, Request: r, MaxWait: wait}, &answer)
+	err := b.options.Peers.Post(ctx, owner.PeerAddress, AcquirePath, AcquireRequest{Group: group, Request: r, MaxWait: wait}, &answer)
 	if err != nil {
 		return nil, err
 	}
@@ -270,17 +275,27 @@
 		return nil, refusals[answer.Refused]
 	}
 	b.remote.Inc()
-	return NewLease(answer.Grant, owner.Name, func(o pool.Outcome) { b.releaseTo(owner, service, r, answer.Grant, o) }), nil
+	return NewLease(answer.Grant, owner.Name, func(o pool.Outcome) { b.releaseTo(owner, group, r, answer.Grant, o) }), nil
+}
+
+// rank returns the entries of a region in the order in which they own the group.
+func (b *Broker) rank(group Group, region string) []fleetstate.Entry {
+	v := b.options.View()
+	ranked := v.Rank(group.key(), region)
+	if b.options.Thin {
+		return v.WithoutUploads(ranked)
+	}
+	return ranked
 }
 
-// owners returns the entries to ask for the service, the owner first, without
+// owners returns the entries to ask for the group, the owner first, without
 // those that did not answer lately.
-func (b *Broker) owners(service string) []fleetstate.Entry {
-	ranked := b.options.View().Rank(service, b.options.Self.Region)
+func (b *Broker) owners(group Group) []fleetstate.Entry {
+	ranked := b.rank(group, b.options.Self.Region)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
-	ranked = slices.DeleteFunc(ranked, func(e fleetstate.Entry) bool { return now.Before(b.avoided[e.Name]) })
+	ranked = lo.Filter(ranked, func(e fleetstate.Entry, _ int) bool { return !now.Before(b.avoided[e.Name]) })
 	return ranked[:min(len(ranked), ownersAsked)]
 }
 
@@ -293,14 +308,14 @@
 
 // releaseTo reports the outcome to the owner that gave the grant, and to this
 // entry's own pool, which is used where no owner answers.
-func (b *Broker) releaseTo(owner fleetstate.Entry, service string, r pool.Request, g pool.Grant, o pool.Outcome) {
+func (b *Broker) releaseTo(owner fleetstate.Entry, group Group, r pool.Request, g pool.Grant, o pool.Outcome) {
 	if o.Kind != pool.Unsent {
-		b.pool(service).Observe(g.Target, r, o)
+		b.pool(group).Observe(g.Target, r, o)
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		request := ReleaseRequest{Service: service, Lease: g.Lease, Outcome: o}
+		request := ReleaseRequest{Group: group, Lease: g.Lease, Outcome: o}
 		if err := b.options.Peers.Post(ctx, owner.PeerAddress, ReleasePath, request, nil); err != nil {
 			b.options.Log.Debug("release did not arrive; the lease expires", zap.String("owner", owner.Name), zap.Error(err))
 		}
