--- a/internal/fleetentry/directory.go
+++ b/internal/fleetentry/directory.go
@@ -19,7 +19,7 @@
 // Directory tells callers which entries to connect to.
 type Directory struct {
 	follower *fleetview.Follower
-	thin     bool // links are so thin that the hosts are spread over all entries
+	thin     bool // links are so thin that callers are spread over all entries
 	ttl      time.Duration
 }
 
@@ -49,8 +49,8 @@
 	centres := len(lo.Uniq(lo.Map(v.Serving(""), func(e fleetstate.Entry, _ int) string { return e.DataCentre })))
 	count := int(math.Ceil(float64(len(v.Targets)) / float64(max(centres, 1)) / targetsPerAddress))
 	count = max(count, minAddresses)
-	if lane := v.LaneEntries(host, dataCentre); thin && len(lane) >= minAddresses {
-		near, count = lane, maxAddresses
+	if thin {
+		near, count = v.Carriers(near), maxAddresses
 	}
 	near = near[:min(len(near), count, maxAddresses)]
 	return lo.Map(near, func(e fleetstate.Entry, _ int) string { return e.CallerAddress })
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -50,7 +50,7 @@
 	maxTTL     = time.Minute
 	minMemory  = 32 // MB
 	maxMemory  = 1 << 20
-	thinLink   = 50.0 // Mbit/s; below it, hosts get entries of their own
+	thinLink   = 50.0 // Mbit/s; below it, callers are spread over all entries but some owners
 	bodyShare  = 4    // part of the memory that bodies may take: 1/bodyShare
 	retryPart  = 0.75 // part of the allowed retries that is used
 	retryRatio = 0.8
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -20,10 +20,10 @@
 	Entries []fleetstate.Entry
 	Members []fleetstate.Member
 
-	mu        sync.Mutex
-	services  map[string][]fleetstate.Target // usable targets
-	ranks     map[rankKey][]fleetstate.Entry
-	uploading map[string]bool // entries that carry uploads; nil: not known yet
+	mu       sync.Mutex
+	services map[string][]fleetstate.Target // usable targets
+	ranks    map[rankKey][]fleetstate.Entry
+	owners   map[string]bool // entries that carry no requests of callers; nil: not known yet
 }
 
 // Service returns the usable targets of a service, in the order of their ids.
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -80,7 +80,7 @@
 	Self     fleetstate.Entry
 	Settings pool.Settings
 	Regions  map[string]string // region of each data centre
-	Thin     bool              // links are thin, so entries with uploads own no group
+	Thin     bool              // links are thin, so owners carry no requests of callers
 	View     func() *fleetview.View
 	Peers    *peerhttp.Client
 	Clock    sys.Clock
@@ -152,7 +152,9 @@
 	defer b.mu.Unlock()
 	p := b.pools[group]
 	if p == nil {
-		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: b.options.Settings, Clock: b.options.Clock, Notable: func() { b.noteChange(group) }})
+		settings := b.options.Settings
+		settings.RetrySlack /= float64(max(group.Shards, 1))
+		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: settings, Clock: b.options.Clock, Notable: func() { b.noteChange(group) }})
 		b.pools[group] = p
 		b.load(p, group, b.options.View())
 	}
@@ -283,7 +285,7 @@
 	v := b.options.View()
 	ranked := v.Rank(group.key(), region)
 	if b.options.Thin {
-		return v.WithoutUploads(ranked)
+		return v.Owners(ranked)
 	}
 	return ranked
 }
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -15,14 +15,14 @@
 	b.firsts = append(b.firsts, now)
 }
 
-// take reports whether one more repeat is allowed, and counts it.
-func (b *budget) take(now time.Time) bool {
+// allows reports whether one more repeat is allowed.
+func (b *budget) allows(now time.Time) bool {
 	b.trim(now)
-	if float64(len(b.repeats)+1) > b.ratio*float64(len(b.firsts))+b.slack {
-		return false
-	}
+	return float64(len(b.repeats)+1) <= b.ratio*float64(len(b.firsts))+b.slack
+}
+
+func (b *budget) repeat(now time.Time) {
 	b.repeats = append(b.repeats, now)
-	return true
 }
 
 func (b *budget) trim(now time.Time) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -148,13 +148,10 @@
 	if !lo.SomeBy(p.targets, func(t *target) bool { return t.may(r) }) {
 		return Grant{}, nil, ErrNoTarget
 	}
-	if r.Repeat && !p.budget.take(now) {
+	if r.Repeat && !p.budget.allows(now) {
 		p.budgetSpent.Inc()
 		return Grant{}, nil, ErrBudget
 	}
-	if !r.Repeat {
-		p.budget.first(now)
-	}
 	if len(p.waiters) == 0 || r.Priority < p.waiters[0].request.Priority {
 		if g, ok := p.grant(r, now); ok {
 			return g, nil, nil
@@ -219,9 +216,10 @@
 			best, bestCost, bestRisk = t, cost, risk
 		}
 	}
-	if best == nil {
+	if best == nil || r.Repeat && !p.budget.allows(now) {
 		return Grant{}, false
 	}
+	p.count(r, now)
 	p.lastLease++
 	l := &lease{target: best, request: r, started: now, expires: now.Add(r.TimeLeft + leaseGrace)}
 	p.leases[p.lastLease] = l
@@ -235,6 +233,16 @@
 	}, true
 }
 
+// count enters a grant into the retry budget. Requests that are refused, and ask
+// again, do not count until they are granted.
+func (p *Pool) count(r Request, now time.Time) {
+	if r.Repeat {
+		p.budget.repeat(now)
+		return
+	}
+	p.budget.first(now)
+}
+
 // Release ends a grant and takes in its outcome. A second call has no effect.
 func (p *Pool) Release(id uint64, o Outcome) {
 	p.mu.Lock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -127,6 +127,20 @@
 	r.mustAcquire(t, repeat)
 }
 
+// Guards against requests that ask again while all targets are busy and so
+// count several times, which would allow more repeats than the budget.
+func TestRefusedRequestsDoNotCount(t *testing.T) {
+	r := newRig(1, 1)
+	for range 1 + queuePerTarget {
+		r.mustAcquire(t, once())
+	}
+	for range 50 {
+		_, err := r.Acquire(context.Background(), once(), 0)
+		require.ErrorIs(t, err, ErrBusy)
+	}
+	assert.Len(t, r.budget.firsts, 1+queuePerTarget)
+}
+
 // Guards against a request that returns to a target it was sent to.
 func TestTriedTargets(t *testing.T) {
 	r := newRig(3, 2)
