--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SHELL := /bin/bash
 
-.PHONY: build test known-red race demo bench bench-check soak lint
+.PHONY: build test known-red race demo bench bench-check soak soak-platform lint
 
 build:
 	$(GO) build -o bin/ ./cmd/... ./tools/...
@@ -35,6 +35,11 @@
 soak:
 	$(GO) test -count=1 -timeout=0 -run='^TestRandomFaults$$' ./internal/fleettest -args -seeds=$(SEEDS) -first-seed=$(FIRST_SEED)
 
+# Runs random faults over the platform's programs: SEEDS=50 FIRST_SEED=1, and
+# FIRST_SEED=0 for fresh seeds each time.
+soak-platform:
+	$(GO) test -count=1 -timeout=0 -v -run='^TestSoak$$' ./platform/soak -args -seeds=$(SEEDS) -first-seed=$(FIRST_SEED) -length=20s
+
 # Runs a small fleet on loopback, disturbs it and prints what callers saw.
 demo: build
 	./bin/demo --bin bin
