--- /dev/null
+++ b/internal/fleetentry/settings_test.go
@@ -0,0 +1,66 @@
+package fleetentry
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/settings"
+)
+
+const good = `{"name":"e","region":"r","data_centre":"d","data_centres":{"d":"r"},"caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
+"directory_address":"10.0.0.1:3","peer_address":"10.0.0.1:4","seeds":["10.0.0.2:5"],"seed_port":7,"grace":"6s","memory_mb":184,"link_mbps":4.0,
+"floor_share":0.7,"retries":{"ratio":0.2,"slack":56,"window":"10s"},"address_ttl":"1s"}`
+
+// Guards against wrong settings that are accepted, or whose error does not name
+// the field.
+func TestSettings(t *testing.T) {
+	s := Defaults()
+	require.NoError(t, settings.Parse("f", []byte(good), s))
+	assert.Equal(t, []string{"10.0.0.2:7"}, s.seedPeers())
+	assert.True(t, s.thin())
+	cases := []struct{ desc, from, to, field string }{
+		{"no name", `"name":"e"`, `"name":""`, "name"},
+		{"address without port", `"10.0.0.1:1"`, `"10.0.0.1"`, "caller_address"},
+		{"unknown field", `"name":"e"`, `"name":"e","other":1`, "other"},
+		{"region of the data centre", `{"d":"r"}`, `{"d":"x"}`, "data_centres"},
+		{"no seeds", `["10.0.0.2:5"]`, `[]`, "seeds"},
+		{"grace", `"6s"`, `"6"`, "grace"},
+		{"ratio", `"ratio":0.2`, `"ratio":2`, "retries"},
+		{"floor", `"floor_share":0.7`, `"floor_share":7`, "floor_share"},
+		{"the same key twice", `"name":"e"`, `"name":"e","name":"f"`, "name"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			text := strings.Replace(good, tc.from, tc.to, 1)
+			require.NotEqual(t, good, text)
+			assert.ErrorContains(t, settings.Parse("f", []byte(text), Defaults()), tc.field)
+		})
+	}
+}
+
+// Guards against directory answers that name entries which drain or are lost,
+// none where another region has some, or far ones before near ones.
+func TestAddresses(t *testing.T) {
+	entry := func(name, dataCentre, region string, state fleetstate.EntryState) fleetstate.Entry {
+		return fleetstate.Entry{Name: name, DataCentre: dataCentre, Region: region, State: state, CallerAddress: name}
+	}
+	v := &fleetview.View{Entries: []fleetstate.Entry{
+		entry("a1", "a", "r", fleetstate.Serving), entry("a2", "a", "r", fleetstate.Serving), entry("a3", "a", "r", fleetstate.Serving),
+		entry("a4", "a", "r", fleetstate.Lost), entry("a5", "a", "r", fleetstate.Leaving),
+		entry("b1", "b", "r", fleetstate.Serving), entry("c1", "c", "r2", fleetstate.Serving),
+	}}
+	near := addresses(v, "h", "r", "a", false)
+	assert.Len(t, near, minAddresses)
+	assert.Subset(t, []string{"a1", "a2", "a3"}, near)
+	assert.Equal(t, near, addresses(v, "h", "r", "a", false))
+	filled := addresses(v, "h", "r", "b", false)
+	assert.Equal(t, "b1", filled[0])
+	assert.Len(t, filled, minAddresses)
+	assert.NotEmpty(t, addresses(v, "h", "nowhere", "x", false))
+	assert.Len(t, addresses(v, "h", "r", "a", true), 3)
+}
--- /dev/null
+++ b/internal/fleetview/view_test.go
@@ -0,0 +1,71 @@
+package fleetview
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/routing"
+)
+
+func entriesOf(dataCentre, region string, count int) []fleetstate.Entry {
+	var all []fleetstate.Entry
+	for n := range count {
+		all = append(all, fleetstate.Entry{Name: fmt.Sprint(dataCentre, "-", n), DataCentre: dataCentre, Region: region, State: fleetstate.Serving})
+	}
+	return all
+}
+
+// Guards against the loss of an entry that moves the keys of others.
+func TestRankMovesOnlyKeysOfTheLost(t *testing.T) {
+	all := entriesOf("d", "r", 9)
+	before := &View{Entries: all}
+	after := &View{Entries: append([]fleetstate.Entry(nil), all...)}
+	after.Entries[4].State = fleetstate.Lost
+	owners := map[string]int{}
+	for n := range 500 {
+		key := fmt.Sprint("key ", n)
+		first := before.Rank(key, "r")[0].Name
+		owners[first]++
+		if first != all[4].Name {
+			assert.Equal(t, first, after.Rank(key, "r")[0].Name)
+		}
+	}
+	assert.Len(t, owners, 9)
+	assert.Empty(t, before.Rank("key", "elsewhere"))
+}
+
+// Guards against owners on thin links that carry callers, and against a data
+// centre without any entry for one of both.
+func TestOwnersAndCarriers(t *testing.T) {
+	for _, count := range []int{1, 3, 8, 20} {
+		v := &View{Entries: entriesOf("d", "r", count)}
+		owners, carriers := v.Owners(v.Entries), v.Carriers(v.Entries)
+		assert.NotEmpty(t, owners)
+		assert.NotEmpty(t, carriers)
+		if count < 5 {
+			assert.Len(t, owners, count, "a data centre with few entries keeps none free")
+			continue
+		}
+		assert.Equal(t, count, len(owners)+len(carriers))
+	}
+}
+
+// Guards against a copy that keeps what has gone, or goes back to an older
+// document.
+func TestUpdates(t *testing.T) {
+	held := func(version uint64) *fleetstate.Held {
+		return &fleetstate.Held{Document: &routing.Document{Version: version}}
+	}
+	v := (&View{}).with(fleetstate.Update{Index: 1, Reset: true, Held: held(5), Targets: []fleetstate.Target{{ID: "a", Service: "s", State: fleetstate.Ready}, {ID: "b", Service: "s", State: fleetstate.Draining}}})
+	assert.Len(t, v.Targets, 2)
+	assert.Len(t, v.Service("s"), 1)
+	v = v.with(fleetstate.Update{Index: 2, Held: held(4), Targets: []fleetstate.Target{{ID: "a", State: fleetstate.Gone}}})
+	assert.Equal(t, uint64(5), v.Version())
+	assert.Empty(t, v.Service("s"))
+	v = v.with(fleetstate.Update{Index: 3, Reset: true, Held: held(6)})
+	assert.Empty(t, v.Targets)
+	assert.Equal(t, uint64(6), v.Version())
+}
--- /dev/null
+++ b/internal/grants/grants_test.go
@@ -0,0 +1,195 @@
+package grants
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/sys"
+)
+
+// region is the brokers of some entries that share a view.
+type region struct {
+	brokers []*Broker
+	servers []*httptest.Server
+	view    *fleetview.View
+}
+
+func newRegion(t *testing.T, entries, targets int) *region {
+	r := &region{view: &fleetview.View{}}
+	for n := range targets {
+		r.view.Targets = append(r.view.Targets, fleetstate.Target{
+			ID: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.1:", n+1), DataCentre: "d", Slots: 2, State: fleetstate.Ready, Born: 1,
+		})
+	}
+	for n := range entries {
+		server := httptest.NewUnstartedServer(nil)
+		self := fleetstate.Entry{
+			Name: fmt.Sprint("e", n), Region: "r", DataCentre: "d", State: fleetstate.Serving,
+			PeerAddress: server.Listener.Addr().String(),
+		}
+		r.view.Entries = append(r.view.Entries, self)
+		b := New(Options{
+			Self: self, Settings: pool.DefaultSettings(), Regions: map[string]string{"d": "r"},
+			View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		})
+		server.Config.Handler = b.Handler()
+		server.Start()
+		t.Cleanup(server.Close)
+		r.brokers = append(r.brokers, b)
+		r.servers = append(r.servers, server)
+	}
+	return r
+}
+
+func (r *region) owner() int {
+	name := r.view.Rank("s", "r")[0].Name
+	var n int
+	_, _ = fmt.Sscanf(name, "e%d", &n)
+	return n
+}
+
+func request(id string) pool.Request {
+	return pool.Request{ID: id, Class: "c", Objective: time.Second, TimeLeft: 2 * time.Second, DataCentre: "d"}
+}
+
+// Guards against entries that decide each for itself: the grants of all entries
+// count at one owner.
+func TestEntriesShareThePool(t *testing.T) {
+	r := newRegion(t, 3, 2)
+	owner := r.view.Rank("s", "r")[0].Name
+	for n := range 6 { // all slots, and one that waits at each target
+		l, err := r.brokers[n%3].Acquire(context.Background(), "s", request(fmt.Sprint(n)), time.Second)
+		require.NoError(t, err)
+		assert.Equal(t, owner, l.Owner)
+	}
+	for n := range 3 {
+		_, err := r.brokers[n].Acquire(context.Background(), "s", request("more"), 50*time.Millisecond)
+		assert.ErrorIs(t, err, pool.ErrBusy)
+	}
+}
+
+// Guards against a failure that only the entry hears of which saw it.
+func TestOutcomesReachTheOwner(t *testing.T) {
+	r := newRegion(t, 3, 2)
+	sender := (r.owner() + 1) % 3
+	l, err := r.brokers[sender].Acquire(context.Background(), "s", request("1"), time.Second)
+	require.NoError(t, err)
+	l.Release(pool.Outcome{Kind: pool.Reset})
+	require.Eventually(t, func() bool {
+		for _, s := range r.brokers[r.owner()].Status()["s"] {
+			if s.ID == l.Target && s.Bad > 0.8 && s.InFlight == 0 {
+				return true
+			}
+		}
+		return false
+	}, 5*time.Second, 5*time.Millisecond)
+}
+
+// Guards against requests that fail because an owner has gone: the next in rank
+// decides, at last the entry itself.
+func TestOwnersGone(t *testing.T) {
+	r := newRegion(t, 4, 2)
+	ranked := r.view.Rank("s", "r")
+	last := r.brokers[index(ranked[3].Name)]
+	for gone, want := range ranked {
+		if gone > 0 {
+			server := r.servers[index(ranked[gone-1].Name)]
+			server.CloseClientConnections()
+			server.Close()
+		}
+		l, err := last.Acquire(context.Background(), "s", request(want.Name), 3*time.Second)
+		require.NoError(t, err)
+		assert.Equal(t, want.Name, l.Owner)
+		l.Release(pool.Outcome{Kind: pool.OK, Took: time.Millisecond})
+	}
+}
+
+func index(name string) int {
+	var n int
+	_, _ = fmt.Sscanf(strings.TrimPrefix(name, "e"), "%d", &n)
+	return n
+}
+
+// Guards against a wait that goes on after the caller has left.
+func TestCallerLeavesWhileItWaits(t *testing.T) {
+	r := newRegion(t, 2, 1)
+	for n := range 3 {
+		_, err := r.brokers[0].Acquire(context.Background(), "s", request(fmt.Sprint(n)), time.Second)
+		require.NoError(t, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := r.brokers[1].Acquire(ctx, "s", request("x"), time.Minute)
+	assert.True(t, errors.Is(err, ErrGaveUp), "%v", err)
+}
+
+// Guards against groups without targets, with too many, or that get other parts
+// of the requests than of the targets.
+func TestGroups(t *testing.T) {
+	for _, count := range []int{1, 4, 23, 24, 64, 200} {
+		var home []fleetstate.Target
+		for n := range count {
+			home = append(home, fleetstate.Target{ID: fmt.Sprint("t", n)})
+		}
+		sizes, requests := map[Group]int{}, map[Group]int{}
+		shards := groupFor(home, "s", "1", 0).Shards
+		assert.LessOrEqual(t, shards*targetsPerGroup, max(count, targetsPerGroup))
+		for _, target := range home {
+			sizes[Group{Service: "s", Shard: shardOf(target.ID, shards), Shards: shards}]++
+		}
+		const drawn = 4000
+		for n := range drawn {
+			requests[groupFor(home, "s", fmt.Sprint("q", n), 0)]++
+		}
+		assert.Len(t, requests, len(sizes))
+		for group, size := range sizes {
+			assert.InDelta(t, float64(size)/float64(count), float64(requests[group])/drawn, 0.05, "%d targets, %v", count, group)
+		}
+	}
+}
+
+// Guards against evidence that stays in its region.
+func TestEvidenceCrossesRegions(t *testing.T) {
+	r := newRegion(t, 1, 2)
+	far := fleetstate.Entry{Name: "far", Region: "r2", DataCentre: "d2", State: fleetstate.Serving}
+	server := httptest.NewUnstartedServer(nil)
+	far.PeerAddress = server.Listener.Addr().String()
+	r.view.Entries = append(r.view.Entries, far)
+	regions := map[string]string{"d": "r", "d2": "r2"}
+	other := New(Options{
+		Self: far, Settings: pool.DefaultSettings(), Regions: regions,
+		View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+	})
+	server.Config.Handler = other.Handler()
+	server.Start()
+	defer server.Close()
+	near := r.brokers[0]
+	near.options.Regions = regions
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go near.Run(ctx)
+	l, err := near.Acquire(ctx, "s", request("1"), time.Second)
+	require.NoError(t, err)
+	l.Release(pool.Outcome{Kind: pool.Reset})
+	require.Eventually(t, func() bool {
+		for _, s := range other.Status()["s"] {
+			if s.ID == l.Target && s.Bad > 0.8 {
+				return true
+			}
+		}
+		return false
+	}, time.Second, 5*time.Millisecond, "a large change is passed on before the next regular exchange")
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -60,6 +60,9 @@
 	if err := checkUnknown(file, raw, target); err != nil {
 		return err
 	}
+	if err := checkDuplicates(file, raw); err != nil {
+		return err
+	}
 	if err := decode(file, raw, target); err != nil {
 		return err
 	}
