Learn how long targets of a service fail at a time

Cause: the spell time was fixed (7 s), though services fail in other ways elsewhere. Three spell times (2, 6, 18 s) are weighed by how well they foretold the outcomes. TestSpellTimesAreLearned.

--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -20,7 +20,7 @@
 // cost returns the expected cost of sending the request to the target, and the
 // chance that it fails there.
 func (p *Pool) cost(t *target, r Request, now time.Time) (cost, risk float64) {
-	risk = t.estimate.failure(now, p.share.value)
+	risk = failure(p.bad(t, now))
 	if p.overdue(t, now) {
 		risk = 1 - (1-risk)*(1-overdueSuspicion)
 	}
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -30,7 +30,7 @@
 		if t.estimate.seen.IsZero() || t.estimate.foreign || age > maxAge {
 			continue
 		}
-		bad := math.Round(t.estimate.bad*evidenceRounding) / evidenceRounding
+		bad := math.Round(p.weights.mean(t.estimate.bad)*evidenceRounding) / evidenceRounding
 		evidence = append(evidence, Evidence{Target: t.record.ID, Bad: bad, Age: age.Truncate(time.Millisecond)})
 	}
 	return evidence
@@ -45,7 +45,7 @@
 		at := now.Add(-e.Age)
 		for _, t := range p.targets {
 			if t.record.ID == e.Target && at.After(t.estimate.seen) {
-				t.estimate = estimate{bad: e.Bad, at: at, seen: at, foreign: true}
+				t.estimate.set(e.Bad, at)
 			}
 		}
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -46,6 +46,7 @@
 	waiters   []*waiter // by priority, then by arrival
 	durations durations
 	share     badShare
+	weights   weights
 	budget    budget
 	below     bool // too few sound targets got requests lately
 
@@ -287,12 +288,17 @@
 	if o.Kind == Shed && t.inFlight >= t.record.Slots {
 		return // it is full, which says nothing about its health
 	}
-	before := t.estimate.now(now, p.share.value)
-	t.estimate.observe(o.Kind, now, p.share.value)
-	if math.Abs(t.estimate.bad-before) > notable && p.cfg.Notable != nil {
+	before := p.bad(t, now)
+	t.estimate.observe(o.Kind, now, p.share.value, &p.weights)
+	if math.Abs(p.bad(t, now)-before) > notable && p.cfg.Notable != nil {
 		p.cfg.Notable()
 	}
-	p.share.update(lo.Map(p.targets, func(t *target, _ int) estimate { return t.estimate }), now)
+	p.share.update(lo.Map(p.targets, func(t *target, _ int) estimate { return t.estimate }), &p.weights, now)
+}
+
+// bad returns the chance that the target is in a spell of failure.
+func (p *Pool) bad(t *target, now time.Time) float64 {
+	return p.weights.mean(t.estimate.now(now, p.share.value))
 }
 
 func (p *Pool) learnDuration(t *target, r Request, took time.Duration) {
@@ -346,7 +352,7 @@
 	now := p.cfg.Clock.Now()
 	return lo.Map(p.targets, func(t *target, _ int) TargetStatus {
 		return TargetStatus{
-			ID: t.record.ID, Address: t.record.Address, Bad: t.estimate.now(now, p.share.value),
+			ID: t.record.ID, Address: t.record.Address, Bad: p.bad(t, now),
 			InFlight: t.inFlight, Slowness: t.slowness(now),
 		}
 	})
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -202,21 +201,52 @@
 	random := rand.New(rand.NewPCG(5, 5))
 	now := time.Unix(1000, 0)
 	var e estimate
+	var w weights
 	for range 5000 {
 		now = now.Add(time.Duration(random.Int64N(int64(3 * time.Second))))
 		kinds := []OutcomeKind{OK, Failed, Reset, NoAnswer, Broken, ConnectFailed, Shed}
 		kind := kinds[random.IntN(len(kinds))]
 		before := e.now(now, 0.2)
-		e.observe(kind, now, 0.2)
-		require.False(t, math.IsNaN(e.bad))
-		require.True(t, e.bad >= 0 && e.bad <= 1)
-		if kind == OK {
-			require.LessOrEqual(t, e.bad, before)
-		} else {
-			require.GreaterOrEqual(t, e.bad, before)
+		e.observe(kind, now, 0.2, &w)
+		for k, bad := range e.bad {
+			require.True(t, bad >= 0 && bad <= 1, "%v", e.bad) // false for NaN too
+			if kind == OK {
+				require.LessOrEqual(t, bad, before[k])
+			} else {
+				require.GreaterOrEqual(t, bad, before[k])
+			}
+		}
+		mean := w.mean(e.bad)
+		require.True(t, mean >= 0 && mean <= 1, "%v", w)
+	}
+	assert.InDelta(t, 0.2, w.mean(e.now(now.Add(time.Hour), 0.2)), 1e-6)
+}
+
+// Guards against a spell time that is taken although the outcomes speak against
+// it.
+func TestSpellTimesAreLearned(t *testing.T) {
+	for want, spell := range spells {
+		random := rand.New(rand.NewPCG(9, uint64(want)))
+		now := time.Unix(1000, 0)
+		var w weights
+		estimates := make([]estimate, 10)
+		bad := make([]bool, 10)
+		for range 20_000 {
+			now = now.Add(40 * time.Millisecond)
+			for i := range bad {
+				if random.Float64() < 0.04/spell.Seconds() {
+					bad[i] = random.Float64() < 0.3 // a new state, drawn anew
+				}
+			}
+			i := random.IntN(len(bad))
+			kind := OK
+			if bad[i] && random.Float64() < failsInSpell {
+				kind = Reset
+			}
+			estimates[i].observe(kind, now, 0.3, &w)
 		}
+		assert.Zero(t, w.log[want], "spells of %v: %v", spell, w.log)
 	}
-	assert.InDelta(t, 0.2, e.now(now.Add(time.Hour), 0.2), 1e-6)
 }
 
 // Guards against evidence of another region that replaces newer evidence of
