Wait for a full target rather than take a failing one

A target that fails at once is always free, so it took what the others had no slot for. A request now waits where a full target costs much less, and a late answer costs less than none. TestFailingTargetIsNoWayOut failed before.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -223,6 +223,7 @@
 		if left <= 0 {
 			return nil, pool.ErrBusy
 		}
+		r.Settle = left <= holdLimit
 		l, err := b.acquireOnce(ctx, group, r, min(left, holdLimit))
 		if err == nil {
 			return l, nil
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -9,6 +9,7 @@
 	waitCost       = 0.05 // of an expected answer at the objective
 	lateCost       = 0.8  // of each objective beyond lateFrom
 	lateFrom       = 0.6  // share of the objective from which an answer may be late
+	maxLateCost    = 0.4  // a late answer is worth far more than none
 
 	// Links between data centres and regions are paid by volume.
 	zoneByteCost     = 0.003 / 1024
@@ -50,8 +51,11 @@
 	}
 	work := float64(p.durations.mean(r.Class)) * t.slowness(now)
 	waiting := float64(max(t.inFlight+1-t.record.Slots, 0)) / float64(max(t.record.Slots, 1))
+	if !t.free(now) {
+		waiting += float64(len(p.waiters)) / float64(max(t.record.Slots*len(p.targets)/2, 1))
+	}
 	part := work * (1 + waiting) / float64(r.Objective)
-	return waitCost*part + lateCost*max(0, part-lateFrom)
+	return waitCost*part + min(lateCost*max(0, part-lateFrom), maxLateCost)
 }
 
 // overdue reports whether an attempt on the target has waited for its answer
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,9 @@
 	leaseGrace     = time.Second            // beyond the time left of a request
 	slownessStep   = 0.25                   // weight of a new duration against the usual one
 	coldSlowness   = 2.0                    // of a target that has just started
+	// waitAdvantage is how much cheaper a full target must be for a request to
+	// wait for it.
+	waitAdvantage = 0.08
 )
 
 // Config holds what a pool needs from outside.
@@ -203,21 +206,28 @@
 	return ratio
 }
 
-// grant picks the target with the lowest cost.
+// grant picks the target with the lowest cost. If that one is full, the request
+// waits for it rather than go to one that costs much more: a target that fails
+// requests at once is always free, and would take all that the others cannot.
 func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
 	p.below = p.belowFloor(now)
 	var best *target
 	bestCost, bestRisk := 0.0, 0.0
+	full := math.Inf(1) // lowest cost of a full target
 	for _, t := range p.targets {
-		if !t.may(r) || !t.free(now) {
+		if !t.may(r) || now.Before(t.restUntil) {
 			continue
 		}
 		cost, risk := p.cost(t, r, now)
-		if best == nil || cost < bestCost {
+		switch {
+		case !t.free(now):
+			full = min(full, cost)
+		case best == nil || cost < bestCost:
 			best, bestCost, bestRisk = t, cost, risk
 		}
 	}
-	if best == nil || r.Repeat && !p.budget.allows(now) {
+	worthWaiting := !r.Settle && bestCost > full+waitAdvantage
+	if best == nil || worthWaiting || r.Repeat && !p.budget.allows(now) {
 		return Grant{}, false
 	}
 	p.count(r, now)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -77,6 +77,22 @@
 	r.mustAcquire(t, once())
 }
 
+// Guards against a failing target that takes all requests which the others have
+// no slot for, since it fails them at once and so is always free.
+func TestFailingTargetIsNoWayOut(t *testing.T) {
+	r := newRig(3, 1)
+	r.cfg.Settings.FloorShare = -1 // the floor would give t0 a request too
+	r.Merge([]Evidence{{Target: "t0", Bad: 0.99}, {Target: "t1", Bad: 0.01}, {Target: "t2", Bad: 0.01}})
+	for range 2 * (1 + queuePerTarget) {
+		assert.NotEqual(t, "t0", r.mustAcquire(t, once()).Target)
+	}
+	_, err := r.Acquire(context.Background(), once(), 0)
+	require.ErrorIs(t, err, ErrBusy)
+	settling := once()
+	settling.Settle = true
+	assert.Equal(t, "t0", r.mustAcquire(t, settling).Target, "the only free target, at the end of the wait")
+}
+
 // Guards against a request of low priority that is granted before a waiting one
 // of high priority.
 func TestPriorityOfWaiters(t *testing.T) {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -30,6 +30,7 @@
 	TimeLeft   time.Duration `json:"time_left"`        // until the final answer is due
 	DataCentre string        `json:"data_centre"`      // of the entry that sends it
 	Tried      []string      `json:"tried,omitempty"`  // ids of targets that it was sent to
+	Settle     bool          `json:"settle,omitempty"` // its wait ends: any free target is better than none
 	Repeat     bool          `json:"repeat,omitempty"` // a target was reached before, so the retry budget applies
 }
 
