--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -176,7 +176,7 @@
 		ctx, span := telemetry.Start(x.work, "gateway.attempt")
 		defer span.End()
 		r := x.g.options.Sender.Send(ctx, targetconn.Target{ID: l.Target, Address: l.Address}, outgoing)
-		l.Release(pool.Outcome{Kind: r.Outcome, Took: x.g.options.Clock.Now().Sub(started)})
+		l.Release(pool.Outcome{Kind: r.Outcome, Took: x.g.options.Clock.Now().Sub(started), Load: r.Load})
 		x.ends <- attemptEnd{index: index, result: r}
 	}()
 }
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -30,7 +30,7 @@
 		cost *= repeatableRisk
 	}
 	slots := float64(max(t.record.Slots, 1))
-	cost += busyCost * float64(t.inFlight) / slots
+	cost += busyCost * t.occupied(now) / slots
 	cost += p.timeCost(t, r, now)
 	cost -= p.floorDue(t, r, now)
 	bytes := float64(r.Bytes + answerBytes)
@@ -50,7 +50,8 @@
 		return 0
 	}
 	work := float64(p.durations.mean(r.Class)) * t.slowness(now)
-	waiting := float64(max(t.inFlight+1-t.record.Slots, 0)) / float64(max(t.record.Slots, 1))
+	slots := float64(max(t.record.Slots, 1))
+	waiting := max(t.occupied(now)+1-slots, 0) / slots
 	if !t.free(now) {
 		waiting += float64(len(p.waiters)) / float64(max(t.record.Slots*len(p.targets)/2, 1))
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,9 @@
 	leaseGrace     = time.Second            // beyond the time left of a request
 	slownessStep   = 0.25                   // weight of a new duration against the usual one
 	coldSlowness   = 2.0                    // of a target that has just started
+	// loadMemory is the time in which knowledge of the requests of other pools
+	// fades.
+	loadMemory = 300 * time.Millisecond
 	// waitAdvantage is how much cheaper a full target must be for a request to
 	// wait for it.
 	waitAdvantage = 0.08
@@ -62,6 +65,8 @@
 	record    fleetstate.Target
 	home      bool // in the region of the pool
 	estimate  estimate
+	others    int       // requests of other pools at the target, when it last told
+	othersAt  time.Time // zero: it did not tell
 	inFlight  int
 	usedAt    time.Time // last grant
 	failedAt  time.Time // last failure
@@ -191,7 +196,17 @@
 
 // free reports whether the target can take a request now.
 func (t *target) free(now time.Time) bool {
-	return t.inFlight < t.record.Slots+queuePerTarget && !now.Before(t.restUntil)
+	return t.occupied(now) < float64(t.record.Slots+queuePerTarget) && !now.Before(t.restUntil)
+}
+
+// occupied returns the requests at the target: those of this pool, and those of
+// others as far as the target told lately.
+func (t *target) occupied(now time.Time) float64 {
+	own := float64(t.inFlight)
+	if t.othersAt.IsZero() {
+		return own
+	}
+	return own + float64(t.others)*math.Exp(-now.Sub(t.othersAt).Seconds()/loadMemory.Seconds())
 }
 
 // slowness returns the ratio of the target's durations to the usual ones.
@@ -295,6 +310,10 @@
 	case Misdirected:
 		t.elsewhere = true
 	}
+	if o.Load != nil {
+		t.others = max(o.Load.Running+o.Load.Waiting-t.inFlight, 0)
+		t.othersAt = now
+	}
 	if o.Kind == Shed && t.inFlight >= t.record.Slots {
 		return // it is full, which says nothing about its health
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -93,6 +93,18 @@
 	assert.Equal(t, "t0", r.mustAcquire(t, settling).Target, "the only free target, at the end of the wait")
 }
 
+// Guards against pools of several regions that all crowd on one target: what it
+// tells of its load counts, for a while.
+func TestLoadOfOtherPools(t *testing.T) {
+	r := newRig(1, 2)
+	g := r.mustAcquire(t, once())
+	r.Release(g.Lease, Outcome{Kind: OK, Took: time.Millisecond, Load: &Load{Running: 2, Waiting: 4}})
+	_, err := r.Acquire(context.Background(), once(), 0)
+	require.ErrorIs(t, err, ErrBusy)
+	r.clock.Advance(4 * loadMemory)
+	r.mustAcquire(t, once())
+}
+
 // Guards against a request of low priority that is granted before a waiting one
 // of high priority.
 func TestPriorityOfWaiters(t *testing.T) {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -66,6 +66,13 @@
 type Outcome struct {
 	Kind OutcomeKind   `json:"kind"`
 	Took time.Duration `json:"took"`
+	Load *Load         `json:"load,omitempty"` // nil: the target did not tell
+}
+
+// Load is what a target says of itself with an answer.
+type Load struct {
+	Running int `json:"running"` // requests, from all senders
+	Waiting int `json:"waiting"`
 }
 
 // Settings of a pool.
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -34,6 +34,7 @@
 	Instance    string // id of the target that is meant
 	NotExecuted string // in an answer: the target did not run the request
 	Signature   string // in an answer: the mark of the target
+	Load        string // in an answer: running and waiting requests and slots, with commas
 }
 
 // Request is a request as it goes to a target.
@@ -60,6 +61,7 @@
 type Result struct {
 	Answer  *Answer // nil: none
 	Outcome pool.OutcomeKind
+	Load    *pool.Load
 	Sent    bool // bytes went out, so the target may run or have run it
 	Reused  bool // on a connection that was used before
 	Err     error
@@ -118,7 +120,23 @@
 	default:
 		_ = k.Close()
 	}
-	return c.judge(answer)
+	result := c.judge(answer)
+	result.Load = parseLoad(response.Header.Get(c.names.Load))
+	return result
+}
+
+// parseLoad reads the load that a target tells; nil: none, or not readable.
+func parseLoad(text string) *pool.Load {
+	parts := strings.Split(text, ",")
+	if len(parts) < 2 {
+		return nil
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
+	waiting, err2 := strconv.Atoi(strings.TrimSpace(parts[1]))
+	if err != nil || err2 != nil || running < 0 || waiting < 0 {
+		return nil
+	}
+	return &pool.Load{Running: running, Waiting: waiting}
 }
 
 // judge says what the answer means.
--- a/internal/targetconn/send_test.go
+++ b/internal/targetconn/send_test.go
@@ -277,3 +277,21 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// Guards against a load that is misread, or that fails the answer.
+func TestParseLoad(t *testing.T) {
+	cases := []struct {
+		text string
+		want *pool.Load
+	}{
+		{"3,1,8", &pool.Load{Running: 3, Waiting: 1}},
+		{"3, 0, 8", &pool.Load{Running: 3}},
+		{"", nil},
+		{"3", nil},
+		{"-1,2,3", nil},
+		{"a,b,c", nil},
+	}
+	for _, tc := range cases {
+		assert.Equal(t, tc.want, parseLoad(tc.text), tc.text)
+	}
+}
