Elect a leader soon after a restart of all members

Members waited a whole election timeout for a leader that nobody was, and entries waited 500 ms at members without contact. A member of a group without lease reads now campaigns within half an election timeout of its start and votes at once; a poll at a member without contact returns after 150 ms.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -29,6 +29,7 @@
 	self              MemberID
 	slots             []string // fixed slots; with dynamic set: the slots that form the group
 	dynamic           bool     // slots are added and removed through the log
+	quickStart        bool     // no read relies on a lease, so a member votes and campaigns soon after its start
 	mayForm           bool     // with dynamic set: this member may take part in forming the group
 	durable           bool     // state survives restarts; false: the group may form again
 	heartbeatInterval time.Duration
@@ -105,6 +106,9 @@
 	}
 	c.resetElection()
 	c.formAfter(now)
+	if c.quickStart && !c.blank() {
+		c.hurryElection()
+	}
 	if len(c.slots) == 1 && c.slots[0] == c.id.Slot {
 		// Nobody else can lead or hold a promise.
 		c.electionDeadline = now
@@ -294,6 +298,15 @@
 	c.electionDeadline = c.now.Add(c.electionTimeout + spread)
 }
 
+// hurryElection shortens the first election after a start: if all members were
+// stopped, no leader is there to wait for. A leader that is there is heard
+// sooner.
+func (c *core) hurryElection() {
+	c.lastContact = c.now.Add(-c.electionTimeout)
+	spread := time.Duration(c.random.Int64N(int64(c.electionTimeout / 2)))
+	c.electionDeadline = c.now.Add(c.heartbeatInterval + spread)
+}
+
 func (c *core) send(m message) {
 	m.From = c.id
 	m.Formed = c.formed()
--- a/internal/consensus/dynamic_test.go
+++ b/internal/consensus/dynamic_test.go
@@ -115,3 +115,32 @@
 	c.log.truncate(c.log.lastIndex() - 1)
 	assert.Len(t, c.voting(), before)
 }
+
+// Guards against a whole election timeout without a leader after all members
+// were stopped at once.
+func TestQuickElectionAfterARestartOfAll(t *testing.T) {
+	s := grownSim(t, 5)
+	for _, n := range s.nodes {
+		s.crash(n, true)
+	}
+	started := s.now
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+	require.True(t, s.runUntil(func() bool { return s.leader() != nil }))
+	assert.Less(t, s.now.Sub(started), simElection+simElection/2)
+}
+
+// Guards against a member that restarts alone and unseats the leader.
+func TestRestartedMemberLeavesTheLeader(t *testing.T) {
+	s := grownSim(t, 5)
+	leading := s.leader()
+	term := leading.core.term
+	for _, n := range s.others(leading) {
+		s.crash(n, true)
+		s.start(n)
+		s.run(2 * simElection)
+	}
+	assert.Equal(t, leading, s.leader())
+	assert.Equal(t, term, leading.core.term)
+}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -90,6 +90,7 @@
 		slots:             g.config.slots(),
 		dynamic:           g.config.Dynamic,
 		mayForm:           g.config.Bootstrap,
+		quickStart:        g.config.Dynamic && !g.config.LeaseReads,
 		durable:           g.config.Storage.durable(),
 		heartbeatInterval: g.config.HeartbeatInterval,
 		electionTimeout:   g.config.ElectionTimeout,
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -18,6 +18,10 @@
 // PollHold is how long a poll waits for a change.
 const PollHold = 500 * time.Millisecond
 
+// staleHold is the same at a member that is in contact with no leader, so that
+// the entry soon asks another one, or again.
+const staleHold = 150 * time.Millisecond
+
 // coalesce is how long a poll waits for further changes after the first one.
 const coalesce = 15 * time.Millisecond
 
@@ -54,7 +58,11 @@
 		m.presence.begin(request.Entry, m.clock.Now())
 		m.noteEntry(request.Entry)
 	}
-	m.awaitChange(ctx, request.After)
+	hold := PollHold
+	if !m.Fresh() {
+		hold = staleHold
+	}
+	m.awaitChange(ctx, request.After, hold)
 	gone := ctx.Err() != nil
 	m.presence.end(request.Entry.Name, gone, m.clock.Now())
 	if gone {
@@ -78,10 +86,9 @@
 	return nil
 }
 
-// awaitChange waits until the state is newer than the index, for PollHold at
-// most.
-func (m *Member) awaitChange(ctx context.Context, after uint64) {
-	timer := time.NewTimer(PollHold)
+// awaitChange waits until the state is newer than the index, for a time at most.
+func (m *Member) awaitChange(ctx context.Context, after uint64, hold time.Duration) {
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
 		changed, index := m.machine.Changed()
