--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -40,35 +40,25 @@
 	return err
 }
 
+// running is a process of either role.
+type running interface {
+	Run(ctx context.Context) error
+}
+
 func runEntry(ctx context.Context, file string) error {
 	s, err := loadEntry(file)
 	if err != nil {
 		return err
 	}
-	log, flush, err := startTelemetry(ctx, s.Telemetry, entryName, s.Name)
-	if err != nil {
-		return err
-	}
-	defer flush()
-	i := do.New()
-	do.ProvideValue(i, s)
-	do.ProvideValue(i, log)
-	do.ProvideValue[sys.Clock](i, sys.RealClock{})
-	do.Provide(i, func(i do.Injector) (*fleetentry.Process, error) {
-		return fleetentry.New(do.MustInvoke[*fleetentry.Settings](i), platform.EntryHandlers(), do.MustInvoke[sys.Clock](i), do.MustInvoke[*zap.Logger](i))
-	})
-	process, err := do.Invoke[*fleetentry.Process](i)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	go onReload(log, func() error {
+	return serve(ctx, s.Telemetry, entryName, s.Name, func(i do.Injector) (*fleetentry.Process, error) {
+		return fleetentry.New(s, platform.EntryHandlers(), do.MustInvoke[sys.Clock](i), do.MustInvoke[*zap.Logger](i))
+	}, func(p *fleetentry.Process) error {
 		changed, err := loadEntry(file)
 		if err == nil {
-			process.SetSeeds(changed)
+			p.SetSeeds(changed)
 		}
 		return err
 	})
-	return process.Run(ctx)
 }
 
 func runControl(ctx context.Context, file string) error {
@@ -76,28 +66,32 @@
 	if err != nil {
 		return err
 	}
-	log, flush, err := startTelemetry(ctx, s.Telemetry, controlName, s.Name)
+	return serve(ctx, s.Telemetry, controlName, s.Name, func(i do.Injector) (*fleetcontrol.Process, error) {
+		log := do.MustInvoke[*zap.Logger](i)
+		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
+	}, func(*fleetcontrol.Process) error {
+		_, err := loadControl(file)
+		return err
+	})
+}
+
+// serve wires a process and runs it until ctx ends. Reload is called at each
+// SIGHUP.
+func serve[P running](ctx context.Context, t telemetry.Settings, role, name string, provide func(do.Injector) (P, error), reload func(P) error) error {
+	log, flush, err := startTelemetry(ctx, t, role, name)
 	if err != nil {
 		return err
 	}
 	defer flush()
 	i := do.New()
-	do.ProvideValue(i, s)
 	do.ProvideValue(i, log)
 	do.ProvideValue[sys.Clock](i, sys.RealClock{})
-	do.Provide(i, func(i do.Injector) (*fleetcontrol.Process, error) {
-		log := do.MustInvoke[*zap.Logger](i)
-		s := do.MustInvoke[*fleetcontrol.Settings](i)
-		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
-	})
-	process, err := do.Invoke[*fleetcontrol.Process](i)
+	do.Provide(i, provide)
+	process, err := do.Invoke[P](i)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go onReload(log, func() error {
-		_, err := loadControl(file)
-		return err
-	})
+	go onReload(log, func() error { return reload(process) })
 	return process.Run(ctx)
 }
 
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -49,7 +49,6 @@
 	kick    context.CancelFunc // ends the poll under way
 	source  string
 	told    []fleetstate.Member // members that another one named before there was a copy
-	since   time.Time           // with the source
 	avoided map[string]time.Time
 	start   time.Time
 
--- /dev/null
+++ b/internal/grants/calls.go
@@ -0,0 +1,86 @@
+package grants
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/pool"
+)
+
+// Paths of the calls between entries.
+const (
+	AcquirePath = "/fleet/v1/grants"
+	ReleasePath = "/fleet/v1/releases"
+)
+
+// AcquireRequest asks the owner for a grant.
+type AcquireRequest struct {
+	Group   Group         `json:"group"`
+	Request pool.Request  `json:"request"`
+	MaxWait time.Duration `json:"max_wait"`
+}
+
+// AcquireAnswer is a grant, or why there is none.
+type AcquireAnswer struct {
+	Grant   pool.Grant `json:"grant"`
+	Refused string     `json:"refused,omitempty"` // busy, no_target, budget; empty: granted
+}
+
+// ReleaseRequest ends a grant.
+type ReleaseRequest struct {
+	Group   Group        `json:"group"`
+	Lease   uint64       `json:"lease"`
+	Outcome pool.Outcome `json:"outcome"`
+}
+
+var refusals = map[string]error{
+	"busy":      pool.ErrBusy,
+	"no_target": pool.ErrNoTarget,
+	"budget":    pool.ErrBudget,
+}
+
+func refusalOf(err error) string {
+	for name, e := range refusals {
+		if errors.Is(err, e) {
+			return name
+		}
+	}
+	return "busy"
+}
+
+// Handler serves the calls of other entries.
+func (b *Broker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+AcquirePath, b.serveAcquire)
+	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
+	mux.HandleFunc("POST "+EvidencePath, b.serveEvidence)
+	return mux
+}
+
+func (b *Broker) serveAcquire(w http.ResponseWriter, r *http.Request) {
+	var request AcquireRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, holdLimit))
+	if err != nil {
+		peerhttp.Answer(w, AcquireAnswer{Refused: refusalOf(err)})
+		return
+	}
+	if r.Context().Err() != nil {
+		b.pool(request.Group).Release(g.Lease, pool.Outcome{Kind: pool.Unsent})
+		return
+	}
+	peerhttp.Answer(w, AcquireAnswer{Grant: g})
+}
+
+func (b *Broker) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var request ReleaseRequest
+	if !peerhttp.Decode(w, r, &request) {
+		return
+	}
+	b.pool(request.Group).Release(request.Lease, request.Outcome)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"time"
 
@@ -22,12 +21,6 @@
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
-// Paths of the calls between entries.
-const (
-	AcquirePath = "/fleet/v1/grants"
-	ReleasePath = "/fleet/v1/releases"
-)
-
 const (
 	holdLimit      = 200 * time.Millisecond // wait at an owner for one call
 	answerLimit    = 250 * time.Millisecond // on top of holdLimit, after which an owner is left
@@ -40,41 +33,6 @@
 // ErrGaveUp says that the request ended while it waited for a grant.
 var ErrGaveUp = errors.New("grants: the request ended while it waited")
 
-// AcquireRequest asks the owner for a grant.
-type AcquireRequest struct {
-	Group   Group         `json:"group"`
-	Request pool.Request  `json:"request"`
-	MaxWait time.Duration `json:"max_wait"`
-}
-
-// AcquireAnswer is a grant, or why there is none.
-type AcquireAnswer struct {
-	Grant   pool.Grant `json:"grant"`
-	Refused string     `json:"refused,omitempty"` // busy, no_target, budget; empty: granted
-}
-
-// ReleaseRequest ends a grant.
-type ReleaseRequest struct {
-	Group   Group        `json:"group"`
-	Lease   uint64       `json:"lease"`
-	Outcome pool.Outcome `json:"outcome"`
-}
-
-var refusals = map[string]error{
-	"busy":      pool.ErrBusy,
-	"no_target": pool.ErrNoTarget,
-	"budget":    pool.ErrBudget,
-}
-
-func refusalOf(err error) string {
-	for name, e := range refusals {
-		if errors.Is(err, e) {
-			return name
-		}
-	}
-	return "busy"
-}
-
 // Options configure a broker.
 type Options struct {
 	Self     fleetstate.Entry
@@ -111,41 +69,6 @@
 	}
 }
 
-// Handler serves the calls of other entries.
-func (b *Broker) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+AcquirePath, b.serveAcquire)
-	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
-	mux.HandleFunc("POST "+EvidencePath, b.serveEvidence)
-	return mux
-}
-
-func (b *Broker) serveAcquire(w http.ResponseWriter, r *http.Request) {
-	var request AcquireRequest
-	if !peerhttp.Decode(w, r, &request) {
-		return
-	}
-	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, holdLimit))
-	if err != nil {
-		peerhttp.Answer(w, AcquireAnswer{Refused: refusalOf(err)})
-		return
-	}
-	if r.Context().Err() != nil {
-		b.pool(request.Group).Release(g.Lease, pool.Outcome{Kind: pool.Unsent})
-		return
-	}
-	peerhttp.Answer(w, AcquireAnswer{Grant: g})
-}
-
-func (b *Broker) serveRelease(w http.ResponseWriter, r *http.Request) {
-	var request ReleaseRequest
-	if !peerhttp.Decode(w, r, &request) {
-		return
-	}
-	b.pool(request.Group).Release(request.Lease, request.Outcome)
-	w.WriteHeader(http.StatusNoContent)
-}
-
 // pool returns this entry's pool of the group.
 func (b *Broker) pool(group Group) *pool.Pool {
 	b.mu.Lock()
@@ -154,16 +77,19 @@
 	if p == nil {
 		settings := b.options.Settings
 		settings.RetrySlack /= float64(max(group.Shards, 1))
-		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: settings, Clock: b.options.Clock, Notable: func() { b.noteChange(group) }})
+		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: settings, Clock: b.options.Clock, Notable: func(c pool.Change) { b.noteChange(group, c) }})
 		b.pools[group] = p
 		b.load(p, group, b.options.View())
 	}
 	return p
 }
 
-// noteChange wakes the exchange. While it is busy, the next regular exchange
-// passes the change on.
-func (b *Broker) noteChange(group Group) {
+// noteChange logs the change and wakes the exchange. While that is busy, the next
+// regular exchange passes the change on.
+func (b *Broker) noteChange(group Group, c pool.Change) {
+	b.options.Log.Info("estimate of a target changed", zap.String("group", group.key()), zap.String("target", c.Target),
+		zap.String("request_id", c.Request), zap.String("outcome", string(c.Outcome)),
+		zap.Float64("before", c.Before), zap.Float64("after", c.After))
 	select {
 	case b.notable <- group:
 	default:
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -12,6 +12,14 @@
 	evidenceRounding = 100
 )
 
+// Change is an estimate that an outcome has changed much.
+type Change struct {
+	Target        string
+	Request       string // id of the request with the outcome
+	Outcome       OutcomeKind
+	Before, After float64 // chance of a spell of failure
+}
+
 // Evidence is what a pool knows of a target, for the pools of other regions.
 type Evidence struct {
 	Target string        `json:"t"`
