--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -55,7 +55,7 @@
 		t.elsewhere = true
 	}
 	if o.Load != nil {
-		t.others = max(o.Load.Running+o.Load.Waiting-t.inFlight, 0)
+		t.others = max(o.Load.Running+o.Load.Waiting-1-t.inFlight, 0) // the answered request counts as running
 		t.othersAt = now
 	}
 	if o.Kind == Shed && t.inFlight >= t.record.Slots {
