Propose until a failing disk is reached in its test

Eight copies of it at the same time show why: the member asked knew no leader for a moment and refused the command as not proposed, the test ignored that, and nothing was ever written to the failing disk. It proposes until the command is taken and bounds its wait; the checks are as before.

--- a/internal/consensus/storage_test.go
+++ b/internal/consensus/storage_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -41,8 +43,12 @@
 				// outcome is not known.
 				ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 				defer cancel()
-				_, _ = c.nodes[other].group.Propose(ctx, []byte("b"))
-				<-n.group.Done()
+				c.proposeUntilTaken(ctx, other, "b")
+				select {
+				case <-n.group.Done():
+				case <-ctx.Done():
+					t.Fatal("the member goes on with a failed disk")
+				}
 				require.ErrorIs(t, n.group.Err(), tc.want)
 				assert.Equal(t, RoleStopped, n.group.Status().Role)
 				assert.Contains(t, n.group.Status().Failure, tc.want.Error())
@@ -68,6 +74,19 @@
 	}
 }
 
+// proposeUntilTaken proposes until the command is not refused as "not proposed",
+// which a member answers that knows no leader for a moment. Its outcome may be
+// unknown.
+func (c *cluster) proposeUntilTaken(ctx context.Context, i int, command string) {
+	for ctx.Err() == nil {
+		_, err := c.nodes[i].group.Propose(ctx, []byte(command))
+		if !errors.Is(err, ErrNotLeader) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Guards against a member that starts from damaged state.
 func TestStartRefusesFlippedBit(t *testing.T) {
 	c := newCluster(t, 1, true, nil)
