--- a/internal/consensus/dynamic_test.go
+++ b/internal/consensus/dynamic_test.go
@@ -128,7 +128,7 @@
 		s.start(n)
 	}
 	require.True(t, s.runUntil(func() bool { return s.leader() != nil }))
-	assert.Less(t, s.now.Sub(started), simElection+simElection/2)
+	assert.Less(t, s.now.Sub(started), simElection)
 }
 
 // Guards against a member that restarts alone and unseats the leader.
--- a/internal/disk/fakedisk/fakedisk.go
+++ b/internal/disk/fakedisk/fakedisk.go
@@ -114,7 +114,7 @@
 		start = end
 	}
 	torn := tail[:length]
-	if length > 0 && random.IntN(4) == 0 {
+	if length > 0 && random.IntN(2) == 0 {
 		torn[length-1] ^= 0x5a
 	}
 	return torn
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -161,6 +161,21 @@
 	}
 }
 
+// Guards against groups that each use the whole slack of the retry budget.
+func TestGroupsShareTheRetrySlack(t *testing.T) {
+	r := newRegion(t, 1, 64)
+	granted := 0
+	for n := range 200 {
+		repeat := request(fmt.Sprint("q", n))
+		repeat.Repeat = true
+		if _, err := r.brokers[0].Acquire(context.Background(), "s", repeat, 20*time.Millisecond); err == nil {
+			granted++
+		}
+	}
+	assert.LessOrEqual(t, float64(granted), pool.DefaultSettings().RetrySlack)
+	assert.Positive(t, granted)
+}
+
 // Guards against evidence that stays in its region.
 func TestEvidenceCrossesRegions(t *testing.T) {
 	r := newRegion(t, 1, 2)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -105,6 +105,15 @@
 	r.mustAcquire(t, once())
 }
 
+// Guards against an answered request that counts as one of another pool, since
+// the target tells its load while the request still runs.
+func TestAnsweredRequestIsNoLoad(t *testing.T) {
+	r := newRig(1, 2)
+	g := r.mustAcquire(t, once())
+	r.Release(g.Lease, Outcome{Kind: OK, Took: time.Millisecond, Load: &Load{Running: 1}})
+	assert.Zero(t, r.targets[0].occupied(r.clock.Now()))
+}
+
 // Guards against a request of low priority that is granted before a waiting one
 // of high priority.
 func TestPriorityOfWaiters(t *testing.T) {
