Hedge again while an attempt hears nothing

An idempotent request asked for a hedge once: if the hedge failed, or no slot was free at that moment, it waited for a silent target until its deadline.

Ruled out: the quiet time of reused connections, since the first attempt of a request on a fresh connection is covered by the hedge alone.

TestHedgeAgain failed before in both cases with deadline_exceeded after 5 s, and passes now. The owner's conditions and retry budget bound the further hedges.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -29,6 +29,7 @@
 	retries int
 	refuse  *fault.Error
 	hold    chan struct{} // grants wait until it is closed; nil: none
+	busy    int           // hedges refused before others are allowed
 
 	mu     sync.Mutex
 	next   int
@@ -100,8 +101,10 @@
 
 func (s *fakeScheduler) Hedge(Ticket) (owner.Grant, bool) {
 	s.mu.Lock()
-	allowed := s.hedges > 0
-	s.hedges--
+	allowed := s.busy <= 0 && s.hedges > 0
+	if s.busy--; allowed {
+		s.hedges--
+	}
 	s.mu.Unlock()
 	if !allowed {
 		return owner.Grant{}, false
--- a/internal/dispatch/idempotent.go
+++ b/internal/dispatch/idempotent.go
@@ -83,13 +83,13 @@
 				continue
 			}
 			run.start(ctx, g)
-			if run.hedge == nil && run.payload.whole {
-				run.hedge = run.d.cfg.Clock.After(run.delay)
-			}
+			run.armHedge(run.delay)
 		case <-run.hedge:
 			run.hedge = nil
 			if g, ok := run.s.Hedge(run.ticket); ok {
 				run.start(ctx, g)
+			} else {
+				run.armHedge(run.delay) // a slot may be free then
 			}
 		case e := <-run.ended:
 			run.inFlight--
@@ -102,6 +102,14 @@
 	}
 }
 
+// armHedge asks for a hedge after the delay, unless one is due already or the
+// body is gone with the first attempt.
+func (run *idempotentRun) armHedge(delay time.Duration) {
+	if run.hedge == nil && run.payload.whole {
+		run.hedge = run.d.cfg.Clock.After(delay)
+	}
+}
+
 // start sends an attempt in the background. It ends with Done, and with a
 // message to the loop.
 func (run *idempotentRun) start(ctx context.Context, g owner.Grant) {
@@ -149,6 +157,8 @@
 		run.last = e
 	}
 	if run.inFlight > 0 {
+		// The attempt that is left may hear nothing until the deadline.
+		run.armHedge(0)
 		return Result{}, false
 	}
 	if ctx.Err() == nil && run.payload.replayable() && run.s.Retry(run.ticket, e.outcome) {
--- a/internal/dispatch/idempotent_test.go
+++ b/internal/dispatch/idempotent_test.go
@@ -46,6 +46,30 @@
 	assert.Empty(t, s.open, "every grant must be given back")
 }
 
+// Guards against a request that waits for a silent target until its deadline,
+// because its hedge failed or no slot was free when the hedge was due.
+func TestHedgeAgain(t *testing.T) {
+	broken := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "short")
+		panic(http.ErrAbortHandler)
+	})
+	u := newUpstream(t, nil)
+	for desc, s := range map[string]*fakeScheduler{
+		"failed hedge": {targets: []string{silentAddress(t), broken.address(), u.address()}, hedges: 2},
+		"no free slot": {targets: []string{silentAddress(t), u.address()}, hedges: 1, busy: 2},
+	} {
+		t.Run(desc, func(t *testing.T) {
+			f := newFixture(t, newMemory(), "a/1")
+			r := get()
+			r.Deadline = time.Now().Add(5 * time.Second)
+			assert.Equal(t, "done", bodyOf(t, f.Run(context.Background(), s, r)))
+			require.NoError(t, f.Drain(context.Background()))
+			assert.Empty(t, s.open, "every grant must be given back")
+		})
+	}
+}
+
 // Guards against a streamed upload that is sent again without its first part.
 func TestStreamedBodyIsNotReplayed(t *testing.T) {
 	var calls atomic.Int32
