Charge a plan the slot time that it used at once

Cause of the known red test: corrections of a charge were spread over later jobs, at most half of a job's expected time each, so that a plan's share wandered away from its due. The correction now counts in full as soon as the job ends.

--- a/internal/schedule/fair.go
+++ b/internal/schedule/fair.go
@@ -36,9 +36,6 @@
 	Deadline    time.Time
 }
 
-// maxDebtPart is the largest correction of a charge, as a part of it.
-const maxDebtPart = 0.5
-
 // planQueue holds the queued work of a plan.
 type planQueue struct {
 	id          string
@@ -46,7 +43,6 @@
 	concurrency int
 	inFlight    int
 	finish      float64       // virtual time up to which the plan has been served
-	debt        float64       // seconds of slot time used and not yet charged; negative: charged and not used
 	backlog     time.Duration // expected slot time of the queued jobs
 	jobs        [2][]*Job     // by class, in order of arrival
 }
@@ -131,21 +127,11 @@
 	best.backlog -= j.Cost
 	q.length--
 	q.virtual = max(q.virtual, best.finish)
-	best.finish += best.charge(j.Cost) / best.weight
+	best.finish += j.Cost.Seconds() / best.weight
 	best.inFlight++
 	return j
 }
 
-// charge returns the slot time to charge for a job, in seconds: its expected
-// slot time, corrected by a part of the debt. Charging the whole debt at once
-// would block the short work of a plan for as long as its straggler ran.
-func (p *planQueue) charge(expected time.Duration) float64 {
-	limit := expected.Seconds() * maxDebtPart
-	part := min(max(p.debt, -limit), limit)
-	p.debt -= part
-	return expected.Seconds() + part
-}
-
 func (p *planQueue) atLimit() bool { return p.concurrency > 0 && p.inFlight >= p.concurrency }
 
 func (p *planQueue) head(allowLong bool) *Job {
@@ -160,33 +146,34 @@
 }
 
 // Finished ends a job in flight and corrects its charge to the slot time that
-// it used.
+// it used. The whole correction counts at once: spread over later jobs, it would
+// leave other plans short of their due for as long.
 func (q *FairQueue) Finished(plan string, charged, used time.Duration) {
 	p, ok := q.plans[plan]
 	if !ok || p.inFlight < 1 {
 		panic("schedule: finished a job that is not in flight, plan " + plan)
 	}
 	p.inFlight--
-	p.debt += (used - charged).Seconds()
+	p.finish += (used - charged).Seconds() / p.weight
 	q.forgetIdle(p)
 }
 
 // Charge adds slot time to a plan for an attempt that was not queued.
 func (q *FairQueue) Charge(plan string, used time.Duration) {
 	if p, ok := q.plans[plan]; ok {
-		p.debt += used.Seconds()
+		p.finish += used.Seconds() / p.weight
 	}
 }
 
-// forgetIdle drops a plan that has no work and no debt.
+// forgetIdle drops a plan that has no work and has used no more than its due.
 func (q *FairQueue) forgetIdle(p *planQueue) {
-	if p.empty() && p.inFlight == 0 && p.finish <= q.virtual && p.debt <= 0 {
+	if p.empty() && p.inFlight == 0 && p.finish <= q.virtual {
 		delete(q.plans, p.id)
 	}
 }
 
-// Prune drops plans without work, whose debt no longer matters because the
-// queue is empty.
+// Prune drops plans without work that are not ahead of the others, and all of
+// them if the queue is empty.
 func (q *FairQueue) Prune() {
 	for _, p := range q.plans {
 		if p.empty() && p.inFlight == 0 && (q.length == 0 || p.finish <= q.virtual) {
