--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -245,7 +245,7 @@
 	_, err := m.batch.submit(ctx, fleetstate.Command{Targets: []fleetstate.Target{t}})
 	took := m.clock.Now().Sub(started)
 	fields := []zap.Field{
-		zap.String("target", t.ID), zap.String("service", t.Service), zap.String("address", t.Address),
+		zap.String("target", t.ID), zap.String("service", t.Service), zap.String("address", t.Address), zap.String("data_centre", t.DataCentre),
 		zap.String("state", string(t.State)), zap.Int64("born", t.Born), zap.Uint64("sequence", t.Sequence), zap.Duration("took", took),
 	}
 	if err != nil {
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -27,6 +27,7 @@
 // EvidenceRequest passes on what the pool of a region knows.
 type EvidenceRequest struct {
 	Group    Group           `json:"group"`
+	Region   string          `json:"region"`
 	Evidence []pool.Evidence `json:"evidence"`
 }
 
@@ -71,7 +72,7 @@
 	for _, region := range lo.Uniq(lo.Values(b.options.Regions)) {
 		ranked := b.rank(group, region)
 		if region != b.options.Self.Region && len(ranked) > 0 {
-			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Group: group, Evidence: evidence})
+			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Group: group, Region: b.options.Self.Region, Evidence: evidence})
 		}
 	}
 }
@@ -89,6 +90,6 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
-	b.pool(request.Group).Merge(request.Evidence)
+	b.pool(request.Group).Merge(request.Region, request.Evidence)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -97,7 +97,7 @@
 }
 
 func (b *Broker) load(p *pool.Pool, group Group, v *fleetview.View) {
-	p.SetTargets(group.targets(v), b.isHome)
+	p.SetTargets(group.targets(v), func(dataCentre string) string { return b.options.Regions[dataCentre] })
 }
 
 func (b *Broker) isHome(dataCentre string) bool {
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -25,6 +27,8 @@
 	Target string        `json:"t"`
 	Bad    float64       `json:"b"` // chance that it is in a spell of failure
 	Age    time.Duration `json:"a"` // since the outcome that it rests on
+	// Failed is the time since its last failure; 0: none for a while.
+	Failed time.Duration `json:"f,omitempty"`
 }
 
 // Evidence returns the estimates that rest on outcomes younger than maxAge.
@@ -39,22 +43,32 @@
 			continue
 		}
 		bad := math.Round(p.weights.mean(t.estimate.bad)*evidenceRounding) / evidenceRounding
-		evidence = append(evidence, Evidence{Target: t.record.ID, Bad: bad, Age: age.Truncate(time.Millisecond)})
+		e := Evidence{Target: t.record.ID, Bad: bad, Age: age.Truncate(time.Millisecond)}
+		if failed := now.Sub(t.failedAt); failed <= soundAfter {
+			e.Failed = max(failed.Truncate(time.Millisecond), time.Millisecond)
+		}
+		evidence = append(evidence, e)
 	}
 	return evidence
 }
 
 // Merge takes in what the pool of another region knows, where it is newer.
-func (p *Pool) Merge(evidence []Evidence) {
+func (p *Pool) Merge(region string, evidence []Evidence) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Clock.Now()
+	p.heard[region] = now
+	known := lo.KeyBy(p.targets, func(t *target) string { return t.record.ID })
 	for _, e := range evidence {
-		at := now.Add(-e.Age)
-		for _, t := range p.targets {
-			if t.record.ID == e.Target && at.After(t.estimate.seen) {
-				t.estimate.set(e.Bad, at)
-			}
+		t := known[e.Target]
+		if t == nil {
+			continue
+		}
+		if at := now.Add(-e.Age); at.After(t.estimate.seen) {
+			t.estimate.set(e.Bad, at)
+		}
+		if failedAt := now.Add(-e.Failed); e.Failed > 0 && failedAt.After(t.failedAt) {
+			t.failedAt = failedAt
 		}
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -38,7 +38,8 @@
 	share     badShare
 	weights   weights
 	budget    budget
-	below     bool // too few sound targets got requests lately
+	below     bool                 // too few sound targets got requests lately
+	heard     map[string]time.Time // last evidence of other regions
 
 	granted, busy, budgetSpent *metrics.Counter
 	waited                     *metrics.Histogram
@@ -65,6 +66,7 @@
 	return &Pool{
 		cfg:         cfg,
 		leases:      map[uint64]*lease{},
+		heard:       map[string]time.Time{},
 		durations:   durations{means: map[string]time.Duration{}},
 		share:       badShare{value: startBadShare},
 		budget:      budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
@@ -75,9 +77,9 @@
 	}
 }
 
-// SetTargets replaces the records of the usable targets of the service. Home
-// tells whether a data centre is in the region of the pool.
-func (p *Pool) SetTargets(records []fleetstate.Target, home func(dataCentre string) bool) {
+// SetTargets replaces the records of the usable targets of the service. RegionOf
+// returns the region of a data centre.
+func (p *Pool) SetTargets(records []fleetstate.Target, regionOf func(dataCentre string) string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Clock.Now()
@@ -88,7 +90,8 @@
 			t = &target{leases: map[uint64]*lease{}, coldUntil: now.Add(r.ColdFor)}
 		}
 		t.record = r
-		t.home = home(r.DataCentre)
+		t.region = regionOf(r.DataCentre)
+		t.home = t.region == p.cfg.Region
 		return t
 	})
 	p.dispatch(now)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -32,7 +32,7 @@
 	for n := range count {
 		records = append(records, fleetstate.Target{ID: fmt.Sprint("t", n), Service: "s", Address: fmt.Sprint("10.0.0.", n, ":80"), DataCentre: "d", Slots: slots, State: fleetstate.Ready, Born: 1})
 	}
-	r.SetTargets(records, func(string) bool { return true })
+	r.SetTargets(records, func(string) string { return "r" })
 }
 
 func once() Request {
@@ -82,7 +82,7 @@
 func TestFailingTargetIsNoWayOut(t *testing.T) {
 	r := newRig(3, 1)
 	r.cfg.Settings.FloorShare = -1 // the floor would give t0 a request too
-	r.Merge([]Evidence{{Target: "t0", Bad: 0.99}, {Target: "t1", Bad: 0.01}, {Target: "t2", Bad: 0.01}})
+	r.Merge("r2", []Evidence{{Target: "t0", Bad: 0.99}, {Target: "t1", Bad: 0.01}, {Target: "t2", Bad: 0.01}})
 	for range 2 * (1 + queuePerTarget) {
 		assert.NotEqual(t, "t0", r.mustAcquire(t, once()).Target)
 	}
@@ -293,9 +293,9 @@
 	g := r.mustAcquire(t, once())
 	r.Release(g.Lease, Outcome{Kind: OK, Took: 100 * time.Millisecond})
 	r.clock.Advance(100 * time.Millisecond)
-	r.Merge([]Evidence{{Target: g.Target, Bad: 0.9, Age: time.Second}})
+	r.Merge("r2", []Evidence{{Target: g.Target, Bad: 0.9, Age: time.Second}})
 	assert.Less(t, r.Evidence(time.Hour)[0].Bad, 0.2)
-	r.Merge([]Evidence{{Target: g.Target, Bad: 0.9, Age: 10 * time.Millisecond}})
+	r.Merge("r2", []Evidence{{Target: g.Target, Bad: 0.9, Age: 10 * time.Millisecond}})
 	assert.Empty(t, r.Evidence(time.Hour))
 	for _, s := range r.Status() {
 		if s.ID == g.Target {
@@ -311,6 +311,6 @@
 	r.Release(g.Lease, Outcome{Kind: Misdirected})
 	_, err := r.Acquire(context.Background(), once(), 0)
 	require.ErrorIs(t, err, ErrNoTarget)
-	r.SetTargets([]fleetstate.Target{{ID: "t0", Service: "s", Address: "10.0.0.0:80", Slots: 2, State: fleetstate.Ready, Born: 2}}, func(string) bool { return true })
+	r.SetTargets([]fleetstate.Target{{ID: "t0", Service: "s", Address: "10.0.0.0:80", Slots: 2, State: fleetstate.Ready, Born: 2}}, func(string) string { return "r" })
 	r.mustAcquire(t, once())
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -19,6 +19,7 @@
 // target is what the pool knows of a target beyond its record.
 type target struct {
 	record    fleetstate.Target
+	region    string
 	home      bool // in the region of the pool
 	estimate  estimate
 	others    int       // requests of other pools at the target, when it last told
