Weigh a failure that can be repeated less, and bytes between regions more

A failure that is repeated elsewhere costs a few milliseconds and a part of the retry budget, not a quarter of the request.

--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -4,7 +4,7 @@
 
 // Costs are in units of the worth of one request.
 const (
-	repeatableRisk = 0.25 // of a failure that can be repeated elsewhere, against 1 where it cannot
+	repeatableRisk = 0.06 // of a failure that can be repeated elsewhere, against 1 where it cannot
 	busyCost       = 0.01 // of each share of the slots in use
 	waitCost       = 0.05 // of an expected answer at the objective
 	lateCost       = 0.8  // of each objective beyond lateFrom
@@ -13,7 +13,7 @@
 
 	// Links between data centres and regions are paid by volume.
 	zoneByteCost     = 0.003 / 1024
-	regionByteCost   = 0.02 / 1024
+	regionByteCost   = 0.04 / 1024
 	answerBytes      = 2_000 // of a usual answer with its headers
 	overdueSuspicion = 0.5   // chance that a target whose answer is overdue fails
 )
