Keep the floor among idle targets

In the two seconds before all processes were killed 190 of 221 ready targets of viajes had got requests; most of these had one in flight, so they failed by the kill and were not sound any more. What was left were the idle targets, among which the rested ones weigh far more.

Change: a region's part of the targets that may rest is counted from its idle targets, those sound and without a request in flight. Regions report the mean number instead of the failures of targets.

--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -26,9 +26,8 @@
 
 // EvidenceRequest passes on what the pool of a region knows.
 type EvidenceRequest struct {
-	Group    Group           `json:"group"`
-	Region   string          `json:"region"`
-	Evidence []pool.Evidence `json:"evidence"`
+	Group  Group       `json:"group"`
+	Report pool.Report `json:"report"`
 }
 
 // Run exchanges evidence with other regions until ctx ends: regularly, and at
@@ -49,7 +48,7 @@
 		}
 		for group, p := range b.ownPools() {
 			if only == nil || *only == group {
-				b.sendEvidence(ctx, group, p.Evidence(evidenceAge))
+				b.sendEvidence(ctx, group, p.Report(evidenceAge))
 			}
 		}
 	}
@@ -65,14 +64,14 @@
 	})
 }
 
-func (b *Broker) sendEvidence(ctx context.Context, group Group, evidence []pool.Evidence) {
-	if len(evidence) == 0 {
+func (b *Broker) sendEvidence(ctx context.Context, group Group, report pool.Report) {
+	if len(report.Targets) == 0 {
 		return
 	}
 	for _, region := range lo.Uniq(lo.Values(b.options.Regions)) {
 		ranked := b.rank(group, region)
 		if region != b.options.Self.Region && len(ranked) > 0 {
-			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Group: group, Region: b.options.Self.Region, Evidence: evidence})
+			go b.sendEvidenceTo(ctx, ranked[0], EvidenceRequest{Group: group, Report: report})
 		}
 	}
 }
@@ -90,6 +89,6 @@
 	if !peerhttp.Decode(w, r, &request) {
 		return
 	}
-	b.pool(request.Group).Merge(request.Region, request.Evidence)
+	b.pool(request.Group).Merge(request.Report)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -38,8 +38,9 @@
 	share     badShare
 	weights   weights
 	budget    budget
-	below     bool                 // too few sound targets got requests lately
-	heard     map[string]time.Time // last evidence of other regions
+	below     bool // too few sound targets got requests lately
+	idle      idleMean
+	reported  map[string]idleReport // by region, this one's own included
 
 	granted, busy, budgetSpent *metrics.Counter
 	waited                     *metrics.Histogram
@@ -66,7 +67,7 @@
 	return &Pool{
 		cfg:         cfg,
 		leases:      map[uint64]*lease{},
-		heard:       map[string]time.Time{},
+		reported:    map[string]idleReport{},
 		durations:   durations{means: map[string]time.Duration{}},
 		share:       badShare{value: startBadShare},
 		budget:      budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
