Split services alike in all regions; use more of the retry budget

The number of groups of a service followed from the targets of the entry's own region, so that regions on two sides of 24 or 48 targets had different groups and their owners did not exchange evidence. It follows from the targets of all regions now. TestRegionsHaveTheSameGroups fails with the old rule by construction (10 of 48 targets at home gave one group); a region without targets cannot draw from none.

The part of the share that is used rises from 0.8 to 0.95; the part of the slack stays at 0.75 for owners that take over.

An attempt that had not ended with its request was logged as unsent; it is under_way now.

--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -52,8 +52,8 @@
 	maxMemory  = 1 << 20
 	thinLink   = 50.0 // Mbit/s; below it, callers are spread over all entries but some owners
 	bodyShare  = 4    // part of the memory that bodies may take: 1/bodyShare
-	retryPart  = 0.75 // part of the allowed retries that is used
-	retryRatio = 0.8
+	retryPart  = 0.75 // part of the allowed slack that is used; an owner that takes over starts with a new one
+	retryRatio = 0.95 // part of the allowed share of requests that is used
 )
 
 // Defaults returns the settings without names and addresses.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -22,6 +22,8 @@
 	// hedgeWait is the longest wait for a target for a second attempt beside one
 	// that is under way.
 	hedgeWait = 20 * time.Millisecond
+	// underWay is logged of an attempt that had not ended with its request.
+	underWay pool.OutcomeKind = "under_way"
 	// maxGrants bounds the grants of a request, used or not.
 	maxGrants = 6
 
@@ -165,6 +167,7 @@
 
 func (x *execution) start(l *grants.Lease) {
 	index := x.note(l)
+	x.q.attempts[index].Outcome = underWay
 	x.inFlight++
 	if x.hedge == nil && x.q.route.Kind.Repeatable() {
 		x.hedge = x.g.options.Clock.After(l.HedgeAfter)
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -142,8 +142,10 @@
 // Acquire waits for a grant for at most maxWait.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	until := b.options.Clock.Now().Add(maxWait)
-	home := lo.Filter(b.options.View().Service(service), func(t fleetstate.Target, _ int) bool { return b.isHome(t.DataCentre) })
-	group := groupFor(home, service, r.ID, len(r.Tried))
+	all := b.options.View().Service(service)
+	home := lo.Filter(all, func(t fleetstate.Target, _ int) bool { return b.isHome(t.DataCentre) })
+	regions := len(lo.Uniq(lo.Values(b.options.Regions)))
+	group := groupFor(all, home, regions, service, r.ID, len(r.Tried))
 	for {
 		left := until.Sub(b.options.Clock.Now())
 		if left <= 0 {
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -145,14 +145,14 @@
 			home = append(home, fleetstate.Target{ID: fmt.Sprint("t", n)})
 		}
 		sizes, requests := map[Group]int{}, map[Group]int{}
-		shards := groupFor(home, "s", "1", 0).Shards
+		shards := groupFor(home, home, 1, "s", "1", 0).Shards
 		assert.LessOrEqual(t, shards*targetsPerGroup, max(count, targetsPerGroup))
 		for _, target := range home {
 			sizes[Group{Service: "s", Shard: shardOf(target.ID, shards), Shards: shards}]++
 		}
 		const drawn = 4000
 		for n := range drawn {
-			requests[groupFor(home, "s", fmt.Sprint("q", n), 0)]++
+			requests[groupFor(home, home, 1, "s", fmt.Sprint("q", n), 0)]++
 		}
 		assert.Len(t, requests, len(sizes))
 		for group, size := range sizes {
@@ -161,6 +161,19 @@
 	}
 }
 
+// Guards against regions that split a service into different groups, whose
+// owners would not hear of each other's evidence, and against a region without
+// targets of its own.
+func TestRegionsHaveTheSameGroups(t *testing.T) {
+	var all []fleetstate.Target
+	for n := range 48 {
+		all = append(all, fleetstate.Target{ID: fmt.Sprint("t", n)})
+	}
+	for desc, home := range map[string][]fleetstate.Target{"none": nil, "a few": all[:10], "most": all[10:]} {
+		assert.Equal(t, 2, groupFor(all, home, 2, "s", "q", 0).Shards, desc)
+	}
+}
+
 // Guards against groups that each use the whole slack of the retry budget.
 func TestGroupsShareTheRetrySlack(t *testing.T) {
 	r := newRegion(t, 1, 64)
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -9,7 +9,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 )
 
-// targetsPerGroup is how many targets of a region a group has at least. Fewer
+// targetsPerGroup is how many targets of a mean region a group has at least. Fewer
 // make the evidence in one place thin; more make one owner the bottleneck of
 // its service.
 const targetsPerGroup = 12
@@ -54,16 +54,21 @@
 }
 
 // groupFor returns the group that decides for a request. It draws one of the
-// targets of the region by the request's id, so that groups get requests in
-// proportion to their targets; each further attempt draws anew.
-func groupFor(home []fleetstate.Target, service, requestID string, attempt int) Group {
+// targets by the request's id, so that groups get requests in proportion to
+// their targets; each further attempt draws anew. Home is the targets of the
+// region. The number of groups follows from the targets of all regions, since
+// owners of different regions exchange evidence within a group.
+func groupFor(all, home []fleetstate.Target, regions int, service, requestID string, attempt int) Group {
 	shards := 1
-	for 2*shards*targetsPerGroup <= len(home) {
+	for 2*shards*targetsPerGroup*regions <= len(all) {
 		shards *= 2
 	}
 	if shards == 1 {
 		return Group{Service: service, Shards: 1}
 	}
+	if len(home) == 0 {
+		home = all
+	}
 	drawn := xxhash.Sum64String(fmt.Sprint(requestID, "/", attempt)) % uint64(len(home))
 	return Group{Service: service, Shard: shardOf(home[drawn].ID, shards), Shards: shards}
 }
