Encode an update once for all entries that wait for it

Each change of a target woke all polls, each of which sorted and encoded the records of all targets again; each announcement searched all targets for its address.

A poll waits 3 ms more for further changes for each poll beside it, 300 ms at most. The holder of an address is indexed. forgetGone runs only for commands with targets.

--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -235,6 +235,31 @@
 	}
 }
 
+// Guards against an entry that cannot read a long copy, which comes compressed.
+func TestLongCopyComesCompressed(t *testing.T) {
+	c := startAll(t, 3)
+	c.mustPut(0, 3)
+	const count = 60
+	var wg sync.WaitGroup
+	for n := range count {
+		wg.Go(func() {
+			announced := target(fleetstate.Ready)
+			announced.ID, announced.Address = fmt.Sprint("i-", n), fmt.Sprint("10.0.1.1:", n+1)
+			c.mustAnnounce(n%3, announced)
+		})
+	}
+	wg.Wait()
+	f := fleetview.NewFollower(fleetview.Options{
+		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", Incarnation: 5, State: fleetstate.Serving},
+		Seeds: c.all[0].Seeds, Peers: peerhttp.NewCompressed(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		OnChange: func(*fleetview.View) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	require.Eventually(t, func() bool { return len(f.View().Service("s")) == count && f.Fresh() }, limit, 10*time.Millisecond)
+}
+
 func (c *cluster) entryState() fleetstate.EntryState {
 	entry, _ := c.member(0).Entry("e")
 	return entry.State
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +23,14 @@
 // the entry soon asks another one, or again.
 const staleHold = 150 * time.Millisecond
 
-// coalesce is how long a poll waits for further changes after the first one.
-const coalesce = 15 * time.Millisecond
+const (
+	// coalesce is how long a poll waits for further changes after the first one,
+	// and coalescePerPoll is added for each poll that waits as well, up to
+	// maxCoalesce: what a change costs grows with the entries that hear of it.
+	coalesce        = 15 * time.Millisecond
+	coalescePerPoll = 3 * time.Millisecond
+	maxCoalesce     = 300 * time.Millisecond
+)
 
 // PollRequest asks for what changed after an index, and says that the entry is
 // alive.
@@ -69,7 +76,21 @@
 		m.wakeSweep()
 		return
 	}
-	peerhttp.Answer(w, PollAnswer{Fresh: m.Fresh(), Update: m.machine.Since(request.After)})
+	m.answerPoll(w, r, request.After)
+}
+
+// answerPoll writes a PollAnswer around an update that is encoded once for all
+// entries.
+func (m *Member) answerPoll(w http.ResponseWriter, r *http.Request, after uint64) {
+	update := m.machine.EncodedSince(after)
+	head := `{"fresh":` + strconv.FormatBool(m.Fresh()) + `,"update":`
+	if update.Gzip == nil || !peerhttp.AcceptsGzip(r) {
+		peerhttp.Write(w, []byte(head), update.JSON, []byte("}"))
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	// Members of a gzip stream may follow each other.
+	peerhttp.Write(w, fleetstate.Compress([]byte(head)), update.Gzip, fleetstate.Compress([]byte("}")))
 }
 
 // nearer returns all members if the entry has no copy yet and one of the other
@@ -93,7 +114,7 @@
 	for {
 		changed, index := m.machine.Changed()
 		if index > after {
-			_ = m.clock.Sleep(ctx, coalesce)
+			_ = m.clock.Sleep(ctx, min(coalesce+time.Duration(m.presence.waiting())*coalescePerPoll, maxCoalesce))
 			return
 		}
 		select {
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -23,6 +23,7 @@
 type presence struct {
 	mu      sync.Mutex
 	entries map[string]*heard
+	open    int // polls that wait
 }
 
 type heard struct {
@@ -49,6 +50,7 @@
 	h.entry = e
 	h.at = now
 	h.open++
+	p.open++
 	h.closed = false
 }
 
@@ -59,7 +61,10 @@
 	if h == nil {
 		return
 	}
-	h.open = max(h.open-1, 0)
+	if h.open > 0 {
+		h.open--
+		p.open--
+	}
 	if closed && h.open == 0 {
 		h.closed = true
 		h.at = now
@@ -81,6 +86,7 @@
 			continue
 		}
 		lost = append(lost, h.entry)
+		p.open -= h.open
 		delete(p.entries, name)
 	}
 	return lost
@@ -95,6 +101,13 @@
 	}
 }
 
+// waiting returns the number of polls that wait.
+func (p *presence) waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 func (p *presence) startProposal(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -74,7 +74,7 @@
 	p.client = targetconn.New(clock, h.Names)
 	var broker *grants.Broker
 	p.follower = fleetview.NewFollower(fleetview.Options{
-		Self: self, Seeds: s.seedPeers(), Peers: peers, Clock: clock, Log: log,
+		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(), Clock: clock, Log: log,
 		OnChange: func(v *fleetview.View) {
 			broker.ViewChanged(v)
 			p.retainConnections(v)
--- a/internal/fleetstate/apply.go
+++ b/internal/fleetstate/apply.go
@@ -33,7 +33,9 @@
 			s.Floor = index
 		}
 	}
-	s.forgetGone()
+	if len(c.Targets) > 0 {
+		s.forgetGone()
+	}
 }
 
 // Supersedes reports whether the announcement says something newer of its
@@ -78,36 +80,49 @@
 		return
 	}
 	t.Changed = index
+	s.setTarget(t)
+}
+
+// setTarget replaces the record of the target.
+func (s *state) setTarget(t Target) {
+	if before, ok := s.Targets[t.ID]; ok && s.holders[before.Address] == t.ID {
+		delete(s.holders, before.Address)
+	}
 	s.Targets[t.ID] = t
+	if t.State != Gone {
+		s.holders[t.Address] = t.ID
+	}
 }
 
-// claimAddress ends older targets at the address of t. It returns false if a
+func (s *state) indexHolders() {
+	s.holders = map[string]string{}
+	for _, t := range s.Targets {
+		if t.State != Gone {
+			s.holders[t.Address] = t.ID
+		}
+	}
+}
+
+// claimAddress ends an older target at the address of t. It returns false if a
 // younger one holds the address, so that t is a late announcement.
 func (s *state) claimAddress(index uint64, t Target) bool {
-	for _, other := range s.Targets {
-		if other.ID != t.ID && other.Address == t.Address && other.State != Gone && other.Born > t.Born {
-			return false
-		}
+	holder, ok := s.at(t.Address)
+	if !ok || holder.ID == t.ID {
+		return true
 	}
-	for id, other := range s.Targets {
-		if id != t.ID && other.Address == t.Address && other.State != Gone {
-			other.State = Gone
-			other.Changed = index
-			s.Targets[id] = other
-		}
+	if holder.Born > t.Born {
+		return false
 	}
+	holder.State = Gone
+	holder.Changed = index
+	s.setTarget(holder)
 	return true
 }
 
+// at returns the target at the address that is not gone. There is one at most.
 func (s *state) at(address string) (Target, bool) {
-	var found Target
-	ok := false
-	for _, t := range s.Targets {
-		if t.Address == address && t.State != Gone && (!ok || t.Born > found.Born) {
-			found, ok = t, true
-		}
-	}
-	return found, ok
+	id, ok := s.holders[address]
+	return s.Targets[id], ok
 }
 
 // placeEntry takes in the record of an entry. Of two incarnations the later
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -7,8 +7,6 @@
 	"maps"
 	"slices"
 	"sync"
-
-	"github.com/samber/lo"
 )
 
 // maxGone bounds the targets that are kept after their end.
@@ -20,6 +18,7 @@
 	mu      sync.Mutex
 	state   state
 	changed chan struct{} // closed and replaced at each change
+	updates updateCache
 }
 
 // state is what snapshots hold.
@@ -30,10 +29,12 @@
 	Targets map[string]Target `json:"targets"` // by id
 	Entries map[string]Entry  `json:"entries"` // by name
 	Members map[string]Member `json:"members"` // by peer address
+
+	holders map[string]string // id of the target at an address that is not gone
 }
 
 func newState() state {
-	return state{Targets: map[string]Target{}, Entries: map[string]Entry{}, Members: map[string]Member{}}
+	return state{Targets: map[string]Target{}, Entries: map[string]Entry{}, Members: map[string]Member{}, holders: map[string]string{}}
 }
 
 // NewMachine returns an empty state.
@@ -59,6 +60,7 @@
 }
 
 func (m *Machine) notify() {
+	m.updates = updateCache{}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -78,6 +80,7 @@
 			return fmt.Errorf("fleetstate: snapshot cannot be read: %w", err)
 		}
 	}
+	restored.indexHolders()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = restored
@@ -158,13 +161,24 @@
 	if s.Held.Document != nil && s.Held.Changed > index {
 		u.Held = &Held{Document: s.Held.Document, Changed: s.Held.Changed}
 	}
-	all := sorted(s.Targets, func(t Target) string { return t.ID })
-	u.Targets = lo.Filter(all, func(t Target, _ int) bool { return t.Changed > index && (!u.Reset || t.State != Gone) })
-	u.Entries = lo.Filter(sorted(s.Entries, func(e Entry) string { return e.Name }), func(e Entry, _ int) bool { return e.Changed > index })
-	u.Members = lo.Filter(sorted(s.Members, func(p Member) string { return p.PeerAddress }), func(p Member, _ int) bool { return p.Changed > index })
+	u.Targets = selected(s.Targets, func(t Target) string { return t.ID }, func(t Target) bool { return t.Changed > index && (!u.Reset || t.State != Gone) })
+	u.Entries = selected(s.Entries, func(e Entry) string { return e.Name }, func(e Entry) bool { return e.Changed > index })
+	u.Members = selected(s.Members, func(p Member) string { return p.PeerAddress }, func(p Member) bool { return p.Changed > index })
 	return u
 }
 
+// selected returns the records that match, in the order of their keys.
+func selected[V any](table map[string]V, key func(V) string, match func(V) bool) []V {
+	var found []V
+	for _, v := range table {
+		if match(v) {
+			found = append(found, v)
+		}
+	}
+	slices.SortFunc(found, func(a, b V) int { return cmp.Compare(key(a), key(b)) })
+	return found
+}
+
 func sorted[V any](table map[string]V, key func(V) string) []V {
 	return slices.SortedFunc(maps.Values(table), func(a, b V) int { return cmp.Compare(key(a), key(b)) })
 }
--- a/internal/peerhttp/client.go
+++ b/internal/peerhttp/client.go
@@ -38,13 +38,19 @@
 type Client struct{ http *http.Client }
 
 // New returns a client whose connections end when bytes stay unacknowledged.
-func New() *Client {
+func New() *Client { return newClient(false) }
+
+// NewCompressed returns a client that asks for compressed answers as well. It
+// is for long answers, since asking makes each request longer.
+func NewCompressed() *Client { return newClient(true) }
+
+func newClient(compressed bool) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DisableCompression:  !compressed,
 	}}}
 }
 
--- a/internal/peerhttp/server.go
+++ b/internal/peerhttp/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 )
 
 // MaxRequestBytes bounds the body of a call.
@@ -30,8 +31,25 @@
 		http.Error(w, "the answer cannot be encoded: "+err.Error(), http.StatusInternalServerError)
 		return
 	}
+	Write(w, encoded)
+}
+
+// Write writes an answer that is encoded already, in parts.
+func Write(w http.ResponseWriter, parts ...[]byte) {
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(length))
 	h["Date"] = nil
-	_, _ = w.Write(encoded) // the peer has gone if this fails
+	for _, part := range parts {
+		if _, err := w.Write(part); err != nil {
+			return // the peer has gone
+		}
+	}
 }
+
+// AcceptsGzip reports whether the caller takes a compressed answer.
+func AcceptsGzip(r *http.Request) bool { return r.Header.Get("Accept-Encoding") == "gzip" }
