--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -86,7 +86,7 @@
 		}
 	}
 	v := &fleetview.View{Routes: routing.NewTable(&routing.Document{
-		Version: 3, Limits: routing.Limits{MaxBodyBytes: 1000}, Services: []routing.Service{{Name: "s"}},
+		Version: 3, Limits: routing.Limits{MaxBodyBytes: 1000, MaxHeaderBytes: 2000}, Services: []routing.Service{{Name: "s"}},
 		Hosts: []routing.Host{{Name: "h", Routes: []routing.Route{
 			route("reads", routing.Idempotent, "/reads/"), route("once", routing.Once, "/once/"), route("upload", routing.Upload, "/upload/"),
 		}}},
@@ -238,6 +238,9 @@
 		do     func() *httptest.ResponseRecorder
 	}{
 		{"no route", 404, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/none/", "") }},
+		{"header over the limit", 431, func() *httptest.ResponseRecorder {
+			return call(t, g, "GET", "/reads/1", "", "X-Long", strings.Repeat("x", 2000))
+		}},
 		{"body over the limit", 413, func() *httptest.ResponseRecorder { return call(t, g, "POST", "/upload/1", strings.Repeat("x", 1001)) }},
 		{"deadline that is no number", 400, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/reads/1", "", "X-Left", "soon") }},
 		{"no time left", 504, func() *httptest.ResponseRecorder { return call(t, g, "GET", "/reads/1", "", "X-Left", "0") }},
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -44,6 +44,9 @@
 	if refused := g.setTimes(r, q); refused != nil {
 		return release, refused
 	}
+	if limit := v.Routes.Document.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return release, fault.Newf(fault.HeaderTooLarge, "the header is over the limit of %d bytes", limit)
+	}
 	g.choosePart(v, r.Host, q)
 	body, refused := g.readBody(w, r, q, v.Routes.Document.Limits.MaxBodyBytes)
 	if refused != nil {
@@ -56,6 +59,17 @@
 	return func() { g.bodies.Add(-size) }, nil
 }
 
+// headerBytes returns the length of the request line and the header fields.
+func headerBytes(r *http.Request) int64 {
+	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			total += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	return int64(total)
+}
+
 // setTimes sets when the final answer is due.
 func (g *Gateway) setTimes(r *http.Request, q *request) *fault.Error {
 	timeout := q.route.Timeout
