Bound the split of resting targets for wrong reports

Reports come from other processes, and the split slices by a number that follows from them. No input was found that slices beyond the regions: TestRestAllowedOfWrongReports passes without the bound too, and stays for the inputs that it names.

--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -112,7 +112,7 @@
 	}
 	regions := slices.Sorted(maps.Keys(idle))
 	slices.SortStableFunc(regions, func(a, b string) int { return cmp.Compare(remainder[b], remainder[a]) })
-	for _, region := range regions[:max(left, 0)] {
+	for _, region := range regions[:min(max(left, 0), len(regions))] {
 		allowed[region]++
 	}
 	return allowed
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -36,6 +36,13 @@
 	}
 }
 
+// Guards against a panic over a report that holds no possible number.
+func TestRestAllowedOfWrongReports(t *testing.T) {
+	for _, idle := range []float64{-5, 1e300, 0.1} {
+		assert.NotPanics(t, func() { restAllowed(map[string]float64{"a": 3, "b": idle}, 0.3) }, "%g", idle)
+	}
+}
+
 // Guards against a failing target that is tried again as soon as it may be
 // sound, because its region alone may rest no target, although the service may.
 // Without word from the other regions the region keeps the floor by itself.
