--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -45,15 +45,18 @@
 
 // Limits of settings.
 const (
-	minGrace   = time.Second
-	maxGrace   = time.Hour
-	maxTTL     = time.Minute
-	minMemory  = 32 // MB
-	maxMemory  = 1 << 20
-	thinLink   = 50.0 // Mbit/s; below it, callers are spread over all entries but some owners
-	bodyShare  = 4    // part of the memory that bodies may take: 1/bodyShare
-	retryPart  = 0.75 // part of the allowed slack that is used; an owner that takes over starts with a new one
-	retryRatio = 0.95 // part of the allowed share of requests that is used
+	minGrace  = time.Second
+	maxGrace  = time.Hour
+	maxTTL    = time.Minute
+	minMemory = 32 // MB
+	maxMemory = 1 << 20
+	thinLink  = 50.0 // Mbit/s; below it, callers are spread over all entries but some owners
+	bodyShare = 4    // part of the memory that bodies may take: 1/bodyShare
+	// retryPart and retryRatio are the parts of the allowed slack and share that
+	// an owner uses. One that takes over starts with a new slack, so two of them
+	// in a window use all of it.
+	retryPart  = 0.5
+	retryRatio = 0.9
 )
 
 // Defaults returns the settings without names and addresses.
--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -1,15 +1,19 @@
 package fleetentry
 
 import (
+	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/settings"
+	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
 const good = `{"name":"e","region":"r","data_centre":"d","data_centres":{"d":"r"},"caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
@@ -64,3 +68,32 @@
 	assert.NotEmpty(t, addresses(v, "h", "nowhere", "x", false))
 	assert.Len(t, addresses(v, "h", "r", "a", true), 3)
 }
+
+// Guards against an owner that takes over and, with a new budget, lets more
+// requests be sent once more than are allowed in the window.
+func TestRetryBudgetWhenOwnersChange(t *testing.T) {
+	for _, slack := range []float64{6, 60, 600} {
+		s := Defaults()
+		s.DataCentres = map[string]string{"d": "r"}
+		s.Retries = Retries{Ratio: 0.2, Slack: slack, Window: settings.Duration(10 * time.Second)}
+		clock := sys.NewManualClock(time.Unix(1000, 0))
+		requests, repeats := 0, 0
+		for range 2 { // owners, one after the other
+			p := pool.New(pool.Config{Service: "s", Region: "r", Clock: clock, Settings: s.poolSettings()})
+			p.SetTargets([]fleetstate.Target{{ID: "t", Service: "s", DataCentre: "d", Slots: 10_000, State: fleetstate.Ready, Born: 1}}, func(string) string { return "r" })
+			for n := range 3000 {
+				repeat := n >= 100
+				_, err := p.Acquire(context.Background(), pool.Request{ID: "q", TimeLeft: time.Second, DataCentre: "d", Repeat: repeat}, 0)
+				switch {
+				case !repeat:
+					requests++
+				case err == nil:
+					repeats++
+				}
+			}
+			clock.Advance(time.Second)
+		}
+		assert.LessOrEqual(t, float64(repeats), s.Retries.Ratio*float64(requests)+slack, "slack %g", slack)
+		assert.Positive(t, repeats)
+	}
+}
