Count hedges in the retry budget

A hedge asked for its grant while no attempt had ended, so it counted as a first request: outside of the budget, which it enlarged. TestHedgeDrawsOnTheRetryBudget failed before.

The part of the share that owners use is 0.8 again.

--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -56,7 +56,7 @@
 	// an owner uses. One that takes over starts with a new slack, so two of them
 	// in a window use all of it.
 	retryPart  = 0.5
-	retryRatio = 0.9
+	retryRatio = 0.8
 )
 
 // Defaults returns the settings without names and addresses.
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -151,7 +151,7 @@
 	return pool.Request{
 		ID: x.q.id, Class: route.Name, Repeatable: route.Kind.Repeatable() && x.sent+x.inFlight+1 < route.MaxAttempts, Priority: route.Priority,
 		Bytes: len(x.q.outgoing.Body), Objective: max(x.q.started.Add(route.Objective).Sub(now), 0),
-		TimeLeft: x.q.final.Sub(now), DataCentre: x.g.options.DataCentre, Tried: x.tried, Repeat: x.sent > 0,
+		TimeLeft: x.q.final.Sub(now), DataCentre: x.g.options.DataCentre, Tried: x.tried, Repeat: x.sent+x.inFlight > 0,
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/hedge_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetconn"
+)
+
+// silentFirst grants with a short time before a hedge; its first target stays
+// silent.
+type silentFirst struct {
+	*fakeFleet
+	asked sync.Mutex
+	seen  []pool.Request
+}
+
+func (s *silentFirst) Acquire(ctx context.Context, service string, r pool.Request, wait time.Duration) (*grants.Lease, error) {
+	s.asked.Lock()
+	s.seen = append(s.seen, r)
+	s.asked.Unlock()
+	l, err := s.fakeFleet.Acquire(ctx, service, r, wait)
+	if l != nil {
+		l.HedgeAfter = 10 * time.Millisecond
+	}
+	return l, err
+}
+
+func (s *silentFirst) Send(ctx context.Context, t targetconn.Target, r targetconn.Request) targetconn.Result {
+	if t.ID == "t0" {
+		<-ctx.Done()
+		return targetconn.Result{Outcome: pool.Canceled, Sent: true}
+	}
+	return s.fakeFleet.Send(ctx, t, r)
+}
+
+// Guards against a hedge that counts as a first request: it is sent outside of
+// the budget for repeated requests, and even enlarges it.
+func TestHedgeDrawsOnTheRetryBudget(t *testing.T) {
+	s := &silentFirst{fakeFleet: &fakeFleet{outcome: func(int) targetconn.Result { return good() }}}
+	g := New(Options{
+		Name: "e", DataCentre: "d", Names: names, View: s.view, Broker: s, Sender: s,
+		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: 1 << 20,
+	})
+	assert.Equal(t, http.StatusOK, call(t, g, http.MethodGet, "/reads/1", "").Code)
+	require.Len(t, s.seen, 2)
+	assert.False(t, s.seen[0].Repeat)
+	assert.True(t, s.seen[1].Repeat)
+}
