Weigh failures of repeatable requests by the retry budget that is left

Cause: a repeatable request preferred a failing target near by to a good one in another region, since its failure weighed 0.06 whatever was left of the retry budget. The log did not say why, since the refusal of a repeat was dropped; it is the field no_repeat now.

Change: beyond half of the budget the weight grows to that of a failure that cannot be repeated. TestSpentBudgetMakesRiskCount failed before.

Ruled out: requests without an id as checks of rested targets.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -203,8 +203,12 @@
 	if x.inFlight > 0 {
 		return result{}, false
 	}
-	if x.mayRepeat() && x.startNext(x.waitLimit()) == nil {
-		return result{}, false
+	if x.mayRepeat() {
+		refused := x.startNext(x.waitLimit())
+		if refused == nil {
+			return result{}, false
+		}
+		x.q.noRepeat = refused.Detail
 	}
 	return x.ended(r), true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,7 @@
 	final    time.Time // when the final answer is due
 	outgoing targetconn.Request
 	attempts []attempt
+	noRepeat string // why the request was not sent once more; empty: it was, or must not be
 }
 
 // attempt is what the log says of an attempt.
@@ -165,6 +166,9 @@
 	if q.route != nil {
 		fields = append(fields, zap.String("route", q.route.Name), zap.String("kind", string(q.route.Kind)), zap.String("service", q.service))
 	}
+	if q.noRepeat != "" {
+		fields = append(fields, zap.String("no_repeat", q.noRepeat))
+	}
 	if e != nil {
 		fields = append(fields, zap.String("error_kind", string(e.Kind)), zap.String("effect", string(e.Effect)), zap.String("detail", e.Detail))
 	}
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -21,6 +21,17 @@
 	return float64(len(b.repeats)+1) <= b.ratio*float64(len(b.firsts))+b.slack
 }
 
+// spent returns the share of the allowed repeats that the window holds, at most
+// 1.
+func (b *budget) spent(now time.Time) float64 {
+	b.trim(now)
+	allowed := b.ratio*float64(len(b.firsts)) + b.slack
+	if allowed <= float64(len(b.repeats)) {
+		return 1
+	}
+	return float64(len(b.repeats)) / allowed
+}
+
 func (b *budget) repeat(now time.Time) {
 	b.repeats = append(b.repeats, now)
 }
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -18,6 +18,7 @@
 // requests at once is always free, and would take all that the others cannot.
 func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
 	p.below = p.belowFloor(now)
+	p.repeatableWeight = p.weighRepeatable(now)
 	var best *target
 	bestCost, bestRisk := 0.0, 0.0
 	full := math.Inf(1) // lowest cost of a full target
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -5,11 +5,15 @@
 // Costs are in units of the worth of one request.
 const (
 	repeatableRisk = 0.06 // of a failure that can be repeated elsewhere, against 1 where it cannot
-	busyCost       = 0.01 // of each share of the slots in use
-	waitCost       = 0.05 // of an expected answer at the objective
-	lateCost       = 0.8  // of each objective beyond lateFrom
-	lateFrom       = 0.6  // share of the objective from which an answer may be late
-	maxLateCost    = 0.4  // a late answer is worth far more than none
+	// sparedBudget is the share of the retry budget up to which failures of
+	// repeatable requests are taken lightly. Beyond it their weight grows to that
+	// of a failure which cannot be repeated.
+	sparedBudget = 0.5
+	busyCost     = 0.01 // of each share of the slots in use
+	waitCost     = 0.05 // of an expected answer at the objective
+	lateCost     = 0.8  // of each objective beyond lateFrom
+	lateFrom     = 0.6  // share of the objective from which an answer may be late
+	maxLateCost  = 0.4  // a late answer is worth far more than none
 
 	// Links between data centres and regions are paid by volume.
 	zoneByteCost     = 0.003 / 1024
@@ -27,7 +31,7 @@
 	}
 	cost = risk
 	if r.Repeatable {
-		cost *= repeatableRisk
+		cost *= p.repeatableWeight
 	}
 	slots := float64(max(t.record.Slots, 1))
 	cost += busyCost * t.occupied(now) / slots
@@ -44,6 +48,13 @@
 	return cost, risk
 }
 
+// weighRepeatable returns the weight of a failure that can be repeated elsewhere
+// as far as the retry budget lasts.
+func (p *Pool) weighRepeatable(now time.Time) float64 {
+	short := max(0, p.budget.spent(now)-sparedBudget) / (1 - sparedBudget)
+	return repeatableRisk + (1-repeatableRisk)*short
+}
+
 // timeCost returns the cost of the expected wait and run on the target.
 func (p *Pool) timeCost(t *target, r Request, now time.Time) float64 {
 	if r.Objective <= 0 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -39,8 +39,11 @@
 	weights   weights
 	budget    budget
 	below     bool // too few sound targets got requests lately
-	idle      idleMean
-	reported  map[string]idleReport // by region, this one's own included
+	// repeatableWeight is the weight of a failure that can be repeated, against 1
+	// of one that cannot.
+	repeatableWeight float64
+	idle             idleMean
+	reported         map[string]idleReport // by region, this one's own included
 
 	granted, busy, budgetSpent *metrics.Counter
 	waited                     *metrics.Histogram
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -314,3 +314,23 @@
 	r.SetTargets([]fleetstate.Target{{ID: "t0", Service: "s", Address: "10.0.0.0:80", Slots: 2, State: fleetstate.Ready, Born: 2}}, func(string) string { return "r" })
 	r.mustAcquire(t, once())
 }
+
+// Guards against requests that fail on a target known to fail, because they may
+// be repeated, while no budget is left to repeat them.
+func TestSpentBudgetMakesRiskCount(t *testing.T) {
+	r := newRig(0, 2)
+	r.SetTargets([]fleetstate.Target{
+		{ID: "failing", Service: "s", Address: "10.0.0.1:80", DataCentre: "d", Slots: 9, State: fleetstate.Ready, Born: 1},
+		{ID: "far", Service: "s", Address: "10.0.0.2:80", DataCentre: "far", Slots: 9, State: fleetstate.Ready, Born: 1},
+	}, func(dataCentre string) string { return map[string]string{"d": "r", "far": "r2"}[dataCentre] })
+	r.Merge(Report{Region: "r2", Targets: []Evidence{{Target: "failing", Bad: 0.9}, {Target: "far", Bad: 0}}})
+	repeatable := once()
+	repeatable.Repeatable = true
+	assert.Equal(t, "failing", r.mustAcquire(t, repeatable).Target, "a repeat costs less than bytes between regions")
+	repeat := once()
+	repeat.Repeat = true
+	for r.budget.allows(r.clock.Now()) {
+		r.mustAcquire(t, repeat)
+	}
+	assert.Equal(t, "far", r.mustAcquire(t, repeatable).Target, "no repeat is left")
+}
