End the grants of entries that are gone

Cause: an owner kept the grants of a killed entry until the deadline of their requests, up to 13 s. Their targets counted as busy: slots stood empty, and the floor left these targets out of the idle ones.

Change: a grant names the entry and its incarnation. A new view ends the grants of entries that are lost or started again; leaving entries keep theirs. TestGrantsOfGoneSenders and TestGrantsEndWithTheirEntry failed before.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -104,12 +104,19 @@
 	return b.options.Regions[dataCentre] == b.options.Self.Region
 }
 
-// ViewChanged hands the targets of a new view to the pools.
+// ViewChanged hands the targets of a new view to the pools, and ends the grants
+// of entries that are gone.
 func (b *Broker) ViewChanged(v *fleetview.View) {
+	entries := lo.KeyBy(v.Entries, func(e fleetstate.Entry) string { return e.Name })
+	gone := func(s pool.Sender) bool {
+		e, known := entries[s.Entry]
+		return known && (e.State == fleetstate.Lost || e.Incarnation > s.Incarnation)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for group, p := range b.pools {
 		b.load(p, group, v)
+		p.DropGrants(gone)
 	}
 }
 
@@ -142,6 +149,7 @@
 // Acquire waits for a grant for at most maxWait.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	until := b.options.Clock.Now().Add(maxWait)
+	r.Sender = pool.Sender{Entry: b.options.Self.Name, Incarnation: b.options.Self.Incarnation}
 	all := b.options.View().Service(service)
 	home := lo.Filter(all, func(t fleetstate.Target, _ int) bool { return b.isHome(t.DataCentre) })
 	regions := len(lo.Uniq(lo.Values(b.options.Regions)))
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -221,3 +221,34 @@
 		return false
 	}, time.Second, 5*time.Millisecond, "a large change is passed on before the next regular exchange")
 }
+
+// Guards against targets that an owner takes for busy after the entries whose
+// requests they ran were killed: those that are lost and those that started
+// again hold no grants any more.
+func TestGrantsEndWithTheirEntry(t *testing.T) {
+	for desc, change := range map[string]func(*fleetstate.Entry){
+		"lost":          func(e *fleetstate.Entry) { e.State = fleetstate.Lost },
+		"started again": func(e *fleetstate.Entry) { e.Incarnation++ },
+		"leaving":       func(e *fleetstate.Entry) { e.State = fleetstate.Leaving },
+	} {
+		r := newRegion(t, 3, 2)
+		owner := r.owner()
+		sender := (owner + 1) % 3
+		l, err := r.brokers[sender].Acquire(context.Background(), "s", request("1"), time.Second)
+		require.NoError(t, err)
+		next := &fleetview.View{Targets: r.view.Targets, Entries: append([]fleetstate.Entry(nil), r.view.Entries...)}
+		change(&next.Entries[sender])
+		r.brokers[owner].ViewChanged(next)
+		inFlight := 0
+		for _, s := range r.brokers[owner].Status()["s"] {
+			if s.ID == l.Target {
+				inFlight = s.InFlight
+			}
+		}
+		if desc == "leaving" {
+			assert.Equal(t, 1, inFlight, "a leaving entry finishes its requests")
+			continue
+		}
+		assert.Zero(t, inFlight, desc)
+	}
+}
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -97,3 +97,16 @@
 		}
 	}
 }
+
+// DropGrants ends the grants of senders that are gone, whose requests ended with
+// them. Outcomes that they report later have no effect.
+func (p *Pool) DropGrants(gone func(Sender) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.leases {
+		if gone(l.request.Sender) {
+			p.drop(id, l)
+		}
+	}
+	p.dispatch(p.cfg.Clock.Now())
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -334,3 +334,22 @@
 	}
 	assert.Equal(t, "far", r.mustAcquire(t, repeatable).Target, "no repeat is left")
 }
+
+// Guards against slots that stay taken until the deadline by requests of an
+// entry that was killed or started again.
+func TestGrantsOfGoneSenders(t *testing.T) {
+	r := newRig(1, 1)
+	q := once()
+	var leases []uint64
+	for n := range 1 + queuePerTarget {
+		q.Sender = Sender{Entry: "e1", Incarnation: uint64(n)}
+		leases = append(leases, r.mustAcquire(t, q).Lease)
+	}
+	_, err := r.Acquire(context.Background(), once(), 0)
+	require.ErrorIs(t, err, ErrBusy)
+	r.DropGrants(func(s Sender) bool { return s.Incarnation == 0 })
+	r.mustAcquire(t, once())
+	assert.Equal(t, 2, r.targets[0].inFlight)
+	r.Release(leases[0], Outcome{Kind: OK}) // of the gone sender, late
+	assert.Equal(t, 2, r.targets[0].inFlight)
+}
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -19,16 +19,23 @@
 // ErrBudget says that the share of repeated requests is used up.
 var ErrBudget = errors.New("pool: the budget for repeated requests is used up")
 
+// Sender is the process that sends a request to its target.
+type Sender struct {
+	Entry       string `json:"entry"` // name
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // Request is what the pool knows of a request.
 type Request struct {
 	ID         string        `json:"id"`
-	Class      string        `json:"class"`            // route, for which durations are learned
-	Repeatable bool          `json:"repeatable"`       // after a failure it may go to another target
-	Priority   int           `json:"priority"`         // 0 is the most urgent
-	Bytes      int           `json:"bytes"`            // of the body
-	Objective  time.Duration `json:"objective"`        // time left in which an answer is good
-	TimeLeft   time.Duration `json:"time_left"`        // until the final answer is due
-	DataCentre string        `json:"data_centre"`      // of the entry that sends it
+	Class      string        `json:"class"`       // route, for which durations are learned
+	Repeatable bool          `json:"repeatable"`  // after a failure it may go to another target
+	Priority   int           `json:"priority"`    // 0 is the most urgent
+	Bytes      int           `json:"bytes"`       // of the body
+	Objective  time.Duration `json:"objective"`   // time left in which an answer is good
+	TimeLeft   time.Duration `json:"time_left"`   // until the final answer is due
+	DataCentre string        `json:"data_centre"` // of the entry that sends it
+	Sender     Sender        `json:"sender"`
 	Tried      []string      `json:"tried,omitempty"`  // ids of targets that it was sent to
 	Settle     bool          `json:"settle,omitempty"` // its wait ends: any free target is better than none
 	Repeat     bool          `json:"repeat,omitempty"` // a target was reached before, so the retry budget applies
