--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -18,18 +18,20 @@
 // allows reports whether one more repeat is allowed.
 func (b *budget) allows(now time.Time) bool {
 	b.trim(now)
-	return float64(len(b.repeats)+1) <= b.ratio*float64(len(b.firsts))+b.slack
+	return float64(len(b.repeats)+1) <= b.allowed()
 }
 
+// allowed returns the number of repeats that the requests of the window allow.
+func (b *budget) allowed() float64 { return b.ratio*float64(len(b.firsts)) + b.slack }
+
 // spent returns the share of the allowed repeats that the window holds, at most
 // 1.
 func (b *budget) spent(now time.Time) float64 {
 	b.trim(now)
-	allowed := b.ratio*float64(len(b.firsts)) + b.slack
-	if allowed <= float64(len(b.repeats)) {
-		return 1
+	if b.allowed() <= float64(len(b.repeats)) {
+		return 1 // also where nothing is allowed
 	}
-	return float64(len(b.repeats)) / allowed
+	return float64(len(b.repeats)) / b.allowed()
 }
 
 func (b *budget) repeat(now time.Time) {
