Bound what a target may send, and notice callers that pipeline and leave

Cause: the head of a response, interim responses, skipped responses and bodies over 1 MiB were read without a bound in bytes, and the latter without one in time: a target that sent without end made an entry read 194 MB of a head and 383 MB of a skipped body within a deadline of 0.4 s, and held its caller until it closed. A response that the caller did not get (a hedge, an earlier failure) kept its connection open. net/http stops watching for the caller's close once a byte of a further request arrives, so a pipelining caller that left was noticed after the whole run of the handler; and closing a connection behind "Connection: close" with unread requests reset it, which lost the response. Change: targetconn bounds heads (64 KiB with all interim and skipped ones), interim responses, skipped bodies and buffered responses (a sixteenth of the memory; beyond it a response is passed on unbuffered), and ends a streamed body at the deadline of its request; how it ended is the evidence of the target. The gateway closes each response, and limits how long a caller may take to read one. New package callerconn reads ahead of a running request, bounded by 64 KiB, ends the context of the connection on a close, and drains unread requests before it closes; both programs serve callers through it. A deadline could also be set on a connection that was already kept for the next request; Send now stops that first.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -10,10 +10,12 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/gateway"
 	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
@@ -64,6 +66,15 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
+	callers  bool // serves callers' requests
+}
+
+// serve runs the server until it is closed. Callers may pipeline requests.
+func (s *server) serve() error {
+	if s.callers {
+		return callerconn.Serve(s.http, s.listener)
+	}
+	return s.http.Serve(s.listener)
 }
 
 // New builds the entry and opens its listeners.
@@ -75,7 +86,7 @@
 		Incarnation: uint64(clock.Now().UnixMilli()), State: fleetstate.Serving,
 	}
 	peers := peerhttp.New()
-	p.client = targetconn.New(clock, h.HeaderNames)
+	p.client = targetconn.New(clock, h.HeaderNames, membudget.New(s.responseMemory()))
 	var broker *grants.Broker
 	p.follower = fleetview.NewFollower(fleetview.Options{
 		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(), Clock: clock, Log: log,
@@ -91,10 +102,10 @@
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Broker: broker,
-		Sender: p.client, Clock: clock, Log: log, BodyMemory: s.bodyMemory(),
+		Sender: p.client, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
-	p.callers = &server{name: "callers", http: &http.Server{Handler: p.gateway}}
+	p.callers = &server{name: "callers", callers: true, http: &http.Server{Handler: p.gateway}}
 	p.servers = []*server{
 		p.callers,
 		{name: "ready", http: &http.Server{Handler: h.Ready(p.Ready)}},
@@ -160,7 +171,7 @@
 	failed := make(chan error, len(p.servers))
 	for _, s := range p.servers {
 		go func() {
-			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.serve(); !errors.Is(err, http.ErrServerClosed) {
 				failed <- trace.Wrap(err, "server for %s", s.name)
 			}
 		}()
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -54,8 +54,11 @@
 	maxMemory = 1 << 20
 	// lowBandwidthMbps is the bandwidth in Mbit/s below which callers are
 	// spread over all entries except those reserved as owners.
-	lowBandwidthMbps  = 50.0
-	bodyMemoryDivisor = 4 // request bodies may take 1/bodyMemoryDivisor of the memory
+	lowBandwidthMbps = 50.0
+	// Request and response bodies may take 1/bodyMemoryDivisor and
+	// 1/responseMemoryDivisor of the memory.
+	bodyMemoryDivisor     = 4
+	responseMemoryDivisor = 16
 	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
 	// and ratio that one owner uses. An owner that takes over starts with its
 	// full slack, so two owners in a row within a window use up the allowed
@@ -132,3 +135,6 @@
 
 // bodyMemory returns the bytes that buffered request bodies may take.
 func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyMemoryDivisor }
+
+// responseMemory returns the bytes that buffered response bodies may take.
+func (s *Settings) responseMemory() int64 { return int64(s.MemoryMB) << 20 / responseMemoryDivisor }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -81,7 +81,27 @@
 	if err := e.startNextAttempt(e.maxWait()); err != nil {
 		return result{err: err}
 	}
-	return e.await()
+	r := e.await()
+	e.closeUnused(r)
+	return r
+}
+
+// closeUnused closes the responses that the caller does not get, also those of
+// attempts that are still in flight.
+func (e *execution) closeUnused(r result) {
+	if e.lastFailure != nil && e.lastFailure != r.response {
+		e.lastFailure.Close()
+	}
+	if e.inFlight == 0 {
+		return
+	}
+	go func() {
+		for range e.inFlight {
+			if end := <-e.ends; end.result.Response != nil {
+				end.result.Response.Close()
+			}
+		}
+	}()
 }
 
 // await handles finished attempts, the hedge timer and cancellation until there
@@ -191,11 +211,29 @@
 		ctx, span := telemetry.StartSpan(e.workCtx, "gateway.attempt")
 		defer span.End()
 		r := e.g.options.Sender.Send(ctx, targetconn.Target{ID: l.Target, Address: l.Address}, outgoing)
-		l.Release(pool.Outcome{Kind: r.Outcome, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load})
+		e.reportOutcome(l, r, started)
 		e.ends <- attemptEnd{index: index, result: r}
 	}()
 }
 
+// reportOutcome releases the grant with the outcome of the attempt: at once, or
+// once the rest of a response has been read.
+func (e *execution) reportOutcome(l *grants.Lease, r targetconn.Result, started time.Time) {
+	release := func(kind pool.OutcomeKind) {
+		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load})
+	}
+	if r.Response == nil || r.Response.Rest == nil {
+		release(r.Outcome)
+		return
+	}
+	r.Response.OnEnd(func(reading pool.OutcomeKind) {
+		if reading == pool.OK {
+			reading = r.Outcome
+		}
+		release(reading)
+	})
+}
+
 // handleEnd processes the end of an attempt. It returns the result of the request
 // and true, or false while another attempt is in flight.
 func (e *execution) handleEnd(end attemptEnd) (result, bool) {
@@ -210,9 +248,7 @@
 	if r.Outcome == pool.OK {
 		return result{response: r.Response}, true
 	}
-	if r.Outcome == pool.Failed {
-		e.lastFailure = r.Response
-	}
+	e.keepFailure(r)
 	if e.inFlight > 0 {
 		return result{}, false
 	}
@@ -226,6 +262,21 @@
 	return e.failure(r), true
 }
 
+// keepFailure keeps the error response of a target for the case that no other
+// target responds, and closes any other response.
+func (e *execution) keepFailure(r targetconn.Result) {
+	switch {
+	case r.Response == nil:
+	case r.Outcome != pool.Failed:
+		r.Response.Close()
+	default:
+		if e.lastFailure != nil {
+			e.lastFailure.Close()
+		}
+		e.lastFailure = r.Response
+	}
+}
+
 func (e *execution) recordEnd(end attemptEnd) {
 	a := &e.req.attempts[end.index]
 	a.Outcome, a.Sent, a.Reused = end.result.Outcome, end.result.MayHaveRun, end.result.Reused
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -52,8 +53,9 @@
 	Sender      Sender
 	Clock       sys.Clock
 	Log         *zap.Logger
-	// BodyMemory limits the bytes of request bodies buffered at the same time.
-	BodyMemory int64
+	// BodyMemory limits the bytes of request bodies buffered at the same time. Its
+	// limit must not be 0.
+	BodyMemory *membudget.Budget
 }
 
 // Gateway handles callers' requests. It implements http.Handler.
@@ -62,7 +64,6 @@
 	phase         float64 // where this entry starts in the split of a route, from 0 to 1
 	splits        *routing.Splitter
 	splitsVersion atomic.Uint64 // document version that the splitter state belongs to
-	bodyBytes     atomic.Int64  // bytes of buffered request bodies
 	inFlight      atomic.Int64
 	draining      atomic.Bool
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -104,7 +105,7 @@
 func newGateway(f *fakeFleet) *Gateway {
 	return New(Options{
 		Name: "e", DataCentre: "d", HeaderNames: names, View: f.view, Broker: f, Sender: f,
-		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: 1 << 20,
+		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: membudget.New(1 << 20),
 	})
 }
 
@@ -250,7 +251,7 @@
 		t.Run(tc.desc, func(t *testing.T) { assert.Equal(t, tc.status, tc.do().Code) })
 	}
 	assert.Empty(t, f.sent)
-	assert.Zero(t, g.bodyBytes.Load(), "body memory is released")
+	assert.Zero(t, g.options.BodyMemory.Used(), "body memory is released")
 }
 
 // Guards against a 404 from an entry that has no routing document yet.
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
@@ -50,7 +51,7 @@
 	s := &silentFirst{fakeFleet: &fakeFleet{outcome: func(int) targetconn.Result { return good() }}}
 	g := New(Options{
 		Name: "e", DataCentre: "d", HeaderNames: names, View: s.view, Broker: s, Sender: s,
-		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: 1 << 20,
+		Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: membudget.New(1 << 20),
 	})
 	assert.Equal(t, http.StatusOK, call(t, g, http.MethodGet, "/reads/1", "").Code)
 	require.Len(t, s.seen, 2)
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -59,7 +60,7 @@
 	req.outgoing = targetconn.Request{
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body,
 	}
-	return func() { g.bodyBytes.Add(-size) }, nil
+	return func() { g.options.BodyMemory.Give(size) }, nil
 }
 
 // headerBytes returns the size of the request line and the header fields.
@@ -111,7 +112,7 @@
 		return nil, fault.New(fault.BodyTooLarge, "the body is over the limit")
 	}
 	if limit <= 0 {
-		limit = g.options.BodyMemory
+		limit = math.MaxInt64
 	}
 	controller := http.NewResponseController(w)
 	if err := controller.SetReadDeadline(req.deadline); err != nil {
@@ -122,29 +123,30 @@
 	return body, rejection
 }
 
-// bufferBody reads the body into memory and counts its bytes in bodyBytes while
-// it grows. On failure it gives the counted bytes back. sizeHint is the
-// declared length; 0 if it is unknown.
+// bufferBody reads the body into memory and takes its bytes from the memory for
+// bodies as it grows. On failure it gives them back. sizeHint is the declared
+// length; 0 if it is unknown.
 func (g *Gateway) bufferBody(src io.Reader, sizeHint, limit int64) ([]byte, *fault.Error) {
+	memory := g.options.BodyMemory
 	body := make([]byte, 0, min(max(sizeHint, 512), 64<<10))
 	for {
 		if len(body) == cap(body) {
 			body = append(body, 0)[:len(body)]
 		}
 		n, err := src.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if held := g.bodyBytes.Add(int64(n)); held > g.options.BodyMemory {
-			g.bodyBytes.Add(-int64(len(body)))
+		if !memory.Take(int64(n)) {
+			memory.Give(int64(len(body)))
 			return nil, fault.New(fault.Overloaded, "too many bodies are held").WithRetryAfter(retryAfterBodyMemory)
 		}
+		body = body[:len(body)+n]
 		switch {
 		case int64(len(body)) > limit:
-			g.bodyBytes.Add(-int64(len(body)))
+			memory.Give(int64(len(body)))
 			return nil, fault.New(fault.BodyTooLarge, "the body is over the limit")
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
-			g.bodyBytes.Add(-int64(len(body)))
+			memory.Give(int64(len(body)))
 			return nil, bodyError(err)
 		}
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,10 +13,15 @@
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 )
 
+// callerReadTime is how long a caller may take to read a response.
+const callerReadTime = 30 * time.Second
+
 // writeResponse writes the response of a target to the caller. If a streamed body
 // ends early, the connection is aborted, so that the caller cannot take the
 // response for a complete one.
 func (g *Gateway) writeResponse(w http.ResponseWriter, req *request, resp *targetconn.Response) {
+	defer resp.Close()
+	g.limitWriting(w, req)
 	h := w.Header()
 	connection := h.Get("Connection")
 	for name, values := range resp.Header {
@@ -39,15 +45,20 @@
 	if err == nil && resp.Rest != nil {
 		_, err = io.Copy(w, resp.Rest)
 	}
-	if resp.Rest != nil {
-		_ = resp.Rest.Close()
-	}
 	if err != nil {
 		g.options.Log.Info("response to the caller truncated", zap.String("request_id", req.id), zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// limitWriting bounds the time in which the caller must read the response.
+func (g *Gateway) limitWriting(w http.ResponseWriter, req *request) {
+	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerReadTime))
+	if err != nil {
+		g.options.Log.Warn("response is written without a deadline", zap.String("request_id", req.id), zap.Error(err))
+	}
+}
+
 // writeError writes an error response. Retry-After carries fractions of a
 // second.
 func writeError(w http.ResponseWriter, requestID string, e *fault.Error) {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
 
@@ -60,7 +61,7 @@
 // Start accepts connections in the background.
 func (s *Server) Start() {
 	go func() {
-		err := s.server.Serve(s.listener)
+		err := callerconn.Serve(s.server, s.listener)
 		if !errors.Is(err, http.ErrServerClosed) {
 			s.serveErr <- err
 		}
--- /dev/null
+++ b/internal/membudget/budget.go
@@ -0,0 +1,43 @@
+// Package membudget limits how many bytes a process buffers for one purpose, such
+// as the bodies of all requests in flight.
+package membudget
+
+import "sync/atomic"
+
+// Budget is a limit on buffered bytes. The zero value has no limit. It is safe for
+// concurrent use.
+type Budget struct {
+	limit atomic.Int64 // bytes; 0: none
+	used  atomic.Int64
+}
+
+// New returns a budget of limit bytes; 0: no limit.
+func New(limit int64) *Budget {
+	b := &Budget{}
+	b.SetLimit(limit)
+	return b
+}
+
+// SetLimit changes the limit in bytes. What was taken stays taken.
+func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
+
+// Take reserves n bytes. It reports false, and reserves nothing, if the limit
+// would be exceeded.
+func (b *Budget) Take(n int64) bool {
+	limit := b.limit.Load()
+	if used := b.used.Add(n); limit > 0 && used > limit {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Give returns n bytes that were taken.
+func (b *Budget) Give(n int64) {
+	if left := b.used.Add(-n); left < 0 {
+		panic("membudget: more bytes were given back than taken")
+	}
+}
+
+// Used returns the number of bytes taken.
+func (b *Budget) Used() int64 { return b.used.Load() }
--- /dev/null
+++ b/internal/membudget/budget_test.go
@@ -0,0 +1,31 @@
+package membudget
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against a budget that is exceeded, or loses bytes, under concurrent use.
+func TestBudget(t *testing.T) {
+	b := New(100)
+	var users sync.WaitGroup
+	for range 20 {
+		users.Go(func() {
+			for range 1000 {
+				if b.Take(30) {
+					b.Give(30)
+				}
+			}
+		})
+	}
+	users.Wait()
+	assert.Zero(t, b.Used())
+	assert.True(t, b.Take(100))
+	assert.False(t, b.Take(1))
+	assert.Equal(t, int64(100), b.Used())
+	assert.Panics(t, func() { b.Give(101) })
+	unlimited := &Budget{}
+	assert.True(t, unlimited.Take(1<<40))
+}
--- a/internal/targetconn/conns.go
+++ b/internal/targetconn/conns.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -49,6 +50,7 @@
 	clock  sys.Clock
 	dialer net.Dialer
 	names  HeaderNames
+	memory *membudget.Budget // of buffered response bodies
 
 	mu        sync.Mutex
 	idle      map[Target][]*conn // the most recently used connection is the last
@@ -62,6 +64,7 @@
 type conn struct {
 	net.Conn
 	reader    *bufio.Reader
+	limit     *limitedReader // of reader
 	opened    time.Time
 	usedAt    time.Time     // end of the last request
 	idleLimit time.Duration // idle time after which it is not reused
@@ -69,9 +72,11 @@
 	idleFor   time.Duration // idle time before the current request
 }
 
-// New returns a client without connections.
-func New(clock sys.Clock, names HeaderNames) *Client {
+// New returns a client without connections. It buffers response bodies within
+// memory.
+func New(clock sys.Clock, names HeaderNames, memory *membudget.Budget) *Client {
 	return &Client{
+		memory:    memory,
 		clock:     clock,
 		names:     names,
 		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second, Control: peerhttp.SetUserTimeout},
@@ -106,7 +111,8 @@
 		return nil, err
 	}
 	c.opened.Inc()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), opened: c.clock.Now()}, nil
+	reader, limit := newReader(raw)
+	return &conn{Conn: raw, reader: reader, limit: limit, opened: c.clock.Now()}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -1,13 +1,12 @@
 package targetconn
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -18,14 +17,8 @@
 const (
 	// maxInlineBody is the body size in bytes up to which header and body are
 	// sent in one write.
-	maxInlineBody = 16 << 10
-	// maxBufferedBody is the size in bytes up to which a response body is read
-	// completely before any of it is passed on.
-	maxBufferedBody = 1 << 20
-	// maxSkippedResponses limits how many responses to other requests are
-	// skipped.
-	maxSkippedResponses = 2
-	pastUnixSeconds     = 1 // a past time in Unix seconds; as a deadline it ends reads and writes at once
+	maxInlineBody   = 16 << 10
+	pastUnixSeconds = 1 // a past time in Unix seconds; as a deadline it ends reads and writes at once
 )
 
 // HeaderNames are the names of the headers that targets understand.
@@ -49,15 +42,6 @@
 	TimeLeft time.Duration
 }
 
-// Response is the response of a target. If Rest is set, the reader must close it.
-type Response struct {
-	Status int
-	Header http.Header
-	Body   []byte        // the first maxBufferedBody bytes of the body
-	Rest   io.ReadCloser // the body after Body; nil if Body is complete
-	Length int64         // length of the complete body; -1: unknown
-}
-
 // Result is the result of an attempt.
 type Result struct {
 	Response   *Response // nil without a usable response
@@ -68,12 +52,6 @@
 	Err        error
 }
 
-var (
-	errOtherRequest = errors.New("the response belongs to another request")
-	errNoRequestID  = errors.New("the response carries no request id")
-	errNoSignature  = errors.New("the success response carries no signature of the target")
-)
-
 // Send sends the request to the target and reads its response.
 func (c *Client) Send(ctx context.Context, t Target, r Request) Result {
 	cn, err := c.connect(ctx, t)
@@ -85,9 +63,22 @@
 		return Result{Outcome: outcome, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(pastUnixSeconds, 0)) })
-	result := c.exchange(ctx, t, cn, r)
+	result, keepAlive, reusable := c.exchange(t, cn, r)
 	result.Reused = cn.reused
-	if !stop() && result.Response == nil && ctx.Err() != nil {
+	// Once stop has returned true, nothing sets a deadline on the connection any
+	// more, so it can be kept.
+	stopped := stop()
+	switch {
+	case result.Response != nil && result.Response.Rest != nil:
+		if stopped {
+			limitRest(ctx, cn)
+		}
+	case reusable && stopped:
+		c.putIdle(t, cn, keepAlive)
+	default:
+		_ = cn.Close()
+	}
+	if !stopped && result.Response == nil && !isInvalid(result.Err) {
 		result.Outcome = pool.Canceled
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			result.Outcome = pool.Timeout
@@ -99,32 +90,22 @@
 	return result
 }
 
-// exchange writes the request and reads the response. It then closes the
-// connection or keeps it for the next request. Closing Rest closes a connection
-// whose response is not buffered completely.
-func (c *Client) exchange(ctx context.Context, t Target, cn *conn, r Request) Result {
+// exchange writes the request and reads the response. It reports whether the
+// connection can be reused, and for how long the target keeps it open while idle;
+// 0: not stated.
+func (c *Client) exchange(t Target, cn *conn, r Request) (result Result, keepAlive time.Duration, reusable bool) {
 	written, err := cn.writeRequest(c.encodeHead(t, r), r.Body)
 	if err != nil {
-		_ = cn.Close()
-		return Result{Outcome: pool.Reset, MayHaveRun: true, Err: fmt.Errorf("the request was not written completely: %w", err)}
+		return Result{Outcome: pool.Reset, MayHaveRun: true, Err: fmt.Errorf("the request was not written completely: %w", err)}, 0, false
 	}
 	response, raw, err := c.readResponse(cn, r)
 	if err != nil {
-		_ = cn.Close()
-		return Result{Outcome: outcomeOfError(err), MayHaveRun: true, Err: err}
+		return Result{Outcome: outcomeOfError(err), MayHaveRun: true, Err: err}, 0, false
 	}
-	reusable := !raw.Close && response.Rest == nil && cn.reader.Buffered() == 0 && written.done()
-	switch {
-	case response.Rest != nil:
-		response.Rest = &restBody{ReadCloser: response.Rest, conn: cn}
-	case reusable && ctx.Err() == nil:
-		c.putIdle(t, cn, keepAliveTimeout(raw.Header))
-	default:
-		_ = cn.Close()
-	}
-	result := c.classify(response)
+	reusable = !raw.Close && response.Rest == nil && cn.reader.Buffered() == 0 && written.done()
+	result = c.classify(response)
 	result.Load = parseLoad(raw.Header.Get(c.names.Load))
-	return result
+	return result, keepAliveTimeout(raw.Header), reusable
 }
 
 // parseLoad parses the load header of a target. It returns nil if there is none
@@ -151,7 +132,7 @@
 	case notRun:
 		return Result{Outcome: pool.Shed, Response: resp}
 	case resp.Status/100 == 2 && resp.Header.Get(c.names.Signature) == "":
-		resp.close()
+		resp.Close()
 		return Result{Outcome: pool.InvalidResponse, MayHaveRun: true, Err: errNoSignature}
 	case resp.Status >= http.StatusInternalServerError:
 		return Result{Outcome: pool.Failed, MayHaveRun: true, Response: resp}
@@ -160,17 +141,10 @@
 	}
 }
 
-func (resp *Response) close() {
-	if resp.Rest != nil {
-		_ = resp.Rest.Close()
-	}
-}
-
 // outcomeOfError distinguishes a connection that ended before any response from a
 // response that cannot be used.
 func outcomeOfError(err error) pool.OutcomeKind {
-	var broken *invalidResponseError
-	if errors.As(err, &broken) {
+	if isInvalid(err) {
 		return pool.InvalidResponse
 	}
 	return pool.Reset
@@ -182,6 +156,13 @@
 func (e *invalidResponseError) Error() string { return "invalid response: " + e.err.Error() }
 func (e *invalidResponseError) Unwrap() error { return e.err }
 
+// isInvalid reports whether the error says that the target sent bytes that are no
+// usable response. An end by a deadline does not say so.
+func isInvalid(err error) bool {
+	var invalid *invalidResponseError
+	return errors.As(err, &invalid) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // encodeHead returns the request line and the header.
 func (c *Client) encodeHead(t Target, r Request) []byte {
 	var b bytes.Buffer
@@ -237,70 +218,6 @@
 	return w, nil
 }
 
-// readResponse reads the response to the request. It skips late responses to
-// earlier requests.
-func (c *Client) readResponse(cn *conn, r Request) (*Response, *http.Response, error) {
-	for range maxSkippedResponses + 1 {
-		raw, err := readHeader(cn.reader, r.Method)
-		if err != nil {
-			return nil, nil, err
-		}
-		response, err := readBody(raw)
-		if err != nil {
-			return nil, nil, &invalidResponseError{err}
-		}
-		id := raw.Header.Get(c.names.RequestID)
-		if id == r.ID {
-			return response, raw, nil
-		}
-		if id == "" {
-			response.close()
-			return nil, nil, &invalidResponseError{errNoRequestID}
-		}
-		if response.Rest != nil || raw.Close {
-			response.close()
-			return nil, nil, &invalidResponseError{errOtherRequest}
-		}
-	}
-	return nil, nil, &invalidResponseError{errOtherRequest}
-}
-
-// readHeader reads the header of the next final response; it skips interim ones.
-func readHeader(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		if _, err := reader.Peek(1); err != nil {
-			return nil, err // no byte of a response arrived
-		}
-		raw, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, &invalidResponseError{err}
-		}
-		if raw.StatusCode >= http.StatusOK || raw.StatusCode == http.StatusSwitchingProtocols {
-			return raw, nil
-		}
-	}
-}
-
-func readBody(raw *http.Response) (*Response, error) {
-	body, err := io.ReadAll(io.LimitReader(raw.Body, maxBufferedBody))
-	if err != nil {
-		return nil, err
-	}
-	resp := &Response{Status: raw.StatusCode, Header: raw.Header, Body: body, Length: raw.ContentLength}
-	if len(body) == maxBufferedBody {
-		resp.Rest = raw.Body
-	}
-	return resp, nil
-}
-
-// restBody closes the connection, which is not reused after a long response.
-type restBody struct {
-	io.ReadCloser
-	conn *conn
-}
-
-func (b *restBody) Close() error { return b.conn.Close() }
-
 // keepAliveTimeout returns the timeout of the Keep-Alive header, after which the
 // target closes the idle connection; 0: none.
 func keepAliveTimeout(h http.Header) time.Duration {
