Count traffic by cause and distance

Change: package traffic counts the bytes of outgoing connections for each cause (request, grant, release, evidence, poll, consensus) and distance; metric sequoialane_traffic_bytes_total of entries and control members.

--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 // Defaults of a Config.
@@ -41,12 +42,13 @@
 	Members      []Member // all slots of the group, the same on all members
 	Storage      Storage
 	StateMachine StateMachine
-	Clock        sys.Clock    // default: the system clock
-	Rand         *rand.Rand   // default: randomly seeded; must not be used by anyone else
-	Logger       *zap.Logger  // default: no logs
-	Token        string       // shared secret of all members; empty: requests are not authenticated
-	PathPrefix   string       // default "/consensus/v1/" followed by Group
-	Client       *http.Client // default: a client with timeouts suited to connections between members
+	Clock        sys.Clock          // default: the system clock
+	Rand         *rand.Rand         // default: randomly seeded; must not be used by anyone else
+	Logger       *zap.Logger        // default: no logs
+	Token        string             // shared secret of all members; empty: requests are not authenticated
+	PathPrefix   string             // default "/consensus/v1/" followed by Group
+	Client       *http.Client       // default: a client with timeouts suited to connections between members
+	Locations    *traffic.Locations // of the members, for counting traffic; may be nil
 
 	HeartbeatInterval time.Duration // default DefaultHeartbeatInterval
 	// ElectionTimeout is the minimum time without a leader before an election.
@@ -103,7 +105,7 @@
 		c.SnapshotBytes = DefaultSnapshotBytes
 	}
 	if c.Client == nil {
-		c.Client = newClient(c.RequestTimeout, true)
+		c.Client = newClient(c.RequestTimeout, true, c.Locations)
 	}
 	return c, c.validate()
 }
--- a/internal/consensus/forward_test.go
+++ b/internal/consensus/forward_test.go
@@ -41,7 +41,7 @@
 // the connection to the leader stops responding.
 func TestForwardOverSilentConnection(t *testing.T) {
 	for _, loseRequests := range []bool{false, true} {
-		tripper := &silentRoundTripper{next: newClient(time.Second, true).Transport}
+		tripper := &silentRoundTripper{next: newClient(time.Second, true, nil).Transport}
 		tripper.dropRequests.Store(loseRequests)
 		c := newCluster(t, 3, false, func(c *Config) { c.Client = &http.Client{Transport: tripper} })
 		c.waitUntilSettled()
@@ -119,7 +119,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.desc, func(t *testing.T) {
-			tr := &transport{config: Config{Token: tc.token, Client: newClient(time.Second, false)}}
+			tr := &transport{config: Config{Token: tc.token, Client: newClient(time.Second, false, nil)}}
 			err := tr.post(context.Background(), url+tc.path, tc.body, nil)
 			var status *statusError
 			require.ErrorAs(t, err, &status)
--- a/internal/consensus/http_client.go
+++ b/internal/consensus/http_client.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 // Settings of the connections between members.
@@ -19,14 +21,14 @@
 // newClient returns a client that limits dialling to dialTimeout and closes
 // connections whose data is not acknowledged within unackedDataTimeout. It
 // reuses connections if reuse is set.
-func newClient(dialTimeout time.Duration, reuse bool) *http.Client {
+func newClient(dialTimeout time.Duration, reuse bool, locations *traffic.Locations) *http.Client {
 	dialer := &net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: keepAlivePeriod,
 		Control:   setTCPUserTimeout,
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         traffic.CountDials(dialer.DialContext, locations, traffic.Consensus),
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -56,7 +56,7 @@
 func newTransport(config Config, failedSnapshots chan<- MemberID, groupCounters counters) *transport {
 	t := &transport{
 		config:          config,
-		newConnClient:   newClient(config.RequestTimeout, false),
+		newConnClient:   newClient(config.RequestTimeout, false, config.Locations),
 		failedSnapshots: failedSnapshots,
 		counters:        groupCounters,
 		peers:           map[string]*peerLink{},
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -21,6 +21,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -55,6 +56,7 @@
 	Self         fleetstate.Member
 	Group        Group
 	StateMachine *fleetstate.StateMachine
+	Locations    *traffic.Locations // updated from the state; may be nil
 	Clock        sys.Clock
 	Log          *zap.Logger
 }
@@ -64,6 +66,7 @@
 	self              fleetstate.Member
 	group             Group
 	stateMachine      *fleetstate.StateMachine
+	locations         *traffic.Locations // of the members; may be nil
 	clock             sys.Clock
 	log               *zap.Logger
 	batch             *batcher
@@ -88,7 +91,7 @@
 // New returns a member. Run starts its background work.
 func New(o Options) *Member {
 	return &Member{
-		self: o.Self, group: o.Group, stateMachine: o.StateMachine, clock: o.Clock, log: o.Log,
+		self: o.Self, group: o.Group, stateMachine: o.StateMachine, locations: o.Locations, clock: o.Clock, log: o.Log,
 		batch:             newBatcher(o.Group, o.Clock),
 		presence:          newPresence(),
 		stopping:          make(chan struct{}),
@@ -135,6 +138,7 @@
 		}
 		last = now
 		m.detectLosses(now)
+		m.updateLocations()
 	}
 }
 
@@ -277,6 +281,18 @@
 // Entry returns the record of an entry in this member's copy of the state.
 func (m *Member) Entry(name string) (fleetstate.Entry, bool) { return m.stateMachine.Entry(name) }
 
+// updateLocations makes the traffic between members count by distance.
+func (m *Member) updateLocations() {
+	if m.locations == nil {
+		return
+	}
+	places := map[string]string{}
+	for _, r := range m.stateMachine.Members() {
+		places[r.PeerAddress] = r.DataCentre
+	}
+	m.locations.Update(places)
+}
+
 // detectLosses proposes records for entries that are lost, for this member if it
 // is not registered, and, on the leader, for members that were removed.
 func (m *Member) detectLosses(now time.Time) {
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -18,6 +18,7 @@
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -48,12 +49,13 @@
 		return nil, trace.Wrap(err)
 	}
 	stateMachine := fleetstate.NewStateMachine()
+	locations := traffic.NewLocations(s.DataCentre, s.DataCentres)
 	group, err := consensus.Start(consensus.Config{
 		Group: groupName, Self: s.PeerAddress, Dynamic: true, Bootstrap: s.Bootstrap,
 		Members: lo.Map(settings.WithPort(s.Seeds, s.SeedPort), func(address string, _ int) consensus.Member {
 			return consensus.Member{Slot: address, Address: address}
 		}),
-		Storage: consensus.DiskStorage(dir), StateMachine: stateMachine, Clock: clock, Logger: log,
+		Locations: locations, Storage: consensus.DiskStorage(dir), StateMachine: stateMachine, Clock: clock, Logger: log,
 		HeartbeatInterval: HeartbeatInterval, ElectionTimeout: ElectionTimeout,
 	})
 	if err != nil {
@@ -63,7 +65,7 @@
 		Self: fleetstate.Member{
 			PeerAddress: s.PeerAddress, ControlAddress: s.ControlAddress, Region: s.Region, DataCentre: s.DataCentre,
 		},
-		Group: group, StateMachine: stateMachine, Clock: clock, Log: log,
+		Group: group, StateMachine: stateMachine, Locations: locations, Clock: clock, Log: log,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/fleet/v1/", member.Handler())
--- a/internal/fleetentry/directory_test.go
+++ b/internal/fleetentry/directory_test.go
@@ -38,7 +38,7 @@
 	changed := make(chan struct{}, 8)
 	f := fleetview.NewFollower(fleetview.Options{
 		Self: fleetstate.Entry{Name: "e", Region: "r", DataCentre: "d"}, Seeds: []string{control.Listener.Addr().String()},
-		Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		Peers: peerhttp.New(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
 		OnChange: func(*fleetview.View) { changed <- struct{}{} },
 	})
 	d := &Directory{follower: f, ttl: time.Second}
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -20,6 +20,7 @@
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -50,16 +51,17 @@
 // Process runs an entry: its servers, its copy of the fleet state and its
 // gateway.
 type Process struct {
-	settings *Settings
-	log      *zap.Logger
-	clock    sys.Clock
-	follower *fleetview.Follower
-	broker   *grants.Broker
-	gateway  *gateway.Gateway
-	client   *targetconn.Client
-	servers  []*server
-	callers  *server
-	draining chan struct{}
+	settings  *Settings
+	log       *zap.Logger
+	clock     sys.Clock
+	follower  *fleetview.Follower
+	broker    *grants.Broker
+	gateway   *gateway.Gateway
+	client    *targetconn.Client
+	locations *traffic.Locations
+	servers   []*server
+	callers   *server
+	draining  chan struct{}
 }
 
 type server struct {
@@ -85,12 +87,14 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 		Incarnation: uint64(clock.Now().UnixMilli()), State: fleetstate.Serving,
 	}
-	peers := peerhttp.New()
-	p.client = targetconn.New(clock, h.HeaderNames, membudget.New(s.responseMemory()))
+	p.locations = traffic.NewLocations(s.DataCentre, s.DataCentres)
+	peers := peerhttp.New(p.locations)
+	p.client = targetconn.New(clock, h.HeaderNames, membudget.New(s.responseMemory()), p.locations)
 	var broker *grants.Broker
 	p.follower = fleetview.NewFollower(fleetview.Options{
-		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(), Clock: clock, Log: log,
+		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(p.locations), Clock: clock, Log: log,
 		OnChange: func(v *fleetview.View) {
+			p.locations.Update(v.Locations())
 			broker.ViewChanged(v)
 			p.closeStaleConnections(v)
 		},
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -14,6 +14,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -199,7 +200,7 @@
 	f.polls.Inc()
 	started := f.options.Clock.Now()
 	var response fleetcontrol.PollResponse
-	err := f.options.Peers.Post(ctx, source, fleetcontrol.PollPath, request, &response)
+	err := f.options.Peers.Post(ctx, traffic.Poll, source, fleetcontrol.PollPath, request, &response)
 	if err != nil {
 		f.mu.Lock()
 		interrupted := f.self.State != request.Entry.State
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -54,6 +54,22 @@
 	return v.Routes.Document.Version
 }
 
+// Locations returns the data centres of all members, entries and targets, by
+// address.
+func (v *View) Locations() map[string]string {
+	places := make(map[string]string, len(v.Members)+len(v.Entries)+len(v.Targets))
+	for _, m := range v.Members {
+		places[m.PeerAddress] = m.DataCentre
+	}
+	for _, e := range v.Entries {
+		places[e.PeerAddress] = e.DataCentre
+	}
+	for _, t := range v.Targets {
+		places[t.Address] = t.DataCentre
+	}
+	return places
+}
+
 // withUpdate returns the view after the update. It ignores a routing document
 // whose version is not higher than the current one.
 func (v *View) withUpdate(u fleetstate.Update) *View {
--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -81,7 +81,7 @@
 	}
 	g := New(Options{
 		Name: "e", DataCentre: "d", HeaderNames: names, View: func() *fleetview.View { return view }, Broker: o,
-		Sender: targetconn.New(sys.RealClock{}, names, memory), Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: membudget.New(1 << 20),
+		Sender: targetconn.New(sys.RealClock{}, names, memory, nil), Clock: sys.RealClock{}, Log: zap.NewNop(), BodyMemory: membudget.New(1 << 20),
 	})
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 // EvidencePath is the path of the call that sends the estimates of a pool to the
@@ -79,7 +80,7 @@
 func (b *Broker) sendEvidenceTo(ctx context.Context, owner fleetstate.Entry, request EvidenceRequest) {
 	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
-	if err := b.options.Peers.Post(ctx, owner.PeerAddress, EvidencePath, request, nil); err != nil {
+	if err := b.options.Peers.Post(ctx, traffic.Evidence, owner.PeerAddress, EvidencePath, request, nil); err != nil {
 		b.options.Log.Debug("sending evidence to owner failed", zap.String("owner", owner.Name), zap.String("group", request.Group.key()), zap.Error(err))
 	}
 }
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -19,6 +19,7 @@
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -209,7 +210,7 @@
 	defer cancel()
 	started := b.options.Clock.Now()
 	var response AcquireResponse
-	err := b.options.Peers.Post(ctx, owner.PeerAddress, AcquirePath, AcquireRequest{Group: group, Request: r, MaxWait: wait}, &response)
+	err := b.options.Peers.Post(ctx, traffic.Grant, owner.PeerAddress, AcquirePath, AcquireRequest{Group: group, Request: r, MaxWait: wait}, &response)
 	if err != nil {
 		return nil, err
 	}
@@ -260,7 +261,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		request := ReleaseRequest{Group: group, LeaseID: g.LeaseID, Outcome: o}
-		if err := b.options.Peers.Post(ctx, owner.PeerAddress, ReleasePath, request, nil); err != nil {
+		if err := b.options.Peers.Post(ctx, traffic.Release, owner.PeerAddress, ReleasePath, request, nil); err != nil {
 			b.options.Log.Debug("release request to owner failed; lease will expire", zap.String("owner", owner.Name), zap.Error(err))
 		}
 	}()
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -43,7 +43,7 @@
 		r.view.Entries = append(r.view.Entries, self)
 		b := New(Options{
 			Self: self, Settings: pool.DefaultSettings(), Regions: map[string]string{"d": "r"},
-			View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+			View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
 		})
 		server.Config.Handler = b.Handler()
 		server.Start()
@@ -198,7 +198,7 @@
 	regions := map[string]string{"d": "r", "d2": "r2"}
 	other := New(Options{
 		Self: far, Settings: pool.DefaultSettings(), Regions: regions,
-		View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		View: func() *fleetview.View { return r.view }, Peers: peerhttp.New(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
 	})
 	server.Config.Handler = other.Handler()
 	server.Start()
--- a/internal/peerhttp/client.go
+++ b/internal/peerhttp/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/telemetry"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -40,17 +41,18 @@
 type Client struct{ http *http.Client }
 
 // New returns a client whose connections are closed when sent bytes stay
-// unacknowledged.
-func New() *Client { return newClient(false) }
+// unacknowledged. Traffic is counted by the distances of locations, which may be
+// nil.
+func New(locations *traffic.Locations) *Client { return newClient(false, locations) }
 
 // NewCompressed is like New, but the client accepts compressed responses. It is
 // for large responses, since the Accept-Encoding header makes each request longer.
-func NewCompressed() *Client { return newClient(true) }
+func NewCompressed(locations *traffic.Locations) *Client { return newClient(true, locations) }
 
-func newClient(compressed bool) *Client {
+func newClient(compressed bool, locations *traffic.Locations) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         traffic.CountDials(dialer.DialContext, locations, traffic.Other),
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  !compressed,
@@ -72,8 +74,9 @@
 
 // Post sends the request as JSON to a path of the peer and decodes the response
 // into result, unless result is nil. It returns a *StatusError for a status other
-// than 2xx.
-func (c *Client) Post(ctx context.Context, peer, path string, request, result any) error {
+// than 2xx. Its bytes are counted for the cause.
+func (c *Client) Post(ctx context.Context, cause traffic.Cause, peer, path string, request, result any) error {
+	ctx = traffic.Attribute(ctx, cause)
 	body, err := json.Marshal(request)
 	if err != nil {
 		return fmt.Errorf("request for %s cannot be encoded as JSON: %w", path, err)
--- a/internal/targetconn/conns.go
+++ b/internal/targetconn/conns.go
@@ -18,6 +18,7 @@
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
@@ -48,9 +49,9 @@
 // concurrent use.
 type Client struct {
 	clock  sys.Clock
-	dialer net.Dialer
 	names  HeaderNames
 	memory *membudget.Budget // of buffered response bodies
+	dial   traffic.DialFunc
 
 	mu        sync.Mutex
 	idle      map[Target][]*conn // the most recently used connection is the last
@@ -73,13 +74,14 @@
 }
 
 // New returns a client without connections. It buffers response bodies within
-// memory.
-func New(clock sys.Clock, names HeaderNames, memory *membudget.Budget) *Client {
+// memory. Traffic is counted by the distances of locations, which may be nil.
+func New(clock sys.Clock, names HeaderNames, memory *membudget.Budget, locations *traffic.Locations) *Client {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second, Control: peerhttp.SetUserTimeout}
 	return &Client{
+		dial:      traffic.CountDials(dialer.DialContext, locations, traffic.Request),
 		memory:    memory,
 		clock:     clock,
 		names:     names,
-		dialer:    net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second, Control: peerhttp.SetUserTimeout},
 		idle:      map[Target][]*conn{},
 		idleLimit: maxIdleLimit,
 		opened:    metrics.GetOrCreateCounter("sequoialane_target_connections_opened_total"),
@@ -106,7 +108,7 @@
 		c.discarded.Inc()
 		_ = found.Close()
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", t.Address)
+	raw, err := c.dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -191,11 +193,11 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := cn.Conn.(*net.TCPConn)
+	socket, ok := cn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/targetconn/endless_test.go
+++ b/internal/targetconn/endless_test.go
@@ -61,7 +61,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), endlessTime)
 			defer cancel()
 			started := time.Now()
-			result := New(sys.RealClock{}, names, membudget.New(0)).Send(ctx, f.target(), Request{ID: "id-1", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: endlessTime})
+			result := New(sys.RealClock{}, names, membudget.New(0), nil).Send(ctx, f.target(), Request{ID: "id-1", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: endlessTime})
 			assert.Less(t, time.Since(started), endlessTime+endSlack)
 			assert.Nil(t, result.Response)
 			assert.True(t, result.MayHaveRun)
@@ -90,7 +90,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), endlessTime)
 			defer cancel()
 			started := time.Now()
-			result := New(sys.RealClock{}, names, membudget.New(0)).Send(ctx, f.target(), Request{ID: "id-1", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: endlessTime})
+			result := New(sys.RealClock{}, names, membudget.New(0), nil).Send(ctx, f.target(), Request{ID: "id-1", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: endlessTime})
 			require.NotNil(t, result.Response, "%v", result.Err)
 			require.NotNil(t, result.Response.Rest)
 			var outcome atomic.Value
@@ -116,7 +116,7 @@
 	f := startTarget(t, func(_ int, c net.Conn, r *http.Request) {
 		respond(c, r.Header.Get("X-Id"), "", strings.Repeat("x", size))
 	})
-	client := New(sys.RealClock{}, names, membudget.New(0))
+	client := New(sys.RealClock{}, names, membudget.New(0), nil)
 	client.memory.SetLimit(2 * size)
 	var held []*Response
 	for range 6 {
@@ -144,7 +144,7 @@
 // that is cancelled while its connection is kept must not leave a deadline on it.
 func TestCancelAfterResponse(t *testing.T) {
 	f := startTarget(t, func(_ int, c net.Conn, r *http.Request) { respond(c, r.Header.Get("X-Id"), "", "body") })
-	client := New(sys.RealClock{}, names, membudget.New(0))
+	client := New(sys.RealClock{}, names, membudget.New(0), nil)
 	for n := range 2000 {
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() {
--- a/internal/targetconn/send_test.go
+++ b/internal/targetconn/send_test.go
@@ -148,7 +148,7 @@
 	for _, tc := range cases {
 		t.Run(tc.desc, func(t *testing.T) {
 			f := startTarget(t, func(_ int, c net.Conn, r *http.Request) { tc.script(c, r.Header.Get("X-Id")) })
-			result := send(New(sys.RealClock{}, names, membudget.New(0)), f.target(), "id-1", "x")
+			result := send(New(sys.RealClock{}, names, membudget.New(0), nil), f.target(), "id-1", "x")
 			assert.Equal(t, tc.outcome, result.Outcome, "%v", result.Err)
 			assert.Equal(t, tc.sent, result.MayHaveRun)
 			if tc.outcome == pool.OK {
@@ -163,7 +163,7 @@
 	f := startTarget(t, nil)
 	target := f.target()
 	require.NoError(t, f.listener.Close())
-	result := send(New(sys.RealClock{}, names, membudget.New(0)), target, "id-1", "x")
+	result := send(New(sys.RealClock{}, names, membudget.New(0), nil), target, "id-1", "x")
 	assert.Equal(t, pool.ConnectFailed, result.Outcome)
 	assert.False(t, result.MayHaveRun)
 }
@@ -188,7 +188,7 @@
 					time.AfterFunc(20*time.Millisecond, func() { tc.after(c) })
 				}
 			})
-			client := New(sys.RealClock{}, names, membudget.New(0))
+			client := New(sys.RealClock{}, names, membudget.New(0), nil)
 			require.Equal(t, pool.OK, send(client, f.target(), "id-1", "").Outcome)
 			time.Sleep(80 * time.Millisecond)
 			second := send(client, f.target(), "id-2", "")
@@ -204,7 +204,7 @@
 func TestConnectionsThatAreNotReused(t *testing.T) {
 	for _, head := range []string{"Connection: close\r\n", "Keep-Alive: timeout=1\r\n"} {
 		f := startTarget(t, func(_ int, c net.Conn, r *http.Request) { respond(c, r.Header.Get("X-Id"), head, "b") })
-		client := New(sys.RealClock{}, names, membudget.New(0))
+		client := New(sys.RealClock{}, names, membudget.New(0), nil)
 		send(client, f.target(), "id-1", "")
 		time.Sleep(700 * time.Millisecond)
 		send(client, f.target(), "id-2", "")
@@ -216,7 +216,7 @@
 // idle limit must fall below the idle time that led to a reset.
 func TestIdleLimitFollowsResets(t *testing.T) {
 	clock := sys.NewManualClock(time.Unix(1000, 0))
-	c := New(clock, names, membudget.New(0))
+	c := New(clock, names, membudget.New(0), nil)
 	c.lowerIdleLimit(2 * time.Second)
 	assert.Equal(t, time.Second, c.currentIdleLimit(clock.Now()))
 	c.lowerIdleLimit(100 * time.Millisecond)
@@ -252,7 +252,7 @@
 			}()
 		}
 	}()
-	client := New(sys.RealClock{}, names, membudget.New(0))
+	client := New(sys.RealClock{}, names, membudget.New(0), nil)
 	target := Target{ID: "i", Address: listener.Addr().String()}
 	body := strings.Repeat("x", 32<<20)
 	for range 2 {
@@ -271,7 +271,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancel)
-	result := New(sys.RealClock{}, names, membudget.New(0)).Send(ctx, f.target(), Request{ID: "i", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: time.Second})
+	result := New(sys.RealClock{}, names, membudget.New(0), nil).Send(ctx, f.target(), Request{ID: "i", Method: "GET", URI: "/", Host: "h", Header: http.Header{}, TimeLeft: time.Second})
 	assert.Equal(t, pool.Canceled, result.Outcome)
 	select {
 	case <-closed:
