Take a response that does not come as evidence, and weigh bytes between data centres

Cause: a target that falls silent was avoided only once a request had waited for four times the mean duration; until then it got more requests, and those that may run once were lost with it. Idempotent requests were hedged at the same time, too late for their objective. A response crossed data centres for a thirtieth of what such bytes cost where they are dear. Change: package pool keeps the distribution of the durations of each route. Requests in flight change the odds that a target fails by how unlikely their wait is (Bayes' rule). While less than 0.4 of the retry budget is used, a request is hedged once only 7% of the responses take longer. A kB between data centres costs 0.015 of a failed request instead of 0.003; a target in the caller's data centre costs nothing anywhere, so cheap sites lose little. The new tests of silence and bytes fail on the old code. TestFloorAtEachLossOfPower (known red) sees 229 moments instead of 372.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -10,7 +10,10 @@
 	// waitAdvantage is how much cheaper a full target must be than the best target
 	// with capacity for a request to wait for it.
 	waitAdvantage = 0.08
-	leaseGrace    = time.Second // lifetime of a lease beyond the deadline of its request
+	// hedgeBudgetShare is the used share of the retry budget up to which requests
+	// are hedged early.
+	hedgeBudgetShare = 0.4
+	leaseGrace       = time.Second // lifetime of a lease beyond the deadline of its request
 )
 
 // grant selects the target with the lowest cost. If that target is full, the
@@ -49,7 +52,7 @@
 	p.granted.Inc()
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
-		HedgeDelay: p.durations.hedgeDelay(r.Route), Risk: bestRisk,
+		HedgeDelay: p.durations.hedgeDelay(r.Route, p.budget.spentShare(now) < hedgeBudgetShare), Risk: bestRisk,
 	}, true
 }
 
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -16,19 +16,15 @@
 	maxLateCost         = 0.4  // a late response is worth far more than none
 
 	// Traffic between data centres and regions is billed by volume.
-	crossDataCentreByteCost = 0.003 / 1024
+	crossDataCentreByteCost = 0.015 / 1024
 	crossRegionByteCost     = 0.04 / 1024
 	typicalResponseBytes    = 2_000 // size of a typical response with its headers
-	overdueFailureRisk      = 0.5   // failure probability of a target with an overdue response
 )
 
 // cost returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
 func (p *Pool) cost(t *target, r Request, now time.Time) (cost, risk float64) {
-	risk = failureProbability(p.failingProbability(t, now))
-	if p.hasOverdueAttempt(t, now) {
-		risk = 1 - (1-risk)*(1-overdueFailureRisk)
-	}
+	risk = failureProbability(p.currentFailingProbability(t, now))
 	cost = risk
 	if r.Retryable {
 		cost *= p.retryableWeight
@@ -69,14 +65,3 @@
 	objectiveShare := runTime * (1 + waiting) / float64(r.Objective)
 	return waitCost*objectiveShare + min(lateCost*max(0, objectiveShare-lateThreshold), maxLateCost)
 }
-
-// hasOverdueAttempt reports whether an attempt on the target has waited for its
-// response for longer than the hedge delay of its route.
-func (p *Pool) hasOverdueAttempt(t *target, now time.Time) bool {
-	for _, l := range t.leases {
-		if now.Sub(l.started) > p.durations.hedgeDelay(l.request.Route) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,7 +71,7 @@
 		cfg:          cfg,
 		leases:       map[uint64]*lease{},
 		idleReports:  map[string]idleReport{},
-		durations:    durations{means: map[string]time.Duration{}},
+		durations:    durations{routes: map[string]*routeDurations{}},
 		failingShare: failingShare{value: initialFailingShare},
 		budget:       budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
 		granted:      metrics.GetOrCreateCounter("sequoialane_pool_granted_total" + labels),
