Encode calls between processes as CBOR

Change: package peerhttp sends calls as CBOR with numbered fields and answers in the format of the request; a peer that cannot read it gets the call as JSON, so that releases can be mixed. Headers that no process reads are left out there and between control members.

--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -50,6 +50,7 @@
 	}
 	select {
 	case g.inbox <- batch.Messages:
+		w.Header()["Date"] = nil
 		w.WriteHeader(http.StatusNoContent)
 	case <-g.done:
 		rejectRequest(w, "the member has stopped", http.StatusServiceUnavailable)
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -216,7 +216,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set("Content-Type", contentType)
+	request.Header["User-Agent"] = nil // keeps net/http from adding one
 	telemetry.Inject(ctx, request.Header)
 	if t.config.Token != "" {
 		request.Header.Set(headerAuthorization, bearerPrefix+t.config.Token)
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -36,31 +36,32 @@
 // PollRequest requests the changes after an index. It also tells the member
 // that the entry is alive.
 type PollRequest struct {
-	Entry fleetstate.Entry `json:"entry"`
-	After uint64           `json:"after"` // index of the entry's copy; 0: none
+	Entry fleetstate.Entry `json:"entry" cbor:"1,keyasint"`
+	After uint64           `json:"after" cbor:"2,keyasint"` // index of the entry's copy; 0: none
 	// NoRedirect is set once the entry was redirected. The member then responds
 	// even if there is a nearer one, since that one may not respond.
-	NoRedirect bool `json:"insists,omitempty"`
+	NoRedirect bool `json:"insists,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // PollResponse holds the changes. It is sent once there are any, or empty at
 // the end of PollHold.
 type PollResponse struct {
 	// InContact is set if the member is in contact with a leader.
-	InContact bool `json:"fresh"`
+	InContact bool `json:"fresh" cbor:"1,keyasint"`
 	// Redirect lists the members if the entry should poll a nearer one. The
 	// update is empty then.
-	Redirect []fleetstate.Member `json:"nearer,omitempty"`
-	Update   fleetstate.Update   `json:"update"`
+	Redirect []fleetstate.Member `json:"nearer,omitempty" cbor:"2,keyasint,omitempty"`
+	Update   fleetstate.Update   `json:"update" cbor:"3,keyasint"`
 }
 
 func (m *Member) servePoll(w http.ResponseWriter, r *http.Request) {
 	var request PollRequest
-	if !peerhttp.Decode(w, r, &request) {
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
 		return
 	}
 	if members := m.redirect(request); members != nil {
-		peerhttp.WriteJSON(w, PollResponse{InContact: true, Redirect: members})
+		call.Respond(PollResponse{InContact: true, Redirect: members})
 		return
 	}
 	ctx := r.Context()
@@ -79,21 +80,21 @@
 		m.requestDetection()
 		return
 	}
-	m.writePollResponse(w, r, request.After)
+	m.writePollResponse(call, w, r, request.After)
 }
 
-// writePollResponse writes a PollResponse. It inserts the encoded update, which
+// writePollResponse writes a PollResponse as JSON. It inserts the encoded update, which
 // is shared by all entries at the same index.
-func (m *Member) writePollResponse(w http.ResponseWriter, r *http.Request, after uint64) {
+func (m *Member) writePollResponse(call peerhttp.Call, w http.ResponseWriter, r *http.Request, after uint64) {
 	update := m.stateMachine.EncodedSince(after)
 	prefix := `{"fresh":` + strconv.FormatBool(m.InContact()) + `,"update":`
 	if update.Gzip == nil || !peerhttp.AcceptsGzip(r) {
-		peerhttp.WriteEncoded(w, []byte(prefix), update.JSON, []byte("}"))
+		call.RespondEncoded([]byte(prefix), update.JSON, []byte("}"))
 		return
 	}
 	w.Header().Set("Content-Encoding", "gzip")
 	// A gzip stream may consist of several members.
-	peerhttp.WriteEncoded(w, fleetstate.Compress([]byte(prefix)), update.Gzip, fleetstate.Compress([]byte("}")))
+	call.RespondEncoded(fleetstate.Compress([]byte(prefix)), update.Gzip, fleetstate.Compress([]byte("}")))
 }
 
 // redirect returns all members if the entry has no copy yet and another member
--- a/internal/fleetstate/types.go
+++ b/internal/fleetstate/types.go
@@ -50,24 +50,24 @@
 
 // Entry is the record of an entry.
 type Entry struct {
-	Name          string     `json:"name"`
-	Region        string     `json:"region"`
-	DataCentre    string     `json:"data_centre"`
-	CallerAddress string     `json:"caller_address"` // IP address and port for callers
-	PeerAddress   string     `json:"peer_address"`   // IP address and port for other processes of the fleet
-	Incarnation   uint64     `json:"incarnation"`
-	State         EntryState `json:"state"`
-	ControlMember string     `json:"via"`     // peer address of the control member that it polls
-	ChangeIndex   uint64     `json:"changed"` // log index of the last change
+	Name          string     `json:"name" cbor:"1,keyasint"`
+	Region        string     `json:"region" cbor:"2,keyasint"`
+	DataCentre    string     `json:"data_centre" cbor:"3,keyasint"`
+	CallerAddress string     `json:"caller_address" cbor:"4,keyasint"` // IP address and port for callers
+	PeerAddress   string     `json:"peer_address" cbor:"5,keyasint"`   // IP address and port for other processes of the fleet
+	Incarnation   uint64     `json:"incarnation" cbor:"6,keyasint"`
+	State         EntryState `json:"state" cbor:"7,keyasint"`
+	ControlMember string     `json:"via" cbor:"8,keyasint"`     // peer address of the control member that it polls
+	ChangeIndex   uint64     `json:"changed" cbor:"9,keyasint"` // log index of the last change
 }
 
 // Member is the record of a control member.
 type Member struct {
-	PeerAddress    string `json:"peer_address"` // IP address and port; identifies the member
-	ControlAddress string `json:"control_address"`
-	Region         string `json:"region"`
-	DataCentre     string `json:"data_centre"`
-	ChangeIndex    uint64 `json:"changed"` // log index of the last change
+	PeerAddress    string `json:"peer_address" cbor:"1,keyasint"` // IP address and port; identifies the member
+	ControlAddress string `json:"control_address" cbor:"2,keyasint"`
+	Region         string `json:"region" cbor:"3,keyasint"`
+	DataCentre     string `json:"data_centre" cbor:"4,keyasint"`
+	ChangeIndex    uint64 `json:"changed" cbor:"5,keyasint"` // log index of the last change
 }
 
 // Routing is the current routing document with its original text.
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -17,22 +17,22 @@
 
 // AcquireRequest asks the owner of a group for a grant.
 type AcquireRequest struct {
-	Group   Group         `json:"group"`
-	Request pool.Request  `json:"request"`
-	MaxWait time.Duration `json:"max_wait"`
+	Group   Group         `json:"group" cbor:"1,keyasint"`
+	Request pool.Request  `json:"request" cbor:"2,keyasint"`
+	MaxWait time.Duration `json:"max_wait" cbor:"3,keyasint"`
 }
 
 // AcquireResponse holds the grant, or the reason why the request was rejected.
 type AcquireResponse struct {
-	Grant     pool.Grant `json:"grant"`
-	Rejection string     `json:"refused,omitempty"` // busy, no_target, budget; empty: granted
+	Grant     pool.Grant `json:"grant" cbor:"1,keyasint"`
+	Rejection string     `json:"refused,omitempty" cbor:"2,keyasint,omitempty"` // busy, no_target, budget; empty: granted
 }
 
 // ReleaseRequest ends a grant and reports its outcome.
 type ReleaseRequest struct {
-	Group   Group        `json:"group"`
-	LeaseID uint64       `json:"lease"`
-	Outcome pool.Outcome `json:"outcome"`
+	Group   Group        `json:"group" cbor:"1,keyasint"`
+	LeaseID uint64       `json:"lease" cbor:"2,keyasint"`
+	Outcome pool.Outcome `json:"outcome" cbor:"3,keyasint"`
 }
 
 var rejections = map[string]error{
@@ -61,26 +61,28 @@
 
 func (b *Broker) serveAcquire(w http.ResponseWriter, r *http.Request) {
 	var request AcquireRequest
-	if !peerhttp.Decode(w, r, &request) {
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
 		return
 	}
 	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, maxOwnerWait))
 	if err != nil {
-		peerhttp.WriteJSON(w, AcquireResponse{Rejection: rejectionOf(err)})
+		call.Respond(AcquireResponse{Rejection: rejectionOf(err)})
 		return
 	}
 	if r.Context().Err() != nil {
 		b.pool(request.Group).Release(g.LeaseID, pool.Outcome{Kind: pool.Unsent})
 		return
 	}
-	peerhttp.WriteJSON(w, AcquireResponse{Grant: g})
+	call.Respond(AcquireResponse{Grant: g})
 }
 
 func (b *Broker) serveRelease(w http.ResponseWriter, r *http.Request) {
 	var request ReleaseRequest
-	if !peerhttp.Decode(w, r, &request) {
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
 		return
 	}
 	b.pool(request.Group).Release(request.LeaseID, request.Outcome)
-	w.WriteHeader(http.StatusNoContent)
+	call.RespondEmpty()
 }
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -27,8 +27,8 @@
 
 // EvidenceRequest carries the report of the pool of a region.
 type EvidenceRequest struct {
-	Group  Group       `json:"group"`
-	Report pool.Report `json:"report"`
+	Group  Group       `json:"group" cbor:"1,keyasint"`
+	Report pool.Report `json:"report" cbor:"2,keyasint"`
 }
 
 // Run sends evidence to other regions until ctx ends: periodically for all owned
@@ -87,9 +87,10 @@
 
 func (b *Broker) serveEvidence(w http.ResponseWriter, r *http.Request) {
 	var request EvidenceRequest
-	if !peerhttp.Decode(w, r, &request) {
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
 		return
 	}
 	b.pool(request.Group).Merge(request.Report)
-	w.WriteHeader(http.StatusNoContent)
+	call.RespondEmpty()
 }
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -18,9 +18,9 @@
 // A service with few targets has one group. The number of groups doubles when the
 // number of targets does, so that it seldom changes.
 type Group struct {
-	Service string `json:"service"`
-	Shard   int    `json:"shard"`
-	Shards  int    `json:"shards"`
+	Service string `json:"service" cbor:"1,keyasint"`
+	Shard   int    `json:"shard" cbor:"2,keyasint"`
+	Shards  int    `json:"shards" cbor:"3,keyasint"`
 }
 
 // key identifies the group in the ranking of entries, in logs and in the status.
--- a/internal/peerhttp/client.go
+++ b/internal/peerhttp/client.go
@@ -5,7 +5,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -72,14 +72,26 @@
 	return sockoptErr
 }
 
-// Post sends the request as JSON to a path of the peer and decodes the response
-// into result, unless result is nil. It returns a *StatusError for a status other
-// than 2xx. Its bytes are counted for the cause.
+// Post sends the request to a path of the peer and decodes the response into
+// result, unless result is nil. It returns a *StatusError for a status other than
+// 2xx. Its bytes are counted for the cause.
+//
+// The request is sent as CBOR, and once more as JSON if the peer cannot read it: a
+// peer that rejects a body has not processed the call.
 func (c *Client) Post(ctx context.Context, cause traffic.Cause, peer, path string, request, result any) error {
 	ctx = traffic.Attribute(ctx, cause)
-	body, err := json.Marshal(request)
+	err := c.post(ctx, formatCBOR, peer, path, request, result)
+	var rejected *StatusError
+	if errors.As(err, &rejected) && rejected.Code == http.StatusBadRequest {
+		return c.post(ctx, formatJSON, peer, path, request, result)
+	}
+	return err
+}
+
+func (c *Client) post(ctx context.Context, f format, peer, path string, request, result any) error {
+	body, err := f.marshal(request)
 	if err != nil {
-		return fmt.Errorf("request for %s cannot be encoded as JSON: %w", path, err)
+		return fmt.Errorf("request for %s cannot be encoded: %w", path, err)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+path, bytes.NewReader(body))
 	if err != nil {
@@ -102,7 +114,7 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.Unmarshal(raw, result); err != nil {
+	if err := formatOf(raw).unmarshal(raw, result); err != nil {
 		return fmt.Errorf("response of %s%s cannot be decoded: %w", peer, path, err)
 	}
 	return nil
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -26,16 +26,16 @@
 // Report is the state that the pool of a region sends to the pools of the same
 // service in other regions.
 type Report struct {
-	Region   string           `json:"region"`
-	MeanIdle float64          `json:"idle"` // mean number of healthy targets of the region without a request in flight
-	Targets  []TargetEstimate `json:"targets"`
+	Region   string           `json:"region" cbor:"1,keyasint"`
+	MeanIdle float64          `json:"idle" cbor:"2,keyasint"` // mean number of healthy targets of the region without a request in flight
+	Targets  []TargetEstimate `json:"targets" cbor:"3,keyasint"`
 }
 
 // TargetEstimate is the estimate of a target in a report.
 type TargetEstimate struct {
-	Target             string        `json:"t"`
-	FailingProbability float64       `json:"b"` // of being in the failing state
-	Age                time.Duration `json:"a"` // time since the last outcome
+	Target             string        `json:"t" cbor:"1,keyasint"`
+	FailingProbability float64       `json:"b" cbor:"2,keyasint"` // of being in the failing state
+	Age                time.Duration `json:"a" cbor:"3,keyasint"` // time since the last outcome
 }
 
 // Report returns the estimates whose last outcome is not older than maxAge,
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -22,35 +22,35 @@
 
 // Sender identifies the entry process that sends a request to its target.
 type Sender struct {
-	Entry       string `json:"entry"` // name
-	Incarnation uint64 `json:"incarnation"`
+	Entry       string `json:"entry" cbor:"1,keyasint"` // name
+	Incarnation uint64 `json:"incarnation" cbor:"2,keyasint"`
 }
 
 // Request holds the properties of a request that target selection depends on.
 type Request struct {
-	ID         string        `json:"id"`
-	Route      string        `json:"class"`       // mean durations are kept per route
-	Retryable  bool          `json:"repeatable"`  // may be sent to another target after a failure
-	Priority   int           `json:"priority"`    // 0 is the most urgent
-	Bytes      int           `json:"bytes"`       // of the body
-	Objective  time.Duration `json:"objective"`   // time left until the latency objective
-	TimeLeft   time.Duration `json:"time_left"`   // until the deadline of the final response
-	DataCentre string        `json:"data_centre"` // of the sending entry
-	Sender     Sender        `json:"sender"`
-	Tried      []string      `json:"tried,omitempty"`  // ids of targets of earlier attempts
-	AcceptAny  bool          `json:"settle,omitempty"` // the wait is about to end: accept any target with capacity
-	IsRetry    bool          `json:"repeat,omitempty"` // an earlier attempt was sent, so the retry budget applies
+	ID         string        `json:"id" cbor:"1,keyasint"`
+	Route      string        `json:"class" cbor:"2,keyasint"`       // mean durations are kept per route
+	Retryable  bool          `json:"repeatable" cbor:"3,keyasint"`  // may be sent to another target after a failure
+	Priority   int           `json:"priority" cbor:"4,keyasint"`    // 0 is the most urgent
+	Bytes      int           `json:"bytes" cbor:"5,keyasint"`       // of the body
+	Objective  time.Duration `json:"objective" cbor:"6,keyasint"`   // time left until the latency objective
+	TimeLeft   time.Duration `json:"time_left" cbor:"7,keyasint"`   // until the deadline of the final response
+	DataCentre string        `json:"data_centre" cbor:"8,keyasint"` // of the sending entry
+	Sender     Sender        `json:"sender" cbor:"9,keyasint"`
+	Tried      []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`  // ids of targets of earlier attempts
+	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"` // the wait is about to end: accept any target with capacity
+	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 }
 
 // Grant permits one attempt of a request on a target.
 type Grant struct {
-	LeaseID uint64 `json:"lease"`
-	Target  string `json:"target"` // id
-	Address string `json:"address"`
+	LeaseID uint64 `json:"lease" cbor:"1,keyasint"`
+	Target  string `json:"target" cbor:"2,keyasint"` // id
+	Address string `json:"address" cbor:"3,keyasint"`
 	// HedgeDelay is the time without a response after which a retryable request
 	// should be hedged on another target.
-	HedgeDelay time.Duration `json:"hedge_after"`
-	Risk       float64       `json:"risk"` // estimated failure probability
+	HedgeDelay time.Duration `json:"hedge_after" cbor:"4,keyasint"`
+	Risk       float64       `json:"risk" cbor:"5,keyasint"` // estimated failure probability
 }
 
 // OutcomeKind classifies how an attempt ended.
@@ -72,15 +72,15 @@
 
 // Outcome is the result of an attempt as reported by its sender.
 type Outcome struct {
-	Kind OutcomeKind   `json:"kind"`
-	Took time.Duration `json:"took"`
-	Load *Load         `json:"load,omitempty"` // nil: not reported by the target
+	Kind OutcomeKind   `json:"kind" cbor:"1,keyasint"`
+	Took time.Duration `json:"took" cbor:"2,keyasint"`
+	Load *Load         `json:"load,omitempty" cbor:"3,keyasint,omitempty"` // nil: not reported by the target
 }
 
 // Load is the load that a target reports with a response.
 type Load struct {
-	Running int `json:"running"` // requests from all senders
-	Waiting int `json:"waiting"`
+	Running int `json:"running" cbor:"1,keyasint"` // requests from all senders
+	Waiting int `json:"waiting" cbor:"2,keyasint"`
 }
 
 // Settings of a pool.
