Reject malformed messages of peers instead of ending the process

Cause: a consensus message with a gap in its entries, an unknown type, a membership change without data, or an acknowledgement beyond the log panicked; a command that cannot be decoded panicked on each member, again at each start, since it stays in the log. A grant call for any group created a pool for it, kept for ever, and a report with NaN (which CBOR can carry) spoiled all comparisons of costs. A poll could record an entry without an address, which callers would get. A forwarded call without a link to its leader, while the member stops, dereferenced nil. Change: messages are validated before they reach the core; unreadable commands are counted and skipped; calls for groups of unknown services create nothing; reports and entries are checked.

--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -22,6 +22,7 @@
 
 var (
 	errBodyTooLarge      = errors.New("consensus: body is over the limit")
+	errNoLink            = errors.New("consensus: no link to the leader: its slot is unknown or this member stops")
 	errNoAcknowledgement = errors.New("consensus: the leader does not acknowledge the request")
 )
 
@@ -140,7 +141,11 @@
 		},
 	})
 	var response proposeResponse
-	err := t.postWith(ctx, client, t.linkTo(slot).url+pathPropose, request, &response)
+	link := t.linkTo(slot)
+	if link == nil {
+		return response, errNoLink
+	}
+	err := t.postWith(ctx, client, link.url+pathPropose, request, &response)
 	if err != nil && context.Cause(ctx) == errNoAcknowledgement {
 		err = errNoAcknowledgement
 	}
@@ -150,7 +155,11 @@
 // requestReadIndex requests a read index from the leader.
 func (t *transport) requestReadIndex(ctx context.Context, slot string) (readResponse, error) {
 	var response readResponse
-	err := t.post(ctx, t.linkTo(slot).url+pathRead, readRequest{Group: t.config.Group}, &response)
+	link := t.linkTo(slot)
+	if link == nil {
+		return response, fmt.Errorf("%w: %w", ErrNotLeader, errNoLink)
+	}
+	err := t.post(ctx, link.url+pathRead, readRequest{Group: t.config.Group}, &response)
 	if err != nil {
 		return response, fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
@@ -161,6 +170,9 @@
 // the peer. An error status without the header set by Handler may come from a
 // layer around Handler and proves nothing.
 func wasNotProcessed(err error) bool {
+	if errors.Is(err, errNoLink) {
+		return true
+	}
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
 		return true
--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -48,6 +49,13 @@
 	if !decodeBody(w, r, &batch) || !g.checkGroup(w, batch.Group) {
 		return
 	}
+	for _, m := range batch.Messages {
+		if err := m.validate(); err != nil {
+			g.config.Logger.Warn("message rejected", zap.String("from", m.From.Slot), zap.Error(err))
+			rejectRequest(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	select {
 	case g.inbox <- batch.Messages:
 		w.Header()["Date"] = nil
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -217,7 +217,7 @@
 		return
 	}
 	if m.Index > c.log.lastIndex() {
-		panic(fmt.Sprintf("consensus: %v acknowledged entry %d, last entry is %d", m.From, m.Index, c.log.lastIndex()))
+		return // malformed: it acknowledges an entry that was never sent
 	}
 	p.acknowledge(m.Index, c.now)
 	c.advanceCommit()
--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -207,7 +207,7 @@
 	c.mustPut(0, 3)
 	views := make(chan *fleetview.View, 1024)
 	f := fleetview.NewFollower(fleetview.Options{
-		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", Incarnation: 5, State: fleetstate.Serving},
+		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", PeerAddress: "10.0.0.9:2", Incarnation: 5, State: fleetstate.Serving},
 		Seeds: c.all[0].Seeds, Peers: peerhttp.New(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
 		OnChange: func(v *fleetview.View) { views <- v },
 	})
@@ -251,7 +251,7 @@
 	}
 	wg.Wait()
 	f := fleetview.NewFollower(fleetview.Options{
-		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", Incarnation: 5, State: fleetstate.Serving},
+		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", PeerAddress: "10.0.0.9:2", Incarnation: 5, State: fleetstate.Serving},
 		Seeds: c.all[0].Seeds, Peers: peerhttp.NewCompressed(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
 		OnChange: func(*fleetview.View) {},
 	})
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -60,6 +60,11 @@
 	if !ok {
 		return
 	}
+	if err := request.Entry.Validate(); err != nil {
+		m.log.Warn("poll rejected", zap.String("entry", request.Entry.Name), zap.Error(err))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	if members := m.redirect(request); members != nil {
 		call.Respond(PollResponse{InContact: true, Redirect: members})
 		return
--- a/internal/fleetstate/machine.go
+++ b/internal/fleetstate/machine.go
@@ -7,8 +7,13 @@
 	"maps"
 	"slices"
 	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
+// unreadableCommands counts the commands of the log that were skipped.
+var unreadableCommands = metrics.GetOrCreateCounter("sequoialane_fleetstate_unreadable_commands_total")
+
 // maxTombstones limits the records of gone targets.
 const maxTombstones = 2_000
 
@@ -42,16 +47,19 @@
 	return &StateMachine{state: newState(), changed: make(chan struct{})}
 }
 
-// Apply implements consensus.StateMachine.
+// Apply implements consensus.StateMachine. A command that cannot be decoded
+// changes nothing: it is in the log of every member, so that ending the process
+// would end each of them, again at each start.
 func (m *StateMachine) Apply(index uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var c Command
 	if err := json.Unmarshal(command, &c); err != nil {
-		panic(fmt.Sprintf("fleetstate: command %d cannot be decoded: %v", index, err))
+		unreadableCommands.Inc()
+	} else {
+		m.state.apply(index, c)
+		m.notify()
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.state.apply(index, c)
-	m.notify()
 	encoded, err := json.Marshal(Result{Version: m.state.version()})
 	if err != nil {
 		panic("fleetstate: result cannot be encoded: " + err.Error())
--- a/internal/fleetstate/types.go
+++ b/internal/fleetstate/types.go
@@ -6,6 +6,9 @@
 package fleetstate
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/routing"
@@ -61,6 +64,25 @@
 	ChangeIndex   uint64     `json:"changed" cbor:"9,keyasint"` // log index of the last change
 }
 
+// errInvalidEntry is returned by Entry.Validate.
+var errInvalidEntry = errors.New("fleetstate: invalid record of an entry")
+
+// Validate returns an error if the record cannot be that of an entry.
+func (e Entry) Validate() error {
+	if e.Name == "" || e.DataCentre == "" || e.Region == "" {
+		return fmt.Errorf("%w: a name is missing", errInvalidEntry)
+	}
+	for _, address := range []string{e.CallerAddress, e.PeerAddress} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return fmt.Errorf("%w: %w", errInvalidEntry, err)
+		}
+	}
+	if e.State != Serving && e.State != Leaving {
+		return fmt.Errorf("%w: state %q", errInvalidEntry, e.State)
+	}
+	return nil
+}
+
 // Member is the record of a control member.
 type Member struct {
 	PeerAddress    string `json:"peer_address" cbor:"1,keyasint"` // IP address and port; identifies the member
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -65,6 +65,10 @@
 	if !ok {
 		return
 	}
+	if !request.Group.isKnown(b.options.View()) {
+		call.Respond(AcquireResponse{Rejection: rejectionOf(pool.ErrNoTarget)})
+		return
+	}
 	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, maxOwnerWait))
 	if err != nil {
 		call.Respond(AcquireResponse{Rejection: rejectionOf(err)})
@@ -83,6 +87,8 @@
 	if !ok {
 		return
 	}
-	b.pool(request.Group).Release(request.LeaseID, request.Outcome)
+	if p := b.existingPool(request.Group); p != nil {
+		p.Release(request.LeaseID, request.Outcome)
+	}
 	call.RespondEmpty()
 }
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -91,6 +91,8 @@
 	if !ok {
 		return
 	}
-	b.pool(request.Group).Merge(request.Report)
+	if request.Group.isKnown(b.options.View()) {
+		b.pool(request.Group).Merge(request.Report)
+	}
 	call.RespondEmpty()
 }
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -88,6 +88,13 @@
 	return p
 }
 
+// existingPool returns this entry's pool of the group, or nil if there is none.
+func (b *Broker) existingPool(group Group) *pool.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pools[group]
+}
+
 // handleNotableChange logs the change and triggers sending evidence of the group.
 // If the channel is full, the next periodic exchange sends the change.
 func (b *Broker) handleNotableChange(group Group, c pool.Change) {
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -31,6 +31,16 @@
 	return fmt.Sprintf("%s/%d/%d", g.Service, g.Shard, g.Shards)
 }
 
+// maxShards is more than any service is split into.
+const maxShards = 1 << 16
+
+// isKnown reports whether the group is one of a service with targets. A pool is
+// kept for each group, so a call for another one must not create any.
+func (g Group) isKnown(v *fleetview.View) bool {
+	inRange := g.Shards >= 0 && g.Shards <= maxShards && g.Shard >= 0 && g.Shard < max(g.Shards, 1)
+	return inRange && len(v.UsableTargets(g.Service)) > 0
+}
+
 // contains reports whether the target belongs to the group.
 func (g Group) contains(id string) bool { return shardOf(id, g.Shards) == g.Shard }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -13,6 +13,7 @@
 	// hedgeBudgetShare is the used share of the retry budget up to which requests
 	// are hedged early.
 	hedgeBudgetShare = 0.4
+	maxLeaseTime     = time.Hour
 	leaseGrace       = time.Second // lifetime of a lease beyond the deadline of its request
 )
 
@@ -44,7 +45,7 @@
 	}
 	p.countGrant(r, now)
 	p.lastLeaseID++
-	l := &lease{target: best, request: r, started: now, expires: now.Add(r.TimeLeft + leaseGrace)}
+	l := &lease{target: best, request: r, started: now, expires: now.Add(min(r.TimeLeft, maxLeaseTime) + leaseGrace)}
 	p.leases[p.lastLeaseID] = l
 	best.leases[p.lastLeaseID] = l
 	best.inFlight++
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -59,18 +59,25 @@
 	return report
 }
 
+func isFinite(x float64) bool { return !math.IsNaN(x) && !math.IsInf(x, 0) }
+
 // Merge takes over the estimates of another region's report that are newer than
 // those of this pool.
 func (p *Pool) Merge(r Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Clock.Now()
-	p.idleReports[r.Region] = idleReport{idle: r.MeanIdle, at: now}
+	if isFinite(r.MeanIdle) && r.MeanIdle >= 0 {
+		p.idleReports[r.Region] = idleReport{idle: r.MeanIdle, at: now}
+	}
 	known := lo.KeyBy(p.targets, func(t *target) string { return t.record.ID })
 	for _, e := range r.Targets {
-		at := now.Add(-e.Age)
+		if !isFinite(e.FailingProbability) {
+			continue // a malformed report; it would spoil all comparisons of costs
+		}
+		at := now.Add(-max(e.Age, 0))
 		if t := known[e.Target]; t != nil && at.After(t.estimate.evidenceAt) {
-			t.estimate.setRemote(e.FailingProbability, at)
+			t.estimate.setRemote(min(max(e.FailingProbability, 0), 1), at)
 		}
 	}
 }
