Apply a forwarded command before it returns

Change: the leader names the epoch and index of the entry in its response, and the follower waits until it has applied it, for at most an election timeout; a result that is committed is returned in any case, with a log line if the member lags. Result: TestForwardedCommandIsAppliedBeforeItReturns holds back the apply of a follower; it failed before and passes now.

--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -58,6 +58,8 @@
 type proposeResponse struct {
 	Code   resultCode `cbor:"1,keyasint"`
 	Result []byte     `cbor:"2,keyasint,omitempty"`
+	Epoch  uint64     `cbor:"3,keyasint,omitempty"` // of the entry of the command; 0 in the response of an earlier release
+	Index  uint64     `cbor:"4,keyasint,omitempty"` // of the entry of the command
 }
 
 type readRequest struct {
@@ -101,29 +103,29 @@
 // the leader recognises the request by its ID. Only a request that was not
 // processed, or a response to the first one, proves that the command was not
 // proposed.
-func (t *transport) forward(ctx context.Context, slot string, request proposeRequest) ([]byte, error) {
+func (t *transport) forward(ctx context.Context, slot string, request proposeRequest) (proposeResponse, error) {
 	ctx, span := telemetry.StartSpan(ctx, "consensus.forward")
 	defer span.End()
 	t.counters.forwards.Inc()
 	response, err := t.forwardOnce(ctx, t.config.Client, t.config.ElectionTimeout, slot, request)
 	if err == nil {
-		return response.Result, response.Code.err()
+		return response, response.Code.err()
 	}
 	if wasNotProcessed(err) {
-		return nil, ErrNotLeader
+		return proposeResponse{}, ErrNotLeader
 	}
 	if ctx.Err() == nil {
 		t.counters.forwardRepeats.Inc()
 		response, err = t.forwardOnce(ctx, t.newConnClient, forwardRetention, slot, request)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+		return proposeResponse{}, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	if response.Code != codeOK {
 		// The second request had no effect, but the first one may have had.
-		return nil, ErrUnknownOutcome
+		return proposeResponse{}, ErrUnknownOutcome
 	}
-	return response.Result, nil
+	return response, nil
 }
 
 // forwardOnce sends a request and waits for its response. It fails if the early
--- a/internal/consensus/forward_dedup.go
+++ b/internal/consensus/forward_dedup.go
@@ -32,7 +32,7 @@
 	id        uuid.UUID
 	arrivedAt time.Time
 	done      chan struct{}
-	result    []byte
+	response  proposeResponse
 	err       error
 }
 
@@ -62,18 +62,18 @@
 	}
 }
 
-func (c *forwardedCall) wait(ctx context.Context) ([]byte, error) {
+func (c *forwardedCall) wait(ctx context.Context) (proposeResponse, error) {
 	select {
 	case <-c.done:
-		return c.result, c.err
+		return c.response, c.err
 	case <-ctx.Done():
-		return nil, ErrUnknownOutcome
+		return proposeResponse{}, ErrUnknownOutcome
 	}
 }
 
 // proposeForwarded proposes a command of another member, once for each ID. The
 // first request starts the call; a retried one waits for its result.
-func (g *Group) proposeForwarded(ctx context.Context, request proposeRequest) ([]byte, error) {
+func (g *Group) proposeForwarded(ctx context.Context, request proposeRequest) (proposeResponse, error) {
 	call, created := g.forwarded.getOrCreate(request.ID, g.config.Clock.Now())
 	if !created {
 		return call.wait(ctx)
@@ -88,7 +88,10 @@
 		// request may arrive again on another connection.
 		submitCtx, cancel := context.WithTimeout(context.Background(), forwardRetention)
 		defer cancel()
-		call.result, call.err = g.submitProposal(submitCtx, p)
+		call.response.Result, call.err = g.submitProposal(submitCtx, p)
+		if call.err == nil {
+			call.response.Epoch, call.response.Index = p.epoch, p.index
+		}
 	}()
 	return call.wait(ctx)
 }
--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -76,8 +76,9 @@
 	w.WriteHeader(http.StatusProcessing)
 	ctx, span := telemetry.StartSpan(telemetry.Extract(r.Context(), r.Header), "consensus.propose")
 	defer span.End()
-	result, err := g.proposeForwarded(ctx, request)
-	writeResponse(w, proposeResponse{Code: resultCodeOf(err), Result: result})
+	response, err := g.proposeForwarded(ctx, request)
+	response.Code = resultCodeOf(err)
+	writeResponse(w, response)
 }
 
 func (g *Group) serveRead(w http.ResponseWriter, r *http.Request) {
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 )
 
 // maxLeaderAttempts limits the attempts of one call when the leader changes.
@@ -20,6 +21,8 @@
 	leaderSent int64      // if forwarded: reject if older than forwardRetention
 	term       uint64
 	done       chan proposalResult
+
+	epoch, index uint64 // of its entry; set before the result is sent
 }
 
 func newProposal(command []byte) *proposal {
@@ -40,7 +43,9 @@
 var errNotLeading = errors.New("consensus: another member leads")
 
 // Propose commits a command and returns the result of the state machine. A
-// follower forwards the command to the leader. The error is ErrNotLeader,
+// follower forwards the command to the leader, and returns once its own state
+// machine has applied it, so that its caller reads what it wrote. A follower that
+// lags returns after ElectionTimeout all the same. The error is ErrNotLeader,
 // ErrBusy or ErrStopped if the command was not and will not be committed, and
 // ErrUnknownOutcome otherwise.
 func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
@@ -64,13 +69,27 @@
 	case status.Leader == status.Self:
 		return g.submitProposal(ctx, newProposal(command))
 	}
-	return g.transport.forward(ctx, status.Leader.Slot, proposeRequest{
+	response, err := g.transport.forward(ctx, status.Leader.Slot, proposeRequest{
 		Group:      g.config.Group,
 		Command:    command,
 		Leadership: leadership{Epoch: status.Epoch, Term: status.Term},
 		ID:         uuid.New(),
 		LeaderSent: status.lastLeaderSent,
 	})
+	if err == nil && response.Index != 0 {
+		g.awaitApplied(ctx, response.Epoch, response.Index)
+	}
+	return response.Result, err
+}
+
+// awaitApplied waits until the state machine of this member has applied the entry,
+// for at most ElectionTimeout.
+func (g *Group) awaitApplied(ctx context.Context, epoch, index uint64) {
+	ctx, cancel := context.WithTimeout(ctx, g.config.ElectionTimeout)
+	defer cancel()
+	if _, err := g.submitRead(ctx, &readCall{epoch: epoch, index: index}); err != nil {
+		g.config.Logger.Warn("command committed, but not applied by this member yet", zap.Uint64("index", index), zap.Error(err))
+	}
 }
 
 // submitProposal passes a proposal to the loop and waits for its result. It
@@ -114,6 +133,7 @@
 	}
 	g.counters.proposals.Inc()
 	p.term = term
+	p.epoch, p.index = g.core.epoch, index
 	if old := g.pendingProposals[index]; old != nil {
 		// The entry of the old proposal was removed from this log, but other
 		// members may still hold it.
