--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -24,6 +24,7 @@
 const (
 	groupName       = "fleet"
 	headerTimeout   = 5 * time.Second
+	readTimeout     = 10 * time.Second // for a whole request; every call is answered long before
 	idleTimeout     = time.Minute
 	transferTimeout = time.Second
 	drainShare      = 0.8 // share of the grace period after which open calls are aborted
@@ -89,7 +90,7 @@
 
 func newServer(handler http.Handler, log *zap.Logger) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(log),
 	}
 }
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -29,7 +29,10 @@
 	// arriving.
 	callerIdleTimeout = 5 * time.Minute
 	headerTimeout     = 10 * time.Second
-	maxHeaderBytes    = 256 << 10
+	// readTimeout limits the reading of a whole request, except from callers, whose
+	// bodies have the deadline of their request.
+	readTimeout    = 10 * time.Second
+	maxHeaderBytes = 256 << 10
 	// acceptShare is the share of the grace period after which the listener for
 	// callers closes. Callers cache responses of the directory for a while, so
 	// new connections still arrive after SIGTERM.
@@ -135,6 +138,9 @@
 		}
 		s.listener = listener
 		s.http.ReadHeaderTimeout = headerTimeout
+		if !s.callers {
+			s.http.ReadTimeout = readTimeout
+		}
 		s.http.IdleTimeout = callerIdleTimeout
 		s.http.MaxHeaderBytes = maxHeaderBytes
 		s.http.ErrorLog = zap.NewStdLog(p.log.Named(s.name))
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -25,7 +25,7 @@
 // AcquireResponse holds the grant, or the reason why the request was rejected.
 type AcquireResponse struct {
 	Grant     pool.Grant `json:"grant" cbor:"1,keyasint"`
-	Rejection string     `json:"refused,omitempty" cbor:"2,keyasint,omitempty"` // busy, no_target, budget; empty: granted
+	Rejection string     `json:"refused,omitempty" cbor:"2,keyasint,omitempty"` // a key of rejections; empty: granted
 }
 
 // ReleaseRequest ends a grant and reports its outcome.
@@ -39,6 +39,7 @@
 	"busy":      pool.ErrBusy,
 	"no_target": pool.ErrNoTarget,
 	"budget":    pool.ErrBudget,
+	"elsewhere": pool.ErrElsewhere,
 }
 
 func rejectionOf(err error) string {
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -17,7 +17,8 @@
 
 	// Traffic between data centres and regions is billed by volume.
 	crossDataCentreByteCost = 0.015 / 1024
-	crossRegionByteCost     = 0.04 / 1024
+	crossRegionByteCost     = 0.052 / 1024
+	maxDataCentreCost       = 0.1   // of all bytes of a request, however long: serving it is worth more
 	typicalResponseBytes    = 2_000 // size of a typical response with its headers
 )
 
@@ -37,7 +38,7 @@
 	switch {
 	case t.record.DataCentre == r.DataCentre:
 	case t.inOwnRegion:
-		cost += crossDataCentreByteCost * bytes
+		cost += min(crossDataCentreByteCost*bytes, maxDataCentreCost)
 	default:
 		cost += crossRegionByteCost * bytes
 	}
