--- a/internal/configsync/follower_test.go
+++ b/internal/configsync/follower_test.go
@@ -138,7 +138,7 @@
 	defer f.mu.Unlock()
 	list := slices.Clone(f.peers)
 	for i := range list {
-		list[i].LastHeard = time.Now()
+		list[i].LastContact = time.Now()
 	}
 	return list
 }
--- a/internal/configsync/missing_versions_test.go
+++ b/internal/configsync/missing_versions_test.go
@@ -26,7 +26,7 @@
 		stateMachine.Apply(0, plan.Change{ID: fmt.Sprint(version), BaseVersion: version, SetPlans: []plan.Plan{p}}.Encode())
 	}
 	peers := func() []Peer {
-		return []Peer{{Member: membership.Member{Name: "e2", DataCentre: "a", State: membership.Alive, CatalogVersion: stateMachine.Current().Version()}, LastHeard: clock.Now()}}
+		return []Peer{{Member: membership.Member{Name: "e2", DataCentre: "a", State: membership.Alive, CatalogVersion: stateMachine.Current().Version()}, LastContact: clock.Now()}}
 	}
 	f := New(Options{Name: "e1", DataCentre: "a", Peers: peers, Clock: clock, Log: zap.NewNop()})
 	for range 60 {
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -40,7 +40,7 @@
 // Peer is an entry of the fleet.
 type Peer struct {
 	membership.Member
-	LastHeard time.Time // last direct contact; zero: never
+	LastContact time.Time // last direct contact; zero: never
 }
 
 // Options configure a Follower.
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		v.OtherEntries++
-		at := later(p.LastHeard, f.lastFetches[p.Name])
+		at := later(p.LastContact, f.lastFetches[p.Name])
 		v.LastEntryContact = later(v.LastEntryContact, at)
 		lastContacts[p.DataCentre] = later(lastContacts[p.DataCentre], at)
 		f.addDataCentre(p.DataCentre)
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -31,7 +31,7 @@
 	HeartbeatInterval = 250 * time.Millisecond
 	ElectionTimeout   = time.Second
 
-	maxLeaderSilence   = time.Second // the member is out of contact if it has not heard from a leader for longer
+	maxLeaderSilence   = time.Second // the member is out of contact if it had no contact with a leader for longer
 	detectionInterval  = 250 * time.Millisecond
 	pauseThreshold     = time.Second      // a longer gap between two runs of detectLosses means that this process was paused
 	memberRemovalDelay = 10 * time.Second // time without a slot after which the record of a member is removed
@@ -80,7 +80,7 @@
 
 	wasInContact      bool
 	slotlessSince     map[string]time.Time // since when a member has had no slot, by peer address
-	memberSilentSince map[string]time.Time // since when the leader has not heard the member that an entry polls, by entry name
+	memberSilentSince map[string]time.Time // since when the leader had no contact with the member that an entry polls, by entry name
 }
 
 type counters struct {
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -18,7 +18,7 @@
 	lostAfterClose = 150 * time.Millisecond
 )
 
-// presence tracks when each entry that polls this member was last heard. It is
+// presence tracks when each entry that polls this member was last in contact. It is
 // safe for concurrent use.
 type presence struct {
 	mu      sync.Mutex
@@ -28,11 +28,11 @@
 
 // entryPresence is the presence of one entry.
 type entryPresence struct {
-	entry     fleetstate.Entry
-	lastHeard time.Time // when it was last heard
-	waiting   int       // waiting polls
-	closed    bool      // the last poll ended because its connection was closed
-	proposing bool      // a proposal of its record is in flight
+	entry       fleetstate.Entry
+	lastContact time.Time // when it was last in contact
+	waiting     int       // waiting polls
+	closed      bool      // the last poll ended because its connection was closed
+	proposing   bool      // a proposal of its record is in flight
 }
 
 func newPresence() *presence { return &presence{entries: map[string]*entryPresence{}} }
@@ -49,7 +49,7 @@
 		return
 	}
 	ep.entry = e
-	ep.lastHeard = now
+	ep.lastContact = now
 	ep.waiting++
 	p.waiting++
 	ep.closed = false
@@ -68,7 +68,7 @@
 	}
 	if closed && ep.waiting == 0 {
 		ep.closed = true
-		ep.lastHeard = now
+		ep.lastContact = now
 	}
 }
 
@@ -82,7 +82,7 @@
 		if ep.closed {
 			limit = lostAfterClose
 		}
-		if now.Sub(ep.lastHeard) < limit || ep.proposing {
+		if now.Sub(ep.lastContact) < limit || ep.proposing {
 			continue
 		}
 		lost = append(lost, ep.entry)
@@ -98,7 +98,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, ep := range lo.Values(p.entries) {
-		ep.lastHeard = ep.lastHeard.Add(pause)
+		ep.lastContact = ep.lastContact.Add(pause)
 	}
 }
 
--- a/internal/fleetstate/types.go
+++ b/internal/fleetstate/types.go
@@ -48,7 +48,7 @@
 const (
 	Serving EntryState = "serving"
 	Leaving EntryState = "leaving" // finishes its requests and gets no new callers
-	Lost    EntryState = "lost"    // no longer heard from
+	Lost    EntryState = "lost"    // no contact any more
 )
 
 // Entry is the record of an entry.
--- a/internal/membership/protocol.go
+++ b/internal/membership/protocol.go
@@ -77,8 +77,8 @@
 	if r == nil || r.Incarnation != from.Incarnation {
 		return
 	}
-	t.lastHeard[from.DataCentre] = now
-	r.lastHeard = now
+	t.lastContact[from.DataCentre] = now
+	r.lastContact = now
 	r.Load = from.Load
 	t.recordVersion(heldVersion{from.Name, from.Incarnation, from.CatalogVersion})
 }
@@ -187,15 +187,15 @@
 	}
 }
 
-// probeSilentDataCentre pings a member of a data centre not heard from within
+// probeSilentDataCentre pings a member of a data centre without contact within
 // dataCentreSilence, since the freshness of the catalog copy depends on the data
-// centres heard from within 10 s.
+// centres in contact within 10 s.
 func (t *Table) probeSilentDataCentre(now time.Time) []Packet {
-	if t.allDataCentresHeard(now) {
+	if t.allDataCentresInContact(now) {
 		return nil
 	}
 	for _, r := range t.sample(1, func(r *record) bool {
-		return r.Present() && now.Sub(t.lastHeard[r.DataCentre]) > dataCentreSilence
+		return r.Present() && now.Sub(t.lastContact[r.DataCentre]) > dataCentreSilence
 	}) {
 		t.sequence++
 		return t.buildPackets(r.GossipAddress, message{Kind: kindPing, Sequence: t.sequence, Target: r.Name}, r.Name)
@@ -203,9 +203,9 @@
 	return nil
 }
 
-// allDataCentresHeard reports whether each data centre was heard from within
+// allDataCentresInContact reports whether each data centre was in contact within
 // dataCentreSilence.
-func (t *Table) allDataCentresHeard(now time.Time) bool {
+func (t *Table) allDataCentresInContact(now time.Time) bool {
 	if t.dataCentresEpoch != t.epoch {
 		t.dataCentresEpoch = t.epoch
 		t.dataCentres = map[string]bool{}
@@ -216,7 +216,7 @@
 		}
 	}
 	for centre := range t.dataCentres {
-		if now.Sub(t.lastHeard[centre]) > dataCentreSilence {
+		if now.Sub(t.lastContact[centre]) > dataCentreSilence {
 			return false
 		}
 	}
--- a/internal/membership/protocol_test.go
+++ b/internal/membership/protocol_test.go
@@ -259,7 +259,7 @@
 	assert.Zero(t, f.nodes[address(0)].currentHighest().Version)
 }
 
-// Guards against a reachable data centre that is not heard from for longer than
+// Guards against a reachable data centre without contact for longer than
 // the 10 s of the freshness rule.
 func TestEveryDataCentreIsHeard(t *testing.T) {
 	f := newFleet(8, 60)
@@ -267,9 +267,9 @@
 	for range 30 {
 		f.run(time.Second)
 		for _, at := range f.order {
-			heard := f.nodes[at].LastHeard()
-			require.Len(t, heard, 6)
-			for centre, last := range heard {
+			contacts := f.nodes[at].LastContact()
+			require.Len(t, contacts, 6)
+			for centre, last := range contacts {
 				require.Less(t, f.now.Sub(last), 10*time.Second, centre)
 			}
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -17,7 +17,7 @@
 	retention         = 10 * time.Minute       // dead and left members are kept so that stale records do not revive them
 	expiryPeriod      = 500 * time.Millisecond
 	reconnectPeriod   = 10 * time.Second // period of probes of a dead member, so that healed partitions merge
-	dataCentreSilence = 3 * time.Second  // a data centre not heard from for this long is probed
+	dataCentreSilence = 3 * time.Second  // a data centre without contact for this long is probed
 	indirectProbes    = 3
 	announceFanout    = 64 // members sent a change of this member at once
 )
@@ -32,16 +32,16 @@
 // I/O. The Driver calls Tick and Receive and sends the packets that they return.
 // It is safe for concurrent use.
 type Table struct {
-	mu        sync.Mutex
-	key       []byte
-	rng       *rand.Rand
-	self      Member
-	records   map[string]*record // other members, by name
-	names     []string           // keys of records, in a fixed order for random choice
-	epoch     uint64
-	queue     broadcasts
-	highest   heldVersion
-	lastHeard map[string]time.Time // by data centre, other members only
+	mu          sync.Mutex
+	key         []byte
+	rng         *rand.Rand
+	self        Member
+	records     map[string]*record // other members, by name
+	names       []string           // keys of records, in a fixed order for random choice
+	epoch       uint64
+	queue       broadcasts
+	highest     heldVersion
+	lastContact map[string]time.Time // by data centre, other members only
 
 	dataCentres      map[string]bool // data centres of present members
 	dataCentresEpoch uint64          // epoch at which dataCentres was computed
@@ -57,7 +57,7 @@
 
 type record struct {
 	Member
-	lastHeard         time.Time // last datagram or exchange from the member itself
+	lastContact       time.Time // last datagram or exchange from the member itself
 	stateSince        time.Time // last change of state
 	suspicionDeadline time.Time // when a suspect member is declared dead
 }
@@ -69,14 +69,14 @@
 		panic("membership: record of this member is invalid: " + self.Name)
 	}
 	return &Table{
-		key:       key,
-		rng:       rng,
-		self:      self,
-		records:   map[string]*record{},
-		epoch:     1,
-		lastHeard: map[string]time.Time{},
-		relays:    map[uint64]relay{},
-		nextProbe: now.Add(time.Duration(rng.Int64N(int64(ProbePeriod)))),
+		key:         key,
+		rng:         rng,
+		self:        self,
+		records:     map[string]*record{},
+		epoch:       1,
+		lastContact: map[string]time.Time{},
+		relays:      map[uint64]relay{},
+		nextProbe:   now.Add(time.Duration(rng.Int64N(int64(ProbePeriod)))),
 	}
 }
 
@@ -126,22 +126,22 @@
 	return t.epoch
 }
 
-// LastHeard returns, for each data centre, the time of the last datagram or
+// LastContact returns, for each data centre, the time of the last datagram or
 // exchange received from another member there.
-func (t *Table) LastHeard() map[string]time.Time {
+func (t *Table) LastContact() map[string]time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	heard := make(map[string]time.Time, len(t.lastHeard))
-	for centre, at := range t.lastHeard {
-		heard[centre] = at
+	contacts := make(map[string]time.Time, len(t.lastContact))
+	for centre, at := range t.lastContact {
+		contacts[centre] = at
 	}
-	return heard
+	return contacts
 }
 
 // MemberContact is another member and the time of its last contact.
 type MemberContact struct {
 	Member
-	LastHeard time.Time // last datagram or exchange from the member itself; zero: never
+	LastContact time.Time // last datagram or exchange from the member itself; zero: never
 }
 
 // Others returns all other members, in no particular order.
@@ -150,7 +150,7 @@
 	defer t.mu.Unlock()
 	list := make([]MemberContact, 0, len(t.records))
 	for _, r := range t.records {
-		list = append(list, MemberContact{r.Member, r.lastHeard})
+		list = append(list, MemberContact{r.Member, r.lastContact})
 	}
 	return list
 }
@@ -265,7 +265,7 @@
 	}
 	r := &record{Member: m, stateSince: now}
 	if old != nil {
-		r.lastHeard = old.lastHeard
+		r.lastContact = old.lastContact
 	}
 	if m.State == Suspect {
 		r.suspicionDeadline = now.Add(t.suspicionTime())
--- a/internal/upstreamclient/reconnect.go
+++ b/internal/upstreamclient/reconnect.go
@@ -9,7 +9,7 @@
 )
 
 // errSilentConn ends an exchange on a reused connection that received nothing.
-var errSilentConn = errors.New("upstreamclient: nothing heard on a reused connection")
+var errSilentConn = errors.New("upstreamclient: no response on a reused connection")
 
 type result struct {
 	resp    *http.Response
