--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -17,7 +17,7 @@
 
 	// Traffic between data centres and regions is billed by volume.
 	crossDataCentreByteCost = 0.015 / 1024
-	crossRegionByteCost     = 0.052 / 1024
+	crossRegionByteCost     = 0.04 / 1024
 	maxDataCentreCost       = 0.1   // of all bytes of a request, however long: serving it is worth more
 	typicalResponseBytes    = 2_000 // size of a typical response with its headers
 )
