Take back asking other groups of the region; show traffic with sequoialane-ctl

Another group granted its best target of the region whatever its risk, while the first group had a better one in another region.

--- a/cmd/sequoialane-ctl/fleet.go
+++ b/cmd/sequoialane-ctl/fleet.go
@@ -22,6 +22,10 @@
 	return &cli.Command{Name: "status", Usage: "show the state of each control member", Action: status}
 }
 
+func trafficCommand() *cli.Command {
+	return &cli.Command{Name: "traffic", Usage: "add up what processes, given as peer addresses, sent and received for each cause", Action: showTraffic}
+}
+
 func members(ctx context.Context, command *cli.Command) error {
 	s, err := newSession(command, flagEntry)
 	if err != nil {
@@ -48,6 +52,19 @@
 	return s.print(list, heading, rows)
 }
 
+func showTraffic(ctx context.Context, command *cli.Command) error {
+	s, err := newSession(command, flagEntry)
+	if err != nil {
+		return err
+	}
+	list, err := s.client.Traffic(ctx)
+	if err != nil {
+		return err
+	}
+	heading, rows := ctl.TrafficTable(list)
+	return s.print(list, heading, rows)
+}
+
 // status queries each address. It fails only if none of them responds.
 func status(ctx context.Context, command *cli.Command) error {
 	s, err := newSession(command, flagControl)
--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -152,7 +152,7 @@
 
 func followedPeers(table *membership.Table) []configsync.Peer {
 	return lo.Map(table.Others(), func(c membership.MemberContact, _ int) configsync.Peer {
-		return configsync.Peer{Member: c.Member, LastHeard: c.LastHeard}
+		return configsync.Peer{Member: c.Member, LastContact: c.LastContact}
 	})
 }
 
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -39,7 +39,6 @@
 	"busy":      pool.ErrBusy,
 	"no_target": pool.ErrNoTarget,
 	"budget":    pool.ErrBudget,
-	"elsewhere": pool.ErrElsewhere,
 }
 
 func rejectionOf(err error) string {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -166,9 +166,6 @@
 	ownRegionTargets := lo.Filter(all, func(t fleetstate.Target, _ int) bool { return b.isInOwnRegion(t.DataCentre) })
 	regions := len(lo.Uniq(lo.Values(b.options.Regions)))
 	group := groupFor(all, ownRegionTargets, regions, service, r.ID, len(r.Tried))
-	if l := b.acquireInRegion(ctx, r, siblings(group, all, ownRegionTargets, regions, r)); l != nil {
-		return l, nil
-	}
 	for {
 		remaining := deadline.Sub(b.options.Clock.Now())
 		if remaining <= 0 {
@@ -188,25 +185,6 @@
 	}
 }
 
-// acquireInRegion asks each of the groups for a good target in this region, without
-// waiting. It returns nil if none has one, or there is only one group.
-func (b *Broker) acquireInRegion(ctx context.Context, r pool.Request, groups []Group) *Lease {
-	if len(groups) < 2 {
-		return nil
-	}
-	r.MayAskElsewhere = true
-	for _, group := range groups {
-		l, err := b.acquireOnce(ctx, group, r, 0)
-		if err == nil {
-			return l
-		}
-		if !errors.Is(err, pool.ErrElsewhere) || ctx.Err() != nil {
-			return nil
-		}
-	}
-	return nil
-}
-
 func (b *Broker) acquireOnce(ctx context.Context, group Group, r pool.Request, wait time.Duration) (*Lease, error) {
 	for _, owner := range b.candidateOwners(group) {
 		if owner.Name == b.options.Self.Name {
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
-	"github.com/sequoialane/sequoialane/internal/pool"
 )
 
 // targetsPerGroup is the minimum number of targets of a group in an average
@@ -65,26 +63,6 @@
 	return own
 }
 
-// maxSiblings is how many groups of the region are asked for a good target.
-const maxSiblings = 3
-
-// siblings returns different groups to ask for the request, first the one that
-// groupFor gives it.
-func siblings(first Group, all, ownRegionTargets []fleetstate.Target, regions int, r pool.Request) []Group {
-	groups := []Group{first}
-	for draw := range 2 * maxSiblings {
-		next := groupFor(all, ownRegionTargets, regions, first.Service, r.ID, len(r.Tried)+firstSiblingDraw+draw)
-		if !slices.Contains(groups, next) && len(groups) < min(maxSiblings, first.Shards) {
-			groups = append(groups, next)
-		}
-	}
-	return groups
-}
-
-// firstSiblingDraw is beyond the number of attempts of any request, so that the
-// draws of siblings differ from those of the attempts.
-const firstSiblingDraw = 1000
-
 // groupFor returns the group that grants a target for a request. It selects one
 // of the targets by a hash of the request's id and attempt, so that groups get
 // requests in proportion to their targets and each attempt may use another group.
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -40,8 +40,7 @@
 		}
 	}
 	worthWaiting := !r.AcceptAny && bestCost > full+waitAdvantage
-	leavesRegion := r.MayAskElsewhere && best != nil && !best.inOwnRegion
-	if best == nil || worthWaiting || leavesRegion || r.IsRetry && !p.budget.allows(now) {
+	if best == nil || worthWaiting || r.IsRetry && !p.budget.allows(now) {
 		return Grant{}, false
 	}
 	p.countGrant(r, now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -103,8 +103,7 @@
 }
 
 // Acquire grants a target, waiting for capacity for at most maxWait. It returns
-// ErrBusy if maxWait or ctx ends first, and ErrNoTarget, ErrBudget or ErrElsewhere
-// at once.
+// ErrBusy if maxWait or ctx ends first, and ErrNoTarget or ErrBudget at once.
 func (p *Pool) Acquire(ctx context.Context, r Request, maxWait time.Duration) (Grant, error) {
 	now := p.cfg.Clock.Now()
 	g, w, err := p.grantOrQueue(r, now)
@@ -143,9 +142,6 @@
 			return g, nil, nil
 		}
 	}
-	if r.MayAskElsewhere {
-		return Grant{}, nil, ErrElsewhere
-	}
 	w := &waiter{request: r, arrived: now, granted: make(chan Grant, 1)}
 	at := len(p.waiters)
 	for at > 0 && p.waiters[at-1].request.Priority > r.Priority {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -20,10 +20,6 @@
 // ErrBudget is returned when the retry budget is exhausted.
 var ErrBudget = errors.New("pool: the budget for repeated requests is used up")
 
-// ErrElsewhere is returned at once for a request that may ask another group of the
-// region, if the pool has no good target for it in its own region.
-var ErrElsewhere = errors.New("pool: another group of the region may have a better target")
-
 // Sender identifies the entry process that sends a request to its target.
 type Sender struct {
 	Entry       string `json:"entry" cbor:"1,keyasint"` // name
@@ -32,19 +28,18 @@
 
 // Request holds the properties of a request that target selection depends on.
 type Request struct {
-	ID              string        `json:"id" cbor:"1,keyasint"`
-	Route           string        `json:"class" cbor:"2,keyasint"`       // mean durations are kept per route
-	Retryable       bool          `json:"repeatable" cbor:"3,keyasint"`  // may be sent to another target after a failure
-	Priority        int           `json:"priority" cbor:"4,keyasint"`    // 0 is the most urgent
-	Bytes           int           `json:"bytes" cbor:"5,keyasint"`       // of the body
-	Objective       time.Duration `json:"objective" cbor:"6,keyasint"`   // time left until the latency objective
-	TimeLeft        time.Duration `json:"time_left" cbor:"7,keyasint"`   // until the deadline of the final response
-	DataCentre      string        `json:"data_centre" cbor:"8,keyasint"` // of the sending entry
-	Sender          Sender        `json:"sender" cbor:"9,keyasint"`
-	Tried           []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`    // ids of targets of earlier attempts
-	MayAskElsewhere bool          `json:"siblings,omitempty" cbor:"13,keyasint,omitempty"` // another group of the region can be asked
-	AcceptAny       bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"`   // the wait is about to end: accept any target with capacity
-	IsRetry         bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`   // an earlier attempt was sent, so the retry budget applies
+	ID         string        `json:"id" cbor:"1,keyasint"`
+	Route      string        `json:"class" cbor:"2,keyasint"`       // mean durations are kept per route
+	Retryable  bool          `json:"repeatable" cbor:"3,keyasint"`  // may be sent to another target after a failure
+	Priority   int           `json:"priority" cbor:"4,keyasint"`    // 0 is the most urgent
+	Bytes      int           `json:"bytes" cbor:"5,keyasint"`       // of the body
+	Objective  time.Duration `json:"objective" cbor:"6,keyasint"`   // time left until the latency objective
+	TimeLeft   time.Duration `json:"time_left" cbor:"7,keyasint"`   // until the deadline of the final response
+	DataCentre string        `json:"data_centre" cbor:"8,keyasint"` // of the sending entry
+	Sender     Sender        `json:"sender" cbor:"9,keyasint"`
+	Tried      []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`  // ids of targets of earlier attempts
+	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"` // the wait is about to end: accept any target with capacity
+	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 }
 
 // Grant permits one attempt of a request on a target.
