Bound the durations that other processes report

Cause: a malformed outcome with a negative or huge duration moved the mean of a route, on which hedges and the evidence of silence rest, outside any useful range. Result: TestMalformedDurations failed before and passes now.

--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -75,7 +75,10 @@
 	return p.weights.mean(t.estimate.probabilitiesAt(now, p.failingShare.value))
 }
 
+// learnDuration learns how long a successful request took. The time comes from
+// another process and may be malformed.
 func (p *Pool) learnDuration(t *target, r Request, took time.Duration) {
+	took = min(max(took, 0), maxLeaseTime)
 	ratio := float64(took) / float64(p.durations.mean(r.Route))
 	if t.durationRatio == 0 {
 		t.durationRatio = 1
--- a/internal/pool/silence_test.go
+++ b/internal/pool/silence_test.go
@@ -83,6 +83,19 @@
 	assert.Less(t, d.shareLongerThan("c", time.Hour), 0.01)
 }
 
+// Guards against a malformed duration of another process that spoils the estimates.
+func TestMalformedDurations(t *testing.T) {
+	r := newTestPool(2, 3)
+	for _, took := range []time.Duration{-1, -1 << 62, 1<<63 - 1, 0} {
+		g := r.mustAcquire(t, newRequest())
+		r.Release(g.LeaseID, Outcome{Kind: OK, Took: took})
+		assert.GreaterOrEqual(t, r.durations.mean("c"), time.Duration(0))
+		assert.LessOrEqual(t, r.durations.mean("c"), maxLeaseTime)
+		share := r.durations.shareLongerThan("c", time.Second)
+		assert.True(t, share >= 0 && share <= 1, "%v", share)
+	}
+}
+
 // Guards against responses that cross data centres for next to nothing, and
 // against a near target that is used although it fails.
 func TestBytesBetweenDataCentres(t *testing.T) {
