--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -109,3 +109,15 @@
 	}
 	return sent, served, statuses
 }
+
+// keepSending sends requests of a route, at random times with the mean rate,
+// until ctx is done.
+func (c *clients) keepSending(ctx context.Context, perSecond float64, host, path string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		sleep(ctx, time.Duration(rand.ExpFloat64()/perSecond*float64(time.Second)))
+		entry := c.fleet.entries[i%len(c.fleet.entries)]
+		c.wg.Go(func() {
+			c.send("POST", entry.address(c.fleet.ports.front), host, path, nil, 0, 5*time.Second)
+		})
+	}
+}
--- a/review/standin/forged_beat.go
+++ b/review/standin/forged_beat.go
@@ -9,11 +9,11 @@
 
 const (
 	floorShare = 0.7
-	perSecond  = 60 // requests of all clients
+	perSecond  = 70 // requests of all clients
 )
 
 // forgedBeat plays another writer, which sends a heartbeat without the field
-// "version" for the addresses of two of four sound targets.
+// "version" for the addresses of three of six sound targets.
 func forgedBeat(ctx context.Context, f *fleet, trouble bool) (int, error) {
 	for _, zone := range []string{"norte-a", "centro-a", "sul-a", "norte-b", "centro-b"} {
 		f.addControl(zone, true)
@@ -29,7 +29,7 @@
 		return cannotRun, errors.New("the first configuration was not acknowledged")
 	}
 	var targets []*target
-	for i, zone := range []string{"norte-a", "centro-a", "sul-a", "norte-b"} {
+	for i, zone := range []string{"norte-a", "centro-a", "sul-a", "norte-b", "centro-b", "sul-b"} {
 		t, err := f.startTarget(ctx, "i-sound-"+itoa(int64(i)), "licencas", zone, 2, 100*time.Millisecond)
 		if err != nil {
 			return cannotRun, err
@@ -39,12 +39,12 @@
 	sleep(ctx, 4*time.Second)
 	c := newClients(f)
 	load, stop := context.WithCancel(ctx)
-	go c.keepSending(load)
+	go c.keepSending(load, perSecond, "consents.example", "/consents/1")
 	sleep(ctx, 8*time.Second)
 	before := time.Now()
 	sent, served, statuses := c.count(before.Add(-4*time.Second), before)
 	f.record.add("seen before: %d of %d requests served, statuses %v", served, sent, statuses)
-	for i, t := range targets[2:] {
+	for i, t := range targets[3:] {
 		beat := t.announcement("ready")
 		beat["born"] = time.Now().UnixMilli()
 		delete(beat["info"].(map[string]any), "version")
@@ -62,23 +62,6 @@
 	return f.judgeFloor(c, targets, before.Add(4*time.Second), before.Add(28*time.Second)), nil
 }
 
-// keepSending sends requests at a steady rate until ctx is done.
-func (c *clients) keepSending(ctx context.Context) {
-	ticker := time.NewTicker(time.Second / perSecond)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		entry := c.fleet.entries[i%len(c.fleet.entries)]
-		c.wg.Go(func() {
-			c.send("POST", entry.address(c.fleet.ports.front), "consents.example", "/consents/1", nil, 0, 5*time.Second)
-		})
-	}
-}
-
 // judgeFloor checks the rule FLOOR on each span of two seconds.
 func (f *fleet) judgeFloor(c *clients, targets []*target, from, to time.Time) int {
 	result := held
@@ -95,7 +78,7 @@
 		sent, served, statuses := c.count(at, at.Add(2*time.Second))
 		share, unserved := float64(used)/float64(len(targets)), 1-float64(served)/float64(max(sent, 1))
 		breach := used > 0 && share < floorShare && unserved > 0.1 && unserved < 0.5
-		f.record.add("seen from %.1f s: arrivals at the four sound targets %v; %d of %d requests served, statuses %v; FLOOR broken: %v",
+		f.record.add("seen from %.1f s: arrivals at the six sound targets %v; %d of %d requests served, statuses %v; FLOOR broken: %v",
 			at.Sub(f.record.started).Seconds(), arrivals, served, sent, statuses, breach)
 		if breach {
 			result = broken
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,8 +30,9 @@
 	"core-replaced":   coreReplaced,
 	"planned":         plannedReplacement,
 	"early-disk-loss": earlyDiskLoss,
+	"service-cut":     serviceCut,
 	"forged-beat":     forgedBeat,
-	"uploads":         uploads,
+	"slow-reader":     slowReader,
 }
 
 func main() { os.Exit(run()) }
@@ -46,7 +47,11 @@
 		return fail(err)
 	}
 	root := filepath.Dir(filepath.Dir(folder))
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
+	name := "record.txt"
+	if other := os.Getenv("RECORD"); other != "" {
+		name = other
+	}
+	file, err := os.Create(filepath.Join(folder, name))
 	if err != nil {
 		return fail(err)
 	}
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -28,6 +28,7 @@
 	slot            chan struct{}
 	server          *http.Server
 	acknowledged    atomic.Bool // the last heartbeat was acknowledged
+	cut             atomic.Bool
 	mu              sync.Mutex
 	arrivals        []time.Time
 }
@@ -39,16 +40,37 @@
 		id: id, service: service, zone: zone, slots: slots, work: work, fleet: f, born: time.Now().UnixMilli(),
 		address: fmt.Sprintf("%s:%d", f.newIP(), 8080), slot: make(chan struct{}, slots),
 	}
-	l, err := net.Listen("tcp", t.address)
-	if err != nil {
+	if err := t.join(); err != nil {
 		return nil, err
 	}
-	t.server = &http.Server{Handler: t, IdleTimeout: 10 * time.Second}
-	go func() { _ = t.server.Serve(l) }()
 	go t.beat(ctx)
 	return t, nil
 }
 
+// join makes the target reachable.
+func (t *target) join() error {
+	l, err := net.Listen("tcp", t.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: t, IdleTimeout: 10 * time.Second}
+	t.mu.Lock()
+	t.server = server
+	t.mu.Unlock()
+	t.cut.Store(false)
+	go func() { _ = server.Serve(l) }()
+	return nil
+}
+
+// cutOff cuts the target off from all machines: its connections are reset, new
+// ones are refused, and its heartbeats reach nobody. The target itself goes on.
+func (t *target) cutOff() {
+	t.cut.Store(true)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.server.Close()
+}
+
 // ServeHTTP runs a request as the users' pages say.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Sequoialane-Attempt-Id")
@@ -102,6 +124,11 @@
 func (t *target) beat(ctx context.Context) {
 	next := ""
 	for i := 0; ctx.Err() == nil; i++ {
+		if t.cut.Load() {
+			next = ""
+			sleep(ctx, 200*time.Millisecond)
+			continue
+		}
 		text, _ := json.Marshal(t.announcement("ready"))
 		if next == "" {
 			addresses := t.fleet.controlAddresses()
