--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review-standin
 [ -x "$program" ] && [ -x ../../target/sequoialane-platform ] || exit 2
-"$program" early-disk-loss "$PWD"
+"$program" planned "$PWD"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
