--- a/review/standin/forged_beat.go
+++ b/review/standin/forged_beat.go
@@ -30,16 +30,17 @@
 	}
 	var targets []*target
 	for i, zone := range []string{"norte-a", "centro-a", "sul-a", "norte-b", "centro-b", "sul-b"} {
-		t, err := f.startTarget(ctx, "i-sound-"+itoa(int64(i)), "licencas", zone, 2, 100*time.Millisecond)
-		if err != nil {
+		t := f.newTarget("i-sound-"+itoa(int64(i)), "licencas", zone, 2, 100*time.Millisecond)
+		if err := t.start(ctx); err != nil {
 			return cannotRun, err
 		}
 		targets = append(targets, t)
 	}
 	sleep(ctx, 4*time.Second)
-	c := newClients(f)
+	c := newClients(f, "consents.example")
 	load, stop := context.WithCancel(ctx)
-	go c.keepSending(load, perSecond, "consents.example", "/consents/1")
+	defer stop()
+	go c.keepSending(load, perSecond, "/consents/1")
 	sleep(ctx, 8*time.Second)
 	before := time.Now()
 	sent, served, statuses := c.count(before.Add(-4*time.Second), before)
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -85,6 +85,9 @@
 		addresses := f.controlAddresses()
 		status, _ = callControl(addresses[i%len(addresses)], "config.put", text)
 		calls[status]++
+		if status == 200 {
+			f.acknowledged(version)
+		}
 		if status == 200 || status == 400 {
 			f.record.add("operator: put of version %d: status %d after %v; calls by status %v", version, status, time.Since(started).Round(time.Millisecond), calls)
 			return status, time.Since(started)
@@ -121,3 +124,23 @@
 	f.record.add("operator: get has no answer in %v; calls by status %v", time.Since(started).Round(time.Millisecond), calls)
 	return -1
 }
+
+func (f *fleet) acknowledged(version int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newest = max(f.newest, version)
+}
+
+// judgeReadBack checks the rule on the configuration that is read back at the end:
+// it comes, and is not older than the newest acknowledged version.
+func (f *fleet) judgeReadBack() int {
+	read := f.get(15 * time.Second)
+	f.mu.Lock()
+	newest := f.newest
+	f.mu.Unlock()
+	f.record.add("seen: newest acknowledged version: %d (0: none); read back: %d (-1: it did not come)", newest, read)
+	if read < newest || read < 0 {
+		return broken
+	}
+	return held
+}
