Consensus: a member that is gone stops counting, whatever came first

Cause: a silent voter was removed only if another member had been admitted after its last response, by the same leader. In a planned replacement the successor is admitted first, so the old voter stayed; a new leader counted the silence anew (6 s) and knew of no earlier admission.

Change: the leader removes a voter that is silent or has announced its end if the group without all departed voters needs fewer votes. The rule depends on the configuration in the log and on who responds, on nothing that an election or a restart forgets. A member that stops announces it (Group.Leave) and votes until the leader can spare it. Removals are logged and counted.

Ruled out: a shorter silence with the old rule (the successor still comes first); the new leader inheriting the silence of the old one (tried, covers one of several departed members only).

TestMinorityRefusesDocuments stopped three of five members one after the other with a planned stop, and expected the other two to refuse. After planned stops the group now shrinks, and two of three may serve; TestPlannedStopsInSeries states this. The guard itself is unchanged: the three members are killed at once, without notice, and the two must refuse.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -73,6 +73,8 @@
 	pendingChangeIndex uint64 // index of a Replace or Remove entry that is not applied; 0: none
 	pendingReads       []pendingRead
 	transfer           transferState
+	leave              leaveState
+	removals           []voterRemoval // proposed and not yet logged
 
 	formation   formationState
 	votingCache votingCache
@@ -121,11 +123,14 @@
 // quorum returns the number of voting members that form a majority.
 func (c *core) quorum() int {
 	if c.dynamic && !c.isBlank() {
-		return len(c.votingConfig())/2 + 1
+		return quorumOf(len(c.votingConfig()))
 	}
-	return len(c.slots)/2 + 1
+	return quorumOf(len(c.slots))
 }
 
+// quorumOf returns the number of members that form a majority of size members.
+func quorumOf(size int) int { return size/2 + 1 }
+
 // isBlank reports whether the member has never accepted state of the group.
 func (c *core) isBlank() bool { return c.epoch == 0 }
 
@@ -164,10 +169,11 @@
 	switch {
 	case c.role == leader:
 		c.tickLeader()
-	case c.isVoter() && !now.Before(c.electionDeadline):
+	case c.isVoter() && c.leave.decision != leaveRemoved && !now.Before(c.electionDeadline):
 		c.campaign(preCandidate)
 	}
 	c.tickTransfer()
+	c.tickLeave()
 	c.tickFormation()
 }
 
@@ -198,6 +204,10 @@
 		c.stepVoteResp(m)
 	case msgTransfer:
 		c.stepTransfer(m)
+	case msgLeave:
+		c.stepLeave(m)
+	case msgLeaveResp:
+		c.stepLeaveResp(m)
 	}
 }
 
--- a/internal/consensus/dynamic_membership.go
+++ b/internal/consensus/dynamic_membership.go
@@ -3,16 +3,11 @@
 import (
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/lo"
 )
 
-// silentVoterTimeout is the time without a response after which a voting member
-// is removed if another member has been admitted since its last response.
-const silentVoterTimeout = 6 * time.Second
-
 // votingCache holds the configuration after the last log entry. Epoch, index
 // and term of the last entry identify the whole log, so they tell whether the
 // cache is current.
@@ -70,34 +65,6 @@
 	}
 }
 
-// removeReplacedVoter proposes to remove a voting member that has not responded
-// for silentVoterTimeout, if an active member was admitted since its last
-// response.
-func (c *core) removeReplacedVoter() {
-	if !c.dynamic || c.pendingChangeIndex != 0 || !c.log.matches(c.log.commit, c.term) {
-		return
-	}
-	for _, slot := range c.progressSlots() {
-		p := c.voters[slot]
-		if p == nil || c.now.Sub(p.lastContact) < silentVoterTimeout || !c.hasActiveVoterAdmittedAfter(p.lastContact) {
-			continue
-		}
-		entry := c.appendEntry(Entry{Kind: entryRemove, Data: []byte(slot)})
-		c.pendingChangeIndex = entry.Index
-		c.updateVoters()
-		c.broadcastAppend()
-		return
-	}
-}
-
-// hasActiveVoterAdmittedAfter reports whether a voting member that was admitted
-// after t has responded within the election timeout.
-func (c *core) hasActiveVoterAdmittedAfter(t time.Time) bool {
-	return lo.SomeBy(lo.Values(c.voters), func(p *progress) bool {
-		return p.admitted.After(t) && c.now.Sub(p.lastContact) < c.electionTimeout
-	})
-}
-
 // progressSlots returns the slots of the voters and learners in a fixed order.
 func (c *core) progressSlots() []string {
 	if !c.dynamic {
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -60,7 +60,7 @@
 
 func (c *core) tickFormation() {
 	leaderless := c.now.Sub(c.leaderLastKnown)
-	if c.role == leader || c.leader != (MemberID{}) && leaderless < c.electionTimeout {
+	if c.leave.started || c.role == leader || c.leader != (MemberID{}) && leaderless < c.electionTimeout {
 		return
 	}
 	if !c.durable {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -29,6 +29,7 @@
 	proposals       chan *proposal
 	reads           chan *readCall
 	transfers       chan chan error
+	leaves          chan chan error
 	failedSnapshots chan MemberID // recipients of snapshots that could not be sent
 	stop            chan struct{}
 	done            chan struct{}
@@ -44,6 +45,7 @@
 	failure          error
 
 	pendingTransfers []chan error // calls of TransferLeadership without a result
+	pendingLeaves    []chan error // calls of Leave without a result
 
 	slotsMismatchLogged bool
 }
@@ -65,6 +67,7 @@
 		proposals:        make(chan *proposal, requestQueueLength),
 		reads:            make(chan *readCall, requestQueueLength),
 		transfers:        make(chan chan error),
+		leaves:           make(chan chan error),
 		failedSnapshots:  make(chan MemberID, maxMembers),
 		stop:             make(chan struct{}),
 		done:             make(chan struct{}),
@@ -120,7 +123,7 @@
 }
 
 // Stop stops the member and waits until it has stopped. It does not transfer
-// leadership; call TransferLeadership first.
+// leadership; call TransferLeadership or Leave first.
 func (g *Group) Stop() {
 	g.stopOnce.Do(func() { close(g.stop) })
 	<-g.done
@@ -178,6 +181,9 @@
 	case done := <-g.transfers:
 		g.core.tick(g.config.Clock.Now())
 		g.handleTransfer(done)
+	case done := <-g.leaves:
+		g.core.tick(g.config.Clock.Now())
+		g.handleLeave(done)
 	case id := <-g.failedSnapshots:
 		g.core.snapshotFailed(id)
 	}
@@ -225,6 +231,7 @@
 	g.finishAppliedReads()
 	g.publishStatus(false)
 	g.finishTransfers()
+	g.finishLeaves()
 	return nil
 }
 
@@ -248,6 +255,7 @@
 		g.applyEntry(entry)
 	}
 	g.handleConfirmedReads(r)
+	g.logRemovals(r.removals)
 	return nil
 }
 
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -49,7 +49,6 @@
 	}
 	entry := c.appendEntry(Entry{Kind: entryReplace, Data: data})
 	c.pendingChangeIndex = entry.Index
-	p.admitted = c.now
 	if c.dynamic {
 		c.updateVoters()
 	}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -79,6 +79,8 @@
 	msgFormation     messageType = 12 // requests grants of epoch Promised from blank members
 	msgGrant         messageType = 13
 	msgTransfer      messageType = 14 // tells a voter to campaign at once
+	msgLeave         messageType = 15 // tells the leader that a voter is about to stop
+	msgLeaveResp     messageType = 16 // Reject: the voter stays in the configuration
 )
 
 // message is sent between members. Epoch is the epoch of the sender's state; the
--- a/internal/consensus/metrics.go
+++ b/internal/consensus/metrics.go
@@ -12,6 +12,7 @@
 	forwards        *metrics.Counter
 	forwardRepeats  *metrics.Counter
 	leaderChanges   *metrics.Counter
+	voterRemovals   *metrics.Counter
 	stateDiscards   *metrics.Counter
 	storageFailures *metrics.Counter
 	sendFailures    *metrics.Counter
@@ -26,6 +27,7 @@
 		forwards:        counter("forwards"),
 		forwardRepeats:  counter("forward_repeats"),
 		leaderChanges:   counter("leader_changes"),
+		voterRemovals:   counter("voter_removals"),
 		stateDiscards:   counter("state_discards"),
 		storageFailures: counter("storage_failures"),
 		sendFailures:    counter("send_failures"),
--- a/internal/consensus/random_faults_test.go
+++ b/internal/consensus/random_faults_test.go
@@ -68,7 +68,10 @@
 			t.Fatalf("seed %d: %v", seed, r)
 		}
 	}()
-	s := newDynamicSim(seed, initial, size, durable)
+	s := newSim(seed, size, durable)
+	if initial < size {
+		s = newDynamicSim(seed, initial, size, durable)
+	}
 	s.dropRate = 0.05
 	s.crashRate = 0.0002
 	if durable {
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -14,6 +14,7 @@
 	committed   []Entry // to apply
 	readStates  []readState
 	failedReads []uint64
+	removals    []voterRemoval // to log
 }
 
 // ready returns the pending work. It reports false if there is none.
@@ -31,6 +32,7 @@
 		committed:   committed,
 		readStates:  c.readStates,
 		failedReads: c.failedReads,
+		removals:    c.removals,
 	}
 	// The commit index is stored with a membership change, so that a restarted
 	// member finds the configuration that it has acted on.
@@ -38,7 +40,7 @@
 	hasWork := r.mustSave || r.discarded || r.snapshot != nil || len(r.messages) > 0 ||
 		len(committed) > 0 || len(r.readStates) > 0 || len(r.failedReads) > 0
 	if hasWork {
-		c.messages, c.readStates, c.failedReads = nil, nil, nil
+		c.messages, c.readStates, c.failedReads, c.removals = nil, nil, nil, nil
 		c.newSnapshot, c.discarded = nil, false
 	}
 	return r, hasWork
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -18,7 +18,7 @@
 		return
 	}
 	c.removeSilentLearners()
-	c.removeReplacedVoter()
+	c.removeDepartedVoter()
 	if !c.now.Before(c.heartbeatDue) {
 		c.broadcastHeartbeat()
 	}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -20,7 +20,8 @@
 	slot     string
 	core     *core // nil: down
 	paused   bool
-	wiped    bool // it lost its disk, so it must not bootstrap a group
+	wiped    bool     // it lost its disk, so it must not bootstrap a group
+	seeds    []string // slots that it is started with; nil: the initial ones
 	stored   storedState
 	commands []string // applied since the initial state
 }
@@ -38,7 +39,8 @@
 	*checker
 	random       *rand.Rand
 	durable      bool
-	initial      int // number of slots that form the group; fewer than all: the group is dynamic
+	initial      int  // number of slots that form the group
+	dynamic      bool // slots are added and removed
 	now          time.Time
 	nodes        []*simNode
 	slots        []string
@@ -53,17 +55,21 @@
 }
 
 func newSim(seed uint64, size int, durable bool) *sim {
-	return newDynamicSim(seed, size, size, durable)
+	return startSim(&sim{initial: size, durable: durable}, seed, size)
 }
 
 // newDynamicSim returns a group that is formed by its first slots; the members in
 // the other slots join it.
 func newDynamicSim(seed uint64, initial, size int, durable bool) *sim {
-	s := &sim{
-		initial: initial,
-		checker: newChecker(), random: rand.New(rand.NewPCG(seed, 7)), durable: durable,
-		now: time.Unix(1_700_000_000, 0), blockedLinks: map[[2]string]bool{},
-	}
+	return startSim(&sim{initial: initial, dynamic: true, durable: durable}, seed, size)
+}
+
+// startSim starts all members of a group.
+func startSim(s *sim, seed uint64, size int) *sim {
+	s.checker = newChecker()
+	s.random = rand.New(rand.NewPCG(seed, 7))
+	s.now = time.Unix(1_700_000_000, 0)
+	s.blockedLinks = map[[2]string]bool{}
 	for i := range size {
 		s.slots = append(s.slots, fmt.Sprintf("vm%d", i))
 		s.nodes = append(s.nodes, &simNode{slot: s.slots[i]})
@@ -81,9 +87,13 @@
 
 // start starts a node from its stored state.
 func (s *sim) start(n *simNode) {
+	seeds := n.seeds
+	if seeds == nil {
+		seeds = s.slots[:s.initial]
+	}
 	options := coreOptions{
-		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), s.slots[:s.initial]...),
-		dynamic: s.initial < len(s.slots), bootstrap: !n.wiped, shortFirstElection: s.initial < len(s.slots),
+		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), seeds...),
+		dynamic: s.dynamic, bootstrap: !n.wiped, shortFirstElection: s.dynamic,
 		durable: s.durable, heartbeatInterval: 50 * time.Millisecond, electionTimeout: simElectionTimeout,
 		learnerTimeout: 10 * time.Second, snapshotTimeout: 2 * time.Second, snapshotEvery: simSnapshotEvery, snapshotBytes: 1 << 20,
 		random:         rand.New(rand.NewPCG(s.random.Uint64(), 1)),
--- a/internal/consensus/validate.go
+++ b/internal/consensus/validate.go
@@ -15,7 +15,7 @@
 // message contradict each other.
 func (m message) validate() error {
 	switch {
-	case m.Type < msgAppend || m.Type > msgTransfer:
+	case m.Type < msgAppend || m.Type > msgLeaveResp:
 		return fmt.Errorf("%w: unknown type %d", errMalformedMessage, m.Type)
 	case m.Type == msgSnapshot && (m.Snapshot == nil || m.Snapshot.Index == 0 || m.Snapshot.Term > m.Term):
 		return fmt.Errorf("%w: snapshot without an index, or of a later term", errMalformedMessage)
--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -35,10 +35,11 @@
 	mu      sync.Mutex
 	members map[int]*fleetcontrol.Member // running members by number
 	stops   map[int]func()
+	kills   map[int]func()
 }
 
 func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{t: t, folder: t.TempDir(), members: map[int]*fleetcontrol.Member{}, stops: map[int]func(){}}
+	c := &cluster{t: t, folder: t.TempDir(), members: map[int]*fleetcontrol.Member{}, stops: map[int]func(){}, kills: map[int]func(){}}
 	for n := range size {
 		s := fleetcontrol.DefaultSettings()
 		host := c.ports.NextHost()
@@ -59,9 +60,11 @@
 	}
 	c.ports.Release()
 	t.Cleanup(func() {
+		var stopped sync.WaitGroup
 		for n := range c.all {
-			c.stop(n)
+			stopped.Go(func() { c.kill(n) })
 		}
+		stopped.Wait()
 	})
 	return c
 }
@@ -84,17 +87,30 @@
 		defer close(done)
 		_ = p.Run(ctx)
 	}()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.stops[n] = func() { cancel(); <-done }
+	c.kills[n] = func() { p.Kill(); cancel(); <-done }
 }
 
-func (c *cluster) stop(n int) {
-	if stop := c.stops[n]; stop != nil {
-		stop()
-		delete(c.stops, n)
-		c.mu.Lock()
-		delete(c.members, n)
-		c.mu.Unlock()
+func (c *cluster) stop(n int) { c.end(n, c.stops) }
+
+// kill ends a member without notice.
+func (c *cluster) kill(n int) { c.end(n, c.kills) }
+
+func (c *cluster) end(n int, with map[int]func()) {
+	c.mu.Lock()
+	end := with[n]
+	delete(c.stops, n)
+	delete(c.kills, n)
+	c.mu.Unlock()
+	if end == nil {
+		return
 	}
+	end()
+	c.mu.Lock()
+	delete(c.members, n)
+	c.mu.Unlock()
 }
 
 func (c *cluster) member(n int) *fleetcontrol.Member {
@@ -184,9 +200,11 @@
 	c := startAll(t, 5)
 	c.mustPut(0, 3)
 	require.Eventually(t, func() bool { return len(c.votingSlots()) == 5 }, stepTimeout, 20*time.Millisecond)
+	var killed sync.WaitGroup
 	for _, n := range []int{0, 1, 2} {
-		c.stop(n)
+		killed.Go(func() { c.kill(n) })
 	}
+	killed.Wait()
 	require.Eventually(t, func() bool { return !c.member(3).InContact() && !c.member(4).InContact() }, stepTimeout, 20*time.Millisecond)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -196,6 +214,37 @@
 	require.Error(t, err)
 }
 
+// Guards against a group that counts members which were stopped as planned: those
+// that run are too few of the old group, but enough of what is left.
+func TestPlannedStopsInSeries(t *testing.T) {
+	c := startAll(t, 5)
+	c.mustPut(0, 3)
+	require.Eventually(t, func() bool { return len(c.votingSlots()) == 5 }, stepTimeout, 20*time.Millisecond)
+	for n, version := range []uint64{4, 5, 6} {
+		c.stop(n)
+		c.mustPut(3, version)
+	}
+	c.mustRead(4, 6)
+}
+
+// Guards against a control plane that ends for good when a member is lost some
+// time after another one was replaced as planned, its successor first.
+func TestLossAfterPlannedReplacement(t *testing.T) {
+	c := newCluster(t, 5)
+	for n := range 3 {
+		c.start(n, true)
+	}
+	c.mustPut(0, 3)
+	c.start(3, false)
+	require.Eventually(t, func() bool { return len(c.votingSlots()) == 4 }, stepTimeout, 20*time.Millisecond)
+	c.stop(0)
+	c.kill(1)
+	c.start(4, false)
+	require.Eventually(t, func() bool { return len(c.member(4).Slots()) == 3 }, stepTimeout, 20*time.Millisecond)
+	c.mustPut(4, 5)
+	c.mustRead(2, 5)
+}
+
 // votingSlots returns the voting slots that member 3 knows.
 func (c *cluster) votingSlots() []string { return c.member(3).Slots() }
 
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -22,13 +22,13 @@
 )
 
 const (
-	groupName       = "fleet"
-	headerTimeout   = 5 * time.Second
-	readTimeout     = 10 * time.Second // for a whole request; every call is answered long before
-	idleTimeout     = time.Minute
-	transferTimeout = time.Second
-	drainShare      = 0.8 // share of the grace period after which open calls are aborted
-	maxHeaderBytes  = 64 << 10
+	groupName      = "fleet"
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 10 * time.Second // for a whole request; every call is answered long before
+	idleTimeout    = time.Minute
+	leaveTimeout   = 4 * ElectionTimeout // for an election and the removal of a lost member, on which the group may depend
+	drainShare     = 0.8                 // share of the grace period after which open calls are aborted
+	maxHeaderBytes = 64 << 10
 )
 
 // Process runs a control member with its servers.
@@ -122,17 +122,13 @@
 	return nil
 }
 
-// drain transfers leadership, finishes open calls and stops.
+// drain leaves the consensus group, finishes open calls and stops.
 func (p *Process) drain() {
 	p.log.Info("control member draining", zap.String("role", string(p.group.Status().Role)))
 	p.member.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.settings.Grace.Std())))
 	defer cancel()
-	transfer, done := context.WithTimeout(ctx, transferTimeout)
-	defer done()
-	if err := p.group.TransferLeadership(transfer); err != nil {
-		p.log.Warn("leadership transfer at shutdown failed", zap.Error(err))
-	}
+	p.leaveGroup(ctx)
 	if err := p.control.Shutdown(ctx); err != nil {
 		p.log.Warn("calls of operators and targets aborted", zap.Error(err))
 	}
@@ -142,3 +138,13 @@
 	p.group.Stop()
 	p.log.Info("control member stopped")
 }
+
+// leaveGroup waits until the consensus group no longer depends on this member,
+// for at most leaveTimeout.
+func (p *Process) leaveGroup(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := p.group.Leave(ctx); err != nil {
+		p.log.Warn("stopping although the consensus group may depend on this member", zap.Error(err))
+	}
+}
