Consensus: a learner that no longer responds is not admitted

A learner that had stored the whole log while the admission of another one waited for a majority was admitted as soon as that one was committed, also if it had ended meanwhile: one more voter that does not exist. The leader now admits only a learner that has responded within the election timeout.

TestSilentLearnerIsNotAdmitted failed before (the configuration listed x0004).

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -33,9 +33,12 @@
 	}
 }
 
-// admitLearner proposes a Replace entry for a learner that has stored all
-// committed entries. Only one membership change is pending at a time.
+// admitLearner proposes a Replace entry for a learner that responds and has stored
+// all committed entries. Only one membership change is pending at a time.
 func (c *core) admitLearner(p *progress) {
+	if !c.isResponsive(p) {
+		return
+	}
 	if c.dynamic && len(c.votingConfig()) >= maxVoters && c.votingConfig()[p.id.Slot] == 0 {
 		return
 	}
--- a/internal/consensus/voter_removal_test.go
+++ b/internal/consensus/voter_removal_test.go
@@ -170,3 +170,38 @@
 	s.start(leaving)
 	s.requireAllAdmitted(t)
 }
+
+// Guards against a learner that is admitted after its end: it holds the whole log
+// while the admission of another one waits for a majority.
+func TestSilentLearnerIsNotAdmitted(t *testing.T) {
+	s := newDynamicSim(1, 3, 3, true)
+	s.requireAllAdmitted(t)
+	s.requireCommit(t, nil)
+	s.dropMessage = func(m message) bool {
+		return m.Type == msgAppendResp && s.slotIndex(m.From.Slot) < 3
+	}
+	seeds := s.runningSlots()
+	s.addNode(seeds)
+	lost := s.addNode(seeds)
+	require.True(t, s.runUntil(func() bool {
+		c := s.leaderOfAny().core
+		p := c.learners[lost.slot]
+		return p != nil && c.pendingChangeIndex != 0 && p.match >= c.pendingChangeIndex
+	}), s.describe())
+	s.crash(lost, false)
+	s.run(simElectionTimeout + simElectionTimeout/2)
+	s.dropMessage = nil
+	require.True(t, s.runUntil(func() bool { return s.leaderOfAny().core.configIndex > 0 }), s.describe())
+	s.run(simStep)
+	assert.NotContains(t, s.leaderOfAny().core.votingConfig(), lost.slot)
+}
+
+// leaderOfAny returns a leader, settled or not.
+func (s *sim) leaderOfAny() *simNode {
+	for _, n := range s.nodes {
+		if n.core != nil && n.core.role == leader {
+			return n
+		}
+	}
+	return nil
+}
