Consensus: a returning member is sent the entries that it lacks

A member that was removed while it was paused, or stopped as planned in a group of an even size, joins again with its disk. The probe of a member names the epoch of its log, so the leader starts from the end of its own log, as it does for voters.

--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -165,7 +165,7 @@
 		// A member that has promised a newer epoch would reject the messages of
 		// this one.
 		if m.Promised <= c.promised || c.durable {
-			c.addLearner(m.From)
+			c.addLearner(m.From, m.Epoch == c.epoch)
 		}
 	case msgFormation:
 		c.stepFormationRequest(m)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -8,8 +8,9 @@
 
 // addLearner starts replicating to a member that is not in the configuration. It
 // does nothing if the voting member in the same slot has responded within the
-// election timeout.
-func (c *core) addLearner(id MemberID) {
+// election timeout. A member with a log of the same epoch, which was removed while
+// it was silent, is sent the entries that it lacks; another one needs the snapshot.
+func (c *core) addLearner(id MemberID, hasLog bool) {
 	if c.role != leader || c.votingConfig().contains(id) {
 		return
 	}
@@ -19,8 +20,11 @@
 	if p := c.learners[id.Slot]; p != nil && p.id == id {
 		return
 	}
-	// A learner has no entries yet, so it needs the snapshot.
-	p := newProgress(id, c.log.baseIndex, c.now)
+	next := c.log.baseIndex
+	if hasLog {
+		next = c.log.lastIndex() + 1
+	}
+	p := newProgress(id, next, c.now)
 	c.learners[id.Slot] = p
 	c.sendAppend(p)
 }
--- a/internal/consensus/voter_removal_test.go
+++ b/internal/consensus/voter_removal_test.go
@@ -205,3 +205,18 @@
 	}
 	return nil
 }
+
+// Guards against a whole snapshot for a member that was removed while it was
+// paused, or that restarts with its disk, and lacks a few entries only.
+func TestReturningMemberIsSentEntries(t *testing.T) {
+	s := newGrownSim(t, 4)
+	old := s.others(s.leader())[0]
+	old.paused = true
+	s.run(simCatchUp)
+	s.requireCommit(t, old)
+	require.Len(t, s.leader().core.config, 3)
+	s.dropMessage = func(m message) bool { return m.Type == msgSnapshot }
+	old.paused = false
+	s.requireAllAdmitted(t)
+	s.requireCommit(t, nil)
+}
