Control: an entry that is lost during a restart of its member is noticed

The silence of an entry is noticed by the control member that it polls, which knew it from its polls in memory only. If that member was restarted at the same time, or if no majority could commit the loss when it was noticed, the entry stayed in the state as serving: an address for callers and an owner of groups, for good.

A member in contact with a leader now tracks each entry whose record in the replicated state names it.

--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -309,6 +309,9 @@
 			c.Entries = append(c.Entries, m.markLost(e, m.self.PeerAddress))
 		}
 	}
+	if fresh {
+		m.expectRecordedEntries(now)
+	}
 	if fresh && !m.isRegistered() {
 		c.Members = append(c.Members, m.self)
 	}
@@ -327,6 +330,17 @@
 	}()
 }
 
+// expectRecordedEntries tracks the entries whose records name this member. A member
+// that was restarted has not seen their polls, and the loss of one may have been
+// noticed while no majority could commit it.
+func (m *Member) expectRecordedEntries(now time.Time) {
+	for _, e := range m.stateMachine.Entries() {
+		if e.ControlMember == m.self.PeerAddress && e.State != fleetstate.Lost {
+			m.presence.expect(e, now)
+		}
+	}
+}
+
 // markLost counts and logs a lost entry and returns its new record.
 func (m *Member) markLost(e fleetstate.Entry, controlMember string) fleetstate.Entry {
 	m.counters.entriesLost.Inc()
--- a/internal/fleetcontrol/presence.go
+++ b/internal/fleetcontrol/presence.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// expect starts to track an entry that polls this member by its record, as if it had
+// polled now, unless it is tracked already.
+func (p *presence) expect(e fleetstate.Entry, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.entries[e.Name] == nil {
+		p.entries[e.Name] = &entryPresence{entry: e, lastContact: now}
+	}
+}
+
 // removeSilent removes and returns the entries that were silent for too long.
 func (p *presence) removeSilent(now time.Time) []fleetstate.Entry {
 	p.mu.Lock()
