Control: current seeds reach a running member; replaced members name no address

- A member that was out of contact while all members that it knew were replaced asked only those, for good: control members ignored the seeds of a reload.
SIGHUP now passes them to the group, which asks them for a leader.
They take no part in forming a group.
TestReturningMemberFindsGroupByNewSeeds shows both sides.
- The record of a replaced control member stands until a leader has seen it without a slot for 10 s, and elections start that anew.
Until then targets were told its address for their next announcement.
TestNearestControlAddressOfReplacedMember failed before.

--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -69,8 +69,11 @@
 	return serve(ctx, s.Telemetry, controlName, s.Name, func(i do.Injector) (*fleetcontrol.Process, error) {
 		log := do.MustInvoke[*zap.Logger](i)
 		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
-	}, func(*fleetcontrol.Process) error {
-		_, err := loadControl(file)
+	}, func(p *fleetcontrol.Process) error {
+		changed, err := loadControl(file)
+		if err == nil {
+			p.SetSeeds(changed)
+		}
 		return err
 	})
 }
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -77,6 +77,7 @@
 	removals           []voterRemoval // proposed and not yet logged
 
 	formation   formationState
+	seeds       []string // further slots to probe while there is no leader; they take no part in forming the group
 	votingCache votingCache
 
 	messages       []message
--- a/internal/consensus/dynamic_membership.go
+++ b/internal/consensus/dynamic_membership.go
@@ -77,12 +77,12 @@
 
 // formationRecipients returns the slots that a formation message is sent to.
 // Only the initial slots form the group; probes also go to the slots known from
-// the log and to the leader named by another member.
+// the log, to the current seeds and to the leader named by another member.
 func (c *core) formationRecipients(kind messageType) []string {
 	if !c.dynamic || kind != msgProbe {
 		return c.slots
 	}
-	slots := append(slices.Clone(c.slots), lo.Keys(c.votingConfig())...)
+	slots := slices.Concat(c.slots, c.seeds, lo.Keys(c.votingConfig()))
 	if c.formation.leaderHint != "" {
 		slots = append(slots, c.formation.leaderHint)
 	}
@@ -105,3 +105,13 @@
 		return Member{Slot: slot, Address: slot}
 	})
 }
+
+// SetSeeds replaces the slots that a member of a dynamic group asks for a leader,
+// beside those in its configuration and its log. A member that was out of contact
+// while all of those were replaced finds the group through them.
+func (g *Group) SetSeeds(slots []string) {
+	select {
+	case g.seeds <- slots:
+	case <-g.done:
+	}
+}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -30,6 +30,7 @@
 	reads           chan *readCall
 	transfers       chan chan error
 	leaves          chan chan error
+	seeds           chan []string
 	failedSnapshots chan MemberID // recipients of snapshots that could not be sent
 	stop            chan struct{}
 	done            chan struct{}
@@ -68,6 +69,7 @@
 		reads:            make(chan *readCall, requestQueueLength),
 		transfers:        make(chan chan error),
 		leaves:           make(chan chan error),
+		seeds:            make(chan []string),
 		failedSnapshots:  make(chan MemberID, maxMembers),
 		stop:             make(chan struct{}),
 		done:             make(chan struct{}),
@@ -184,6 +186,8 @@
 	case done := <-g.leaves:
 		g.core.tick(g.config.Clock.Now())
 		g.handleLeave(done)
+	case slots := <-g.seeds:
+		g.core.seeds = slots
 	case id := <-g.failedSnapshots:
 		g.core.snapshotFailed(id)
 	}
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -323,8 +323,10 @@
 	}
 }
 
+func (s *sim) repairLinks() { s.blockedLinks = map[[2]string]bool{} }
+
 func (s *sim) repairAll() {
-	s.blockedLinks = map[[2]string]bool{}
+	s.repairLinks()
 	for _, n := range s.nodes {
 		n.paused = false
 		if n.core == nil {
--- a/internal/consensus/voter_removal_test.go
+++ b/internal/consensus/voter_removal_test.go
@@ -220,3 +220,28 @@
 	s.requireAllAdmitted(t)
 	s.requireCommit(t, nil)
 }
+
+// Guards against a member that never returns, because all members that it knows
+// were replaced while it was out of contact.
+func TestReturningMemberFindsGroupByNewSeeds(t *testing.T) {
+	s := newDynamicSim(1, 3, 3, true)
+	s.requireAllAdmitted(t)
+	old := s.nodes[0]
+	s.isolate(old, true, true)
+	for _, n := range s.nodes {
+		successor := s.addNode(s.runningSlots())
+		s.isolate(old, true, true)
+		require.True(t, s.runUntil(func() bool { return s.leader() != nil && s.leader().core.config.contains(successor.core.id) }), s.describe())
+		if n != old {
+			s.leaveAndStop(t, n)
+		}
+	}
+	s.run(simCatchUp)
+	require.NotContains(t, s.leader().core.config, old.slot)
+	s.repairLinks()
+	s.run(simCatchUp)
+	require.NotContains(t, s.leader().core.config, old.slot, "it knows none of the members")
+	old.core.seeds = []string{s.leader().slot}
+	require.True(t, s.runUntil(func() bool { return s.leader() != nil && s.leader().core.config.contains(old.core.id) }), s.describe())
+	s.requireCommit(t, nil)
+}
--- a/internal/fleetcontrol/losses_test.go
+++ b/internal/fleetcontrol/losses_test.go
@@ -119,3 +119,17 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, fleetstate.Serving, m.entryState())
 }
+
+// Guards against targets that are sent to a control member which was replaced, as
+// long as its record stands.
+func TestNearestControlAddressOfReplacedMember(t *testing.T) {
+	m, group := newLossTest(t)
+	members := []fleetstate.Member{
+		{PeerAddress: "10.0.0.2:1", ControlAddress: "10.0.0.2:2", Region: "r2", DataCentre: "d2"},
+		{PeerAddress: "10.0.0.3:1", ControlAddress: "10.0.0.3:2", Region: "r2", DataCentre: "d2"},
+	}
+	_, err := group.Propose(context.Background(), fleetstate.Command{Members: members}.Encode())
+	require.NoError(t, err)
+	group.status.Members = append(group.status.Members, consensus.MemberStatus{Slot: "10.0.0.3:1", Incarnation: 3})
+	assert.Equal(t, "10.0.0.3:2", m.NearestControlAddress("d2", "r2"))
+}
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -237,14 +237,17 @@
 
 // NearestControlAddress returns the control address of the member that targets
 // in the data centre should call: one in the data centre, else one in its
-// region. It is empty if no member is nearer than this one.
+// region. It is empty if no member is nearer than this one. Records of members that
+// the group no longer counts are ignored.
 func (m *Member) NearestControlAddress(dataCentre, region string) string {
 	if dataCentre == m.self.DataCentre {
 		return ""
 	}
 	best := ""
+	slots := m.Slots()
 	for _, r := range m.stateMachine.Members() {
 		switch {
+		case !slices.Contains(slots, r.PeerAddress):
 		case r.DataCentre == dataCentre:
 			return r.ControlAddress
 		case r.Region == region && m.self.Region != region:
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -15,7 +15,6 @@
 	"github.com/sequoialane/sequoialane/internal/disk"
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
-	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 	"github.com/sequoialane/sequoialane/internal/traffic"
@@ -53,7 +52,7 @@
 	locations := traffic.NewLocations(s.DataCentre, s.DataCentres)
 	group, err := consensus.Start(consensus.Config{
 		Group: groupName, Self: s.PeerAddress, Dynamic: true, Bootstrap: s.Bootstrap,
-		Members: lo.Map(settings.WithPort(s.Seeds, s.SeedPort), func(address string, _ int) consensus.Member {
+		Members: lo.Map(s.seedPeers(), func(address string, _ int) consensus.Member {
 			return consensus.Member{Slot: address, Address: address}
 		}),
 		Locations: locations, Storage: consensus.DiskStorage(dir), StateMachine: stateMachine, Clock: clock, Logger: log,
@@ -122,6 +121,13 @@
 	return nil
 }
 
+// SetSeeds replaces the seeds after a reload of the settings.
+func (p *Process) SetSeeds(s *Settings) {
+	seeds := s.seedPeers()
+	p.group.SetSeeds(seeds)
+	p.log.Info("seeds updated", zap.Strings("seeds", seeds))
+}
+
 // drain leaves the consensus group, finishes open calls and stops.
 func (p *Process) drain() {
 	p.log.Info("control member draining", zap.String("role", string(p.group.Status().Role)))
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -49,3 +49,6 @@
 	settings.RequireDurationRange(report, "grace", s.Grace, time.Second, time.Hour)
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
 }
+
+// seedPeers returns the peer addresses of the seeds.
+func (s *Settings) seedPeers() []string { return settings.WithPort(s.Seeds, s.SeedPort) }
