--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, s.Telemetry, entryName, s.Name, func(i do.Injector) (*fleetentry.Process, error) {
+	return serve(ctx, file, s.Telemetry, entryName, s.Name, func(i do.Injector) (*fleetentry.Process, error) {
 		return fleetentry.New(s, platform.EntryHandlers(), do.MustInvoke[sys.Clock](i), do.MustInvoke[*zap.Logger](i))
 	}, func(p *fleetentry.Process) error {
 		changed, err := loadEntry(file)
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, s.Telemetry, controlName, s.Name, func(i do.Injector) (*fleetcontrol.Process, error) {
+	return serve(ctx, file, s.Telemetry, controlName, s.Name, func(i do.Injector) (*fleetcontrol.Process, error) {
 		log := do.MustInvoke[*zap.Logger](i)
 		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
 	}, func(p *fleetcontrol.Process) error {
@@ -79,8 +79,8 @@
 }
 
 // serve builds a process and runs it until ctx ends. It calls reload on each
-// SIGHUP.
-func serve[P runner](ctx context.Context, t telemetry.Settings, role, name string, provide func(do.Injector) (P, error), reload func(P) error) error {
+// SIGHUP and when the settings file has changed.
+func serve[P runner](ctx context.Context, file string, t telemetry.Settings, role, name string, provide func(do.Injector) (P, error), reload func(P) error) error {
 	log, flush, err := startTelemetry(ctx, t, role, name)
 	if err != nil {
 		return err
@@ -94,7 +94,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go reloadOnSignal(log, func() error { return reload(process) })
+	r := reloader{file: file, signals: reloadSignals, clock: sys.RealClock{}, log: log, reload: func() error { return reload(process) }}
+	go r.run()
 	return process.Run(ctx)
 }
 
@@ -117,16 +118,3 @@
 		_ = log.Sync()
 	}, nil
 }
-
-// reloadOnSignal reloads the settings on each SIGHUP, for the life of the process:
-// a SIGHUP during the drain must not end it. If the new settings are invalid, it
-// logs the error and keeps the current ones.
-func reloadOnSignal(log *zap.Logger, reload func() error) {
-	for range reloadSignals {
-		if err := reload(); err != nil {
-			log.Error("settings reload failed", zap.Error(err))
-			continue
-		}
-		log.Info("settings reloaded")
-	}
-}
