Pool: waiting requests are looked at when a condition ends by time

Cause: waiters got a grant only from an outcome, a lost entry or a change of the state. With all targets in their backoff and nothing in flight none of these was left to come, and a new request queued behind the waiting ones without a look.

Change: while requests wait, the pool knows the next such moment (a backoff or a lease ends, at the latest 50 ms) and looks at them then; a new request looks at once if a target is free. One timer for a pool, none while nobody waits.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -66,14 +65,3 @@
 	}
 	p.budget.recordFirst(now)
 }
-
-// dispatch grants targets to waiting requests, in queue order.
-func (p *Pool) dispatch(now time.Time) {
-	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
-		g, ok := p.grant(w.request, now)
-		if ok {
-			w.granted <- g
-		}
-		return ok
-	})
-}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,10 +22,12 @@
 	// OnNotableChange, if set, is called when an outcome changes an estimate by
 	// more than notableChange. The lock of the pool is held during the call.
 	OnNotableChange func(Change)
+	// AfterFunc runs f after d unless stop is called before; default: time.AfterFunc.
+	AfterFunc func(d time.Duration, f func()) (stop func() bool)
 }
 
 // Pool grants targets of one service to requests from one region. It is safe for
-// concurrent use, does no I/O and starts no goroutine.
+// concurrent use and does no I/O.
 type Pool struct {
 	cfg Config
 
@@ -34,6 +36,7 @@
 	leases        map[uint64]*lease
 	lastLeaseID   uint64
 	waiters       []*waiter // by priority, then by arrival
+	wake          wake
 	durations     durations
 	failingShare  failingShare
 	weights       decayWeights
@@ -67,6 +70,9 @@
 func New(cfg Config) *Pool {
 	labels := `{service="` + cfg.Service + `",region="` + cfg.Region + `"}`
 	s := cfg.Settings
+	if cfg.AfterFunc == nil {
+		cfg.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
+	}
 	return &Pool{
 		cfg:          cfg,
 		leases:       map[uint64]*lease{},
@@ -129,7 +135,6 @@
 func (p *Pool) grantOrQueue(r Request, now time.Time) (Grant, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expireLeases(now)
 	if !lo.SomeBy(p.targets, func(t *target) bool { return t.isEligible(r) }) {
 		return Grant{}, nil, ErrNoTarget
 	}
@@ -137,18 +142,19 @@
 		p.budgetSpent.Inc()
 		return Grant{}, nil, ErrBudget
 	}
-	if len(p.waiters) == 0 || r.Priority < p.waiters[0].request.Priority {
-		if g, ok := p.grant(r, now); ok {
-			return g, nil, nil
-		}
-	}
 	w := &waiter{request: r, arrived: now, granted: make(chan Grant, 1)}
 	at := len(p.waiters)
 	for at > 0 && p.waiters[at-1].request.Priority > r.Priority {
 		at--
 	}
 	p.waiters = slices.Insert(p.waiters, at, w)
-	return Grant{}, w, nil
+	p.dispatch(now)
+	select {
+	case g := <-w.granted:
+		return g, nil, nil
+	default:
+		return Grant{}, w, nil
+	}
 }
 
 // leaveQueue removes the waiter from the queue. It returns the grant if one was
@@ -162,5 +168,6 @@
 	default:
 	}
 	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
+	p.scheduleWake(p.cfg.Clock.Now())
 	return Grant{}, false
 }
