Entry: targets that leave or ask for time in a response are left alone

The entry keeps what it was told for this incarnation of the target, names the targets to avoid in each request for a grant, and leaves a grant for one of them unused. The owner grants a leaving target to nobody and tells the owners in other regions. If no target wants a request, callers get 503 at once, with the time until the first one does. A Retry-After is no failure of the target; it is bounded by 10 minutes, and what is malformed is counted and logged.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -18,6 +18,7 @@
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 	"github.com/sequoialane/sequoialane/internal/traffic"
@@ -61,6 +62,7 @@
 	broker    *grants.Broker
 	gateway   *gateway.Gateway
 	client    *targetconn.Client
+	advice    *targetadvice.Table
 	locations *traffic.Locations
 	servers   []*server
 	callers   *server
@@ -93,6 +95,8 @@
 	p.locations = traffic.NewLocations(s.DataCentre, s.DataCentres)
 	peers := peerhttp.New(p.locations)
 	p.client = targetconn.New(clock, h.HeaderNames, membudget.New(s.responseMemory()), p.locations)
+	p.advice = targetadvice.New(clock, log)
+	p.client.OnAdvice(p.advice.Record)
 	var broker *grants.Broker
 	p.follower = fleetview.NewFollower(fleetview.Options{
 		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(p.locations), Clock: clock, Log: log,
@@ -100,16 +104,17 @@
 			p.locations.Update(v.Locations())
 			broker.ViewChanged(v)
 			p.closeStaleConnections(v)
+			p.advice.Retain(v.Targets)
 		},
 	})
 	broker = grants.New(grants.Options{
 		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
-		Peers: peers, Clock: clock, Log: log,
+		Advice: p.advice, Peers: peers, Clock: clock, Log: log,
 	})
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Broker: broker,
-		Sender: p.client, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
+		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
 	p.callers = &server{name: "callers", callers: true, http: &http.Server{Handler: p.gateway}}
@@ -170,7 +175,7 @@
 func (p *Process) closeStaleConnections(v *fleetview.View) {
 	targets := make(map[targetconn.Target]bool, len(v.Targets))
 	for _, t := range v.Targets {
-		targets[targetconn.Target{ID: t.ID, Address: t.Address}] = true
+		targets[targetconn.Target{ID: t.ID, Address: t.Address, StartedAtMS: t.StartedAtMS}] = true
 	}
 	p.client.RetainTargets(targets)
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -155,23 +155,30 @@
 			return acquireError(err)
 		}
 		e.tried = append(e.tried, l.Target)
-		if !e.stillUsable(l) {
+		record, usable := e.usableTarget(l)
+		if !usable {
 			e.recordAttempt(l)
-			l.Release(pool.Outcome{Kind: pool.Unsent})
+			l.Release(pool.Outcome{Kind: pool.Unsent, Leaving: e.g.options.Advice.IsLeaving(record)})
 			continue
 		}
-		e.startAttempt(l)
+		e.startAttempt(l, record)
 		return nil
 	}
 	return acquireError(pool.ErrBusy)
 }
 
-// stillUsable reports whether the granted target is usable in this entry's copy
-// of the fleet state, which may be newer than that of the owner.
-func (e *execution) stillUsable(l *grants.Lease) bool {
-	return slices.ContainsFunc(e.g.options.View().Targets, func(t fleetstate.Target) bool {
+// usableTarget returns the record of the granted target in this entry's copy of the
+// fleet state, which may be newer than that of the owner. It reports false if the
+// target is not usable any more, or wants no request of this entry now.
+func (e *execution) usableTarget(l *grants.Lease) (fleetstate.Target, bool) {
+	targets := e.g.options.View().Targets
+	i := slices.IndexFunc(targets, func(t fleetstate.Target) bool {
 		return t.ID == l.Target && t.Address == l.Address && t.Service == e.req.service && t.Usable()
 	})
+	if i < 0 {
+		return fleetstate.Target{}, false
+	}
+	return targets[i], e.g.options.Advice.Allows(targets[i])
 }
 
 func (e *execution) poolRequest() pool.Request {
@@ -197,7 +204,7 @@
 
 // startAttempt sends the request to the granted target in the background. The
 // first attempt of an idempotent request also starts the hedge timer.
-func (e *execution) startAttempt(l *grants.Lease) {
+func (e *execution) startAttempt(l *grants.Lease, record fleetstate.Target) {
 	index := e.recordAttempt(l)
 	e.req.attempts[index].Outcome = outcomeInFlight
 	e.inFlight++
@@ -210,7 +217,7 @@
 	go func() {
 		ctx, span := telemetry.StartSpan(e.workCtx, "gateway.attempt")
 		defer span.End()
-		r := e.g.options.Sender.Send(ctx, targetconn.Target{ID: l.Target, Address: l.Address}, outgoing)
+		r := e.g.options.Sender.Send(ctx, targetconn.Target{ID: l.Target, Address: l.Address, StartedAtMS: record.StartedAtMS}, outgoing)
 		e.reportOutcome(l, r, started)
 		e.ends <- attemptEnd{index: index, result: r}
 	}()
@@ -220,7 +227,7 @@
 // once the rest of a response has been read.
 func (e *execution) reportOutcome(l *grants.Lease, r targetconn.Result, started time.Time) {
 	release := func(kind pool.OutcomeKind) {
-		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load})
+		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load, Leaving: r.Leaving})
 	}
 	if r.Response == nil || r.Response.Rest == nil {
 		release(r.Outcome)
@@ -267,7 +274,7 @@
 func (e *execution) keepFailure(r targetconn.Result) {
 	switch {
 	case r.Response == nil:
-	case r.Outcome != pool.Failed:
+	case !isFailureResponse(r):
 		r.Response.Close()
 	default:
 		if e.lastFailure != nil {
@@ -277,6 +284,12 @@
 	}
 }
 
+// isFailureResponse reports whether the target may have run the request and
+// responded with an error.
+func isFailureResponse(r targetconn.Result) bool {
+	return r.Outcome == pool.Failed || r.Outcome == pool.Postponed && r.MayHaveRun
+}
+
 func (e *execution) recordEnd(end attemptEnd) {
 	a := &e.req.attempts[end.index]
 	a.Outcome, a.Sent, a.Reused = end.result.Outcome, end.result.MayHaveRun, end.result.Reused
@@ -330,7 +343,10 @@
 
 // acquireError translates an error of Broker.Acquire.
 func acquireError(err error) *fault.Error {
+	var postponed *grants.PostponedError
 	switch {
+	case errors.As(err, &postponed):
+		return fault.New(fault.Overloaded, err.Error()).WithRetryAfter(postponed.RetryAfter)
 	case errors.Is(err, pool.ErrNoTarget):
 		return fault.New(fault.NoUpstream, "the service has no target that may get the request").WithRetryAfter(retryAfterNoTarget)
 	case errors.Is(err, grants.ErrCanceled):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -51,6 +52,7 @@
 	View        func() *fleetview.View
 	Broker      Broker
 	Sender      Sender
+	Advice      *targetadvice.Table // what targets have asked of this entry; may be nil
 	Clock       sys.Clock
 	Log         *zap.Logger
 	// BodyMemory limits the bytes of request bodies buffered at the same time. Its
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 )
 
@@ -119,6 +120,10 @@
 	return targetconn.Result{Outcome: pool.Failed, MayHaveRun: true, Response: &targetconn.Response{Status: status, Header: http.Header{}, Body: []byte("bad")}}
 }
 
+func postponed(mayHaveRun bool) targetconn.Result {
+	return targetconn.Result{Outcome: pool.Postponed, MayHaveRun: mayHaveRun, Response: &targetconn.Response{Status: 503, Header: http.Header{"Retry-After": {"3"}}}}
+}
+
 func reset() targetconn.Result {
 	return targetconn.Result{Outcome: pool.Reset, MayHaveRun: true, Err: errors.New("reset")}
 }
@@ -172,6 +177,9 @@
 		{"failed connect does not count as an attempt", "/once/1", []targetconn.Result{{Outcome: pool.ConnectFailed}, {Outcome: pool.ConnectFailed}, good()}, 200, 3},
 		{"failure of the target is passed on", "/once/1", []targetconn.Result{failed(500)}, 500, 1},
 		{"503 without a not-run mark is not passed on", "/once/1", []targetconn.Result{failed(503)}, 502, 1},
+		{"a target that wants no request now did not run it", "/once/1", []targetconn.Result{postponed(false), good()}, 200, 2},
+		{"503 with Retry-After may have run", "/once/1", []targetconn.Result{postponed(true)}, 502, 1},
+		{"read goes to another target after Retry-After", "/reads/1", []targetconn.Result{postponed(true), good()}, 200, 2},
 		{"read is retried after a reset", "/reads/1", []targetconn.Result{reset(), good()}, 200, 2},
 		{"read is retried after a failure", "/reads/1", []targetconn.Result{failed(500), good()}, 200, 2},
 		{"read fails twice", "/reads/1", []targetconn.Result{failed(500), reset()}, 500, 2},
@@ -334,3 +342,25 @@
 func (s senderFunc) Send(ctx context.Context, _ targetconn.Target, _ targetconn.Request) targetconn.Result {
 	return s(ctx)
 }
+
+// Guards against a request that waits, or gets another time to come back, although
+// all targets have asked for time.
+func TestAllTargetsPostponed(t *testing.T) {
+	f := &fakeFleet{acquireErr: &grants.PostponedError{RetryAfter: 3250 * time.Millisecond}}
+	w := call(t, newGateway(f), http.MethodPost, "/once/1", "body")
+	assert.Equal(t, http.StatusServiceUnavailable, w.Code)
+	assert.Equal(t, "3.25", w.Header().Get("Retry-After"))
+}
+
+// Guards against a send to a target that has said that it is leaving, with a grant
+// of an owner that does not know it yet.
+func TestGrantForLeavingTargetIsNotUsed(t *testing.T) {
+	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+	g := newGateway(f)
+	g.options.Advice = targetadvice.New(sys.RealClock{}, zap.NewNop())
+	g.options.Advice.Record(targetconn.Target{ID: "t0"}, targetconn.Advice{Leaving: true})
+	g.options.Advice.Record(targetconn.Target{ID: "t1"}, targetconn.Advice{RetryAfter: time.Minute})
+	w := call(t, g, http.MethodPost, "/once/1", "body")
+	assert.Equal(t, http.StatusOK, w.Code)
+	assert.Equal(t, []string{"t2"}, f.sent)
+}
--- a/internal/grants/exchange.go
+++ b/internal/grants/exchange.go
@@ -66,7 +66,7 @@
 }
 
 func (b *Broker) sendEvidence(ctx context.Context, group Group, report pool.Report) {
-	if len(report.Targets) == 0 {
+	if len(report.Targets)+len(report.Leaving) == 0 {
 		return
 	}
 	for _, region := range lo.Uniq(lo.Values(b.options.Regions)) {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -19,6 +19,7 @@
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
@@ -35,6 +36,17 @@
 // for a grant.
 var ErrCanceled = errors.New("grants: request ended while waiting for a grant")
 
+// PostponedError is returned when each usable target of the service has asked this
+// entry for time.
+type PostponedError struct {
+	RetryAfter time.Duration // until the first of them takes requests again
+}
+
+// Error implements error.
+func (e *PostponedError) Error() string {
+	return "grants: all targets have asked for time, the first one for " + e.RetryAfter.String()
+}
+
 // Options configure a broker.
 type Options struct {
 	Self         fleetstate.Entry
@@ -42,6 +54,7 @@
 	Regions      map[string]string // region by data centre
 	LowBandwidth bool              // links have little bandwidth, so owners carry no requests of callers
 	View         func() *fleetview.View
+	Advice       *targetadvice.Table // what targets have asked of this entry; may be nil
 	Peers        *peerhttp.Client
 	Clock        sys.Clock
 	Log          *zap.Logger
@@ -81,7 +94,11 @@
 	if p == nil {
 		settings := b.options.Settings
 		settings.RetrySlack /= float64(max(group.Shards, 1))
-		p = pool.New(pool.Config{Service: group.Service, Region: b.options.Self.Region, Settings: settings, Clock: b.options.Clock, OnNotableChange: func(c pool.Change) { b.handleNotableChange(group, c) }})
+		p = pool.New(pool.Config{
+			Service: group.Service, Region: b.options.Self.Region, Settings: settings, Clock: b.options.Clock,
+			OnNotableChange: func(c pool.Change) { b.handleNotableChange(group, c) },
+			OnLeaving:       func(target string) { b.handleLeaving(group, target) },
+		})
 		b.pools[group] = p
 		b.updateTargets(p, group, b.options.View())
 	}
@@ -95,12 +112,24 @@
 	return b.pools[group]
 }
 
-// handleNotableChange logs the change and triggers sending evidence of the group.
-// If the channel is full, the next periodic exchange sends the change.
+// handleNotableChange logs the change and sends evidence of the group.
 func (b *Broker) handleNotableChange(group Group, c pool.Change) {
 	b.options.Log.Info("failure estimate of target changed", zap.String("group", group.key()), zap.String("target", c.Target),
 		zap.String("request_id", c.Request), zap.String("outcome", string(c.Outcome)),
 		zap.Float64("before", c.Before), zap.Float64("after", c.After))
+	b.requestEvidence(group)
+}
+
+// handleLeaving logs that a target is leaving, and sends the news to the owners in
+// other regions.
+func (b *Broker) handleLeaving(group Group, target string) {
+	b.options.Log.Info("target gets no further grants, since it is leaving", zap.String("group", group.key()), zap.String("target", target))
+	b.requestEvidence(group)
+}
+
+// requestEvidence makes Run send the evidence of the group soon. If the channel is
+// full, the next periodic exchange does.
+func (b *Broker) requestEvidence(group Group) {
 	select {
 	case b.changedGroups <- group:
 	default:
@@ -158,20 +187,23 @@
 func (l *Lease) Release(o pool.Outcome) { l.release(o) }
 
 // Acquire waits for a grant for at most maxWait. It returns ErrCanceled if ctx
-// ends first, and otherwise the errors of pool.Acquire.
+// ends first, a *PostponedError at once if no target wants a request now, and
+// otherwise the errors of pool.Acquire.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	deadline := b.options.Clock.Now().Add(maxWait)
 	r.Sender = pool.Sender{Entry: b.options.Self.Name, Incarnation: b.options.Self.Incarnation}
-	all := b.options.View().UsableTargets(service)
-	ownRegionTargets := lo.Filter(all, func(t fleetstate.Target, _ int) bool { return b.isInOwnRegion(t.DataCentre) })
-	regions := len(lo.Uniq(lo.Values(b.options.Regions)))
-	group := groupFor(all, ownRegionTargets, regions, service, r.ID, len(r.Tried))
 	for {
 		remaining := deadline.Sub(b.options.Clock.Now())
 		if remaining <= 0 {
 			return nil, pool.ErrBusy
 		}
+		c, err := b.candidateTargets(service)
+		if err != nil {
+			return nil, err
+		}
+		r.Avoid = c.avoided
 		r.AcceptAny = remaining <= maxOwnerWait
+		group := groupFor(c.all, c.preferred, c.regions, service, r.ID, len(r.Tried))
 		l, err := b.acquireOnce(ctx, group, r, min(remaining, maxOwnerWait))
 		if err == nil {
 			return l, nil
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -29,6 +29,13 @@
 	Region   string           `json:"region" cbor:"1,keyasint"`
 	MeanIdle float64          `json:"idle" cbor:"2,keyasint"` // mean number of healthy targets of the region without a request in flight
 	Targets  []TargetEstimate `json:"targets" cbor:"3,keyasint"`
+	Leaving  []LeavingTarget  `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// LeavingTarget is an incarnation of a target that is about to stop.
+type LeavingTarget struct {
+	Target      string `json:"t" cbor:"1,keyasint"`
+	StartedAtMS int64  `json:"s" cbor:"2,keyasint"` // Unix milliseconds
 }
 
 // TargetEstimate is the estimate of a target in a report.
@@ -49,6 +56,9 @@
 	p.idleReports[p.cfg.Region] = idleReport{idle: idle, at: now}
 	report := Report{Region: p.cfg.Region, MeanIdle: idle}
 	for _, t := range p.targets {
+		if t.leaving {
+			report.Leaving = append(report.Leaving, LeavingTarget{Target: t.record.ID, StartedAtMS: t.record.StartedAtMS})
+		}
 		age := now.Sub(t.estimate.evidenceAt)
 		if t.estimate.evidenceAt.IsZero() || t.estimate.remote || age > maxAge {
 			continue
@@ -80,4 +90,18 @@
 			t.estimate.setRemote(min(max(e.FailingProbability, 0), 1), at)
 		}
 	}
+	for _, leaving := range r.Leaving {
+		if t := known[leaving.Target]; t != nil && t.record.StartedAtMS == leaving.StartedAtMS {
+			t.leaving = true
+		}
+	}
+}
+
+// setLeaving takes a target out of the choice for good. Its requests in flight end
+// as usual.
+func (p *Pool) setLeaving(t *target) {
+	t.leaving = true
+	if p.cfg.OnLeaving != nil {
+		p.cfg.OnLeaving(t.record.ID)
+	}
 }
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -34,6 +34,7 @@
 	now := p.cfg.Clock.Now()
 	for _, t := range p.targets {
 		if t.record.ID == targetID {
+			o.Leaving = false // it may concern an earlier incarnation
 			p.observe(t, r, o, now)
 			return
 		}
@@ -44,7 +45,7 @@
 	switch o.Kind {
 	case OK:
 		p.learnDuration(t, r, o.Took)
-	case Shed:
+	case Shed, Postponed:
 		t.backoffUntil = now.Add(shedBackoff)
 	case Failed, Reset, Timeout, InvalidResponse:
 		t.lastFailureAt = now
@@ -54,6 +55,9 @@
 	case Misdirected:
 		t.misdirected = true
 	}
+	if o.Leaving && !t.leaving {
+		p.setLeaving(t)
+	}
 	if o.Load != nil {
 		t.otherRequests = max(o.Load.Running+o.Load.Waiting-1-t.inFlight, 0) // the request of this response counts as running
 		t.otherRequestsAt = now
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,6 +22,9 @@
 	// OnNotableChange, if set, is called when an outcome changes an estimate by
 	// more than notableChange. The lock of the pool is held during the call.
 	OnNotableChange func(Change)
+	// OnLeaving, if set, is called when a sender reports that a target is leaving.
+	// The lock of the pool is held during the call.
+	OnLeaving func(target string)
 	// AfterFunc runs f after d unless stop is called before; default: time.AfterFunc.
 	AfterFunc func(d time.Duration, f func()) (stop func() bool)
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -31,12 +31,13 @@
 	durationRatio   float64 // moving average of duration to route mean; 0: unknown
 	backoffUntil    time.Time
 	coldUntil       time.Time
+	leaving         bool // it has said in a response that it is about to stop
 	misdirected     bool // a different target responds at its address
 }
 
 // isEligible reports whether the request may be sent to the target, now or later.
 func (t *target) isEligible(r Request) bool {
-	return !t.misdirected && !slices.Contains(r.Tried, t.record.ID)
+	return !t.misdirected && !t.leaving && !slices.Contains(r.Tried, t.record.ID) && !slices.Contains(r.Avoid, t.record.ID)
 }
 
 // hasCapacity reports whether the target can take a request now.
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -39,6 +39,7 @@
 	Sender     Sender        `json:"sender" cbor:"9,keyasint"`
 	Tried      []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`  // ids of targets of earlier attempts
 	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"` // the wait is about to end: accept any target with capacity
+	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`  // ids of targets that want no request of the sender now
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 }
 
@@ -65,6 +66,7 @@
 	InvalidResponse OutcomeKind = "broken"         // the response was truncated or belongs to another request
 	ConnectFailed   OutcomeKind = "connect_failed" // no connection was established, so nothing was sent
 	Shed            OutcomeKind = "shed"           // the target rejected the request because it is full
+	Postponed       OutcomeKind = "postponed"      // the target wants no request of the sender for some time
 	Misdirected     OutcomeKind = "misdirected"    // a different target responds at the address
 	Canceled        OutcomeKind = "canceled"       // cancelled by the sender
 	Unsent          OutcomeKind = "unsent"         // the grant was not used
@@ -72,9 +74,10 @@
 
 // Outcome is the result of an attempt as reported by its sender.
 type Outcome struct {
-	Kind OutcomeKind   `json:"kind" cbor:"1,keyasint"`
-	Took time.Duration `json:"took" cbor:"2,keyasint"`
-	Load *Load         `json:"load,omitempty" cbor:"3,keyasint,omitempty"` // nil: not reported by the target
+	Kind    OutcomeKind   `json:"kind" cbor:"1,keyasint"`
+	Took    time.Duration `json:"took" cbor:"2,keyasint"`
+	Leaving bool          `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"` // the target is about to stop
+	Load    *Load         `json:"load,omitempty" cbor:"3,keyasint,omitempty"`    // nil: not reported by the target
 }
 
 // Load is the load that a target reports with a response.
--- /dev/null
+++ b/internal/targetconn/advice.go
@@ -0,0 +1,72 @@
+package targetconn
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxRetryAfter bounds the time for which a target can keep requests away.
+const maxRetryAfter = 10 * time.Minute
+
+const headerRetryAfter = "Retry-After"
+
+// Advice is what a target asks of this process in the head of a response, beside
+// the response itself.
+type Advice struct {
+	Leaving    bool          // it is about to stop and wants no further request
+	RetryAfter time.Duration // it wants no request for so long; 0: not stated
+	Malformed  string        // Retry-After that cannot be read or is out of range; empty: none
+}
+
+func (a Advice) isEmpty() bool { return a == Advice{} }
+
+// OnAdvice sets a function that is called with each advice as soon as the head of
+// the response was read, also of a response that belongs to an earlier request. It
+// must be set before the first request.
+func (c *Client) OnAdvice(f func(Target, Advice)) { c.onAdvice = f }
+
+// handleAdvice reads the advice in the head of a response and passes it on.
+func (c *Client) handleAdvice(t Target, raw *http.Response) Advice {
+	a := c.adviceOf(raw)
+	if c.onAdvice != nil && !a.isEmpty() {
+		c.onAdvice(t, a)
+	}
+	return a
+}
+
+func (c *Client) adviceOf(raw *http.Response) Advice {
+	var a Advice
+	if c.names.Leaving != "" {
+		a.Leaving = raw.Header.Get(c.names.Leaving) == "1"
+	}
+	text := raw.Header.Get(headerRetryAfter)
+	if raw.StatusCode != http.StatusServiceUnavailable || text == "" {
+		return a
+	}
+	wait, ok := parseRetryAfter(text, time.Now())
+	a.RetryAfter = min(max(wait, 0), maxRetryAfter)
+	if !ok || a.RetryAfter != wait {
+		a.Malformed = text
+	}
+	return a
+}
+
+// parseRetryAfter returns the time that a Retry-After header states: seconds, with
+// or without a fraction, or a date. It reports false if it cannot be read.
+func parseRetryAfter(text string, now time.Time) (time.Duration, bool) {
+	text = strings.TrimSpace(text)
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		if seconds != seconds { // not a number
+			return 0, false
+		}
+		bounded := min(max(seconds, -1), maxRetryAfter.Seconds()+1)
+		return time.Duration(bounded * float64(time.Second)), true
+	}
+	at, err := http.ParseTime(text)
+	if err != nil {
+		return 0, false
+	}
+	return at.Sub(now), true
+}
--- a/internal/targetconn/conns.go
+++ b/internal/targetconn/conns.go
@@ -39,10 +39,11 @@
 	maxConnectionAge  = 2 * time.Minute
 )
 
-// Target identifies a target and its address.
+// Target identifies one incarnation of a target and its address.
 type Target struct {
-	ID      string
-	Address string // IP address and port
+	ID          string
+	Address     string // IP address and port
+	StartedAtMS int64  // Unix milliseconds
 }
 
 // Client sends requests to targets and pools the connections. It is safe for
@@ -53,6 +54,8 @@
 	memory *membudget.Budget // of buffered response bodies
 	dial   traffic.DialFunc
 
+	onAdvice func(Target, Advice) // nil: advice is not passed on
+
 	mu        sync.Mutex
 	idle      map[Target][]*conn // the most recently used connection is the last
 	idleLimit time.Duration      // how long a connection may be idle and still be reused
--- a/internal/targetconn/response.go
+++ b/internal/targetconn/response.go
@@ -114,31 +114,38 @@
 	_ = cn.SetReadDeadline(deadline)
 }
 
+// responseHead is the head of the response to a request.
+type responseHead struct {
+	*http.Response
+	advice Advice
+}
+
 // readResponse reads the response to the request. It skips late responses to
 // earlier requests.
-func (c *Client) readResponse(cn *conn, r Request) (*Response, *http.Response, error) {
+func (c *Client) readResponse(t Target, cn *conn, r Request) (*Response, responseHead, error) {
 	headBytes := int64(maxHeadBytes)
 	for range maxSkippedResponses + 1 {
 		raw, err := cn.readHead(r.Method, &headBytes)
 		if err != nil {
-			return nil, nil, err
+			return nil, responseHead{}, err
 		}
+		a := c.handleAdvice(t, raw)
 		id := raw.Header.Get(c.names.RequestID)
 		if id == r.ID {
 			response, err := c.readBody(cn, raw)
 			if err != nil {
-				return nil, nil, &invalidResponseError{err}
+				return nil, responseHead{}, &invalidResponseError{err}
 			}
-			return response, raw, nil
+			return response, responseHead{Response: raw, advice: a}, nil
 		}
 		if id == "" {
-			return nil, nil, &invalidResponseError{errNoRequestID}
+			return nil, responseHead{}, &invalidResponseError{errNoRequestID}
 		}
 		if err := skipBody(raw); err != nil {
-			return nil, nil, &invalidResponseError{err}
+			return nil, responseHead{}, &invalidResponseError{err}
 		}
 	}
-	return nil, nil, &invalidResponseError{errOtherRequest}
+	return nil, responseHead{}, &invalidResponseError{errOtherRequest}
 }
 
 // skipBody reads the body of a response to another request.
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -28,6 +28,7 @@
 	TargetID  string // id of the intended target
 	NotRun    string // in a response: the target did not run the request
 	Signature string // in a response: proves that the target itself responded
+	Leaving   string // in a response: 1 if the target is about to stop; empty: targets do not say so
 	Load      string // in a response: running requests, waiting requests and slots, separated by commas
 }
 
@@ -48,6 +49,7 @@
 	Outcome    pool.OutcomeKind
 	Load       *pool.Load // load that the target reported; nil: none
 	MayHaveRun bool       // the target may have run the request
+	Leaving    bool       // the target is about to stop
 	Reused     bool       // the connection was used before
 	Err        error
 }
@@ -98,12 +100,14 @@
 	if err != nil {
 		return Result{Outcome: pool.Reset, MayHaveRun: true, Err: fmt.Errorf("the request was not written completely: %w", err)}, 0, false
 	}
-	response, raw, err := c.readResponse(cn, r)
+	response, head, err := c.readResponse(t, cn, r)
 	if err != nil {
 		return Result{Outcome: outcomeOfError(err), MayHaveRun: true, Err: err}, 0, false
 	}
+	raw := head.Response
 	reusable = !raw.Close && response.Rest == nil && cn.reader.Buffered() == 0 && written.done()
-	result = c.classify(response)
+	result = c.classify(response, head.advice)
+	result.Leaving = head.advice.Leaving
 	result.Load = parseLoad(raw.Header.Get(c.names.Load))
 	return result, keepAliveTimeout(raw.Header), reusable
 }
@@ -124,9 +128,11 @@
 }
 
 // classify returns the result for a response.
-func (c *Client) classify(resp *Response) Result {
+func (c *Client) classify(resp *Response, a Advice) Result {
 	notRun := resp.Header.Get(c.names.NotRun) != ""
 	switch {
+	case a.RetryAfter > 0:
+		return Result{Outcome: pool.Postponed, MayHaveRun: !notRun, Response: resp}
 	case resp.Status == http.StatusMisdirectedRequest:
 		return Result{Outcome: pool.Misdirected, Response: resp}
 	case notRun:
