Uploads are not broken off while their targets work and read later

Cause: TCP_USER_TIMEOUT of 700 ms also ends a connection whose peer acknowledges, but keeps its receive window closed for so long. Both clients to targets set it.

Change: while a long body (over 16 kB) is under way, the deadline of the request bounds a closed window. The socket option stood in three packages; it is in tcpalive now.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -9,10 +9,10 @@
 	"net/textproto"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 )
 
 // Limits of connections between entries.
@@ -34,18 +34,6 @@
 	errHeartbeatTimeout = errors.New("entry: the peer stopped acknowledging the request")
 )
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
-// does not define.
-const tcpUserTimeout = 0x12
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
-
 // peers holds the connections to other entries.
 type peers struct {
 	clock sys.Clock
@@ -69,7 +57,7 @@
 }
 
 func dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: tcpalive.Control(userTimeout)}
 	return dialer.DialContext(ctx, network, address)
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -14,6 +14,7 @@
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/owner"
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 )
 
 const (
@@ -53,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := time.Now()
-	dialer := &net.Dialer{Timeout: timeout, Control: setUserTimeout}
+	dialer := &net.Dialer{Timeout: timeout, Control: tcpalive.Control(userTimeout)}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	r, err := newProbe(ctx, address, path)
 	if err != nil {
--- a/internal/peerhttp/client.go
+++ b/internal/peerhttp/client.go
@@ -10,9 +10,9 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 	"github.com/sequoialane/sequoialane/internal/traffic"
 )
@@ -23,7 +23,6 @@
 	idleTimeout      = 20 * time.Second
 	maxIdlePerPeer   = 8
 	maxResponseBytes = 64 << 20
-	tcpUserTimeout   = 0x12 // TCP_USER_TIMEOUT; package syscall does not define it
 )
 
 // StatusError is a response with a status other than 2xx.
@@ -50,7 +49,7 @@
 func NewCompressed(locations *traffic.Locations) *Client { return newClient(true, locations) }
 
 func newClient(compressed bool, locations *traffic.Locations) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: tcpalive.Control(userTimeout)}
 	return &Client{http: &http.Client{Transport: &http.Transport{
 		DialContext:         traffic.CountDials(dialer.DialContext, locations, traffic.Other),
 		MaxIdleConnsPerHost: maxIdlePerPeer,
@@ -59,19 +58,6 @@
 	}}}
 }
 
-// SetUserTimeout sets TCP_USER_TIMEOUT: the kernel closes a connection whose sent
-// bytes are not acknowledged in time. It is a Control function for net.Dialer.
-func SetUserTimeout(_, _ string, connection syscall.RawConn) error {
-	var sockoptErr error
-	err := connection.Control(func(fd uintptr) {
-		sockoptErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
-}
-
 // Post sends the request to a path of the peer and decodes the response into
 // result, unless result is nil. It returns a *StatusError for a status other than
 // 2xx. Its bytes are counted for the cause.
--- a/internal/targetconn/conns.go
+++ b/internal/targetconn/conns.go
@@ -16,14 +16,15 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/sequoialane/sequoialane/internal/membudget"
-	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 	"github.com/sequoialane/sequoialane/internal/traffic"
 )
 
 const (
 	dialTimeout      = 500 * time.Millisecond
-	maxIdlePerTarget = 4 // idle connections kept for each target
+	userTimeout      = 700 * time.Millisecond // for the acknowledgement of sent bytes
+	maxIdlePerTarget = 4                      // idle connections kept for each target
 	readBufferSize   = 4 << 10
 	// maxIdleLimit is how long a connection may be idle and still be reused,
 	// unless the target announces a shorter keep-alive timeout or resets
@@ -79,7 +80,7 @@
 // New returns a client without connections. It buffers response bodies within
 // memory. Traffic is counted by the distances of locations, which may be nil.
 func New(clock sys.Clock, names HeaderNames, memory *membudget.Budget, locations *traffic.Locations) *Client {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second, Control: peerhttp.SetUserTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second, Control: tcpalive.Control(userTimeout)}
 	return &Client{
 		dial:      traffic.CountDials(dialer.DialContext, locations, traffic.Request),
 		memory:    memory,
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 )
 
 const (
@@ -96,6 +97,11 @@
 // connection can be reused, and for how long the target keeps it open while idle;
 // 0: not stated.
 func (c *Client) exchange(t Target, cn *conn, r Request) (result Result, keepAlive time.Duration, reusable bool) {
+	if len(r.Body) > maxInlineBody {
+		// The target may be at work before it reads the rest of the body. The
+		// deadline of the request bounds that.
+		defer tcpalive.AllowClosedWindow(cn.Conn, r.TimeLeft, userTimeout)()
+	}
 	written, err := cn.writeRequest(c.encodeHead(t, r), r.Body)
 	if err != nil {
 		return Result{Outcome: pool.Reset, MayHaveRun: true, Err: fmt.Errorf("the request was not written completely: %w", err)}, 0, false
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -103,6 +103,8 @@
 	requireNewConn  bool        // pooled connections are refused
 	body            *requestBody
 	cancel          context.CancelCauseFunc // set before the request gets a connection
+	windowDeadline  time.Time               // until when the target may leave a long body unread; zero: the body is not long
+	restoreTimeout  func()                  // sets the user timeout of the connection again; nil: it is unchanged
 }
 
 // Send sends the request to the target and returns the response. URL.Path and
@@ -136,7 +138,13 @@
 		cancel(nil)
 		return nil, owner.Outcome{Kind: owner.Canceled}, err
 	}
+	if deadline, ok := ctx.Deadline(); ok && isLong(out) {
+		e.windowDeadline = deadline
+	}
 	resp, err := e.pools.transportFor(r, e.opt.Idempotent).RoundTrip(out)
+	if e.restoreTimeout != nil {
+		e.restoreTimeout()
+	}
 	if err == nil {
 		err = e.checkHeader(r.Method, resp)
 	}
--- a/internal/upstreamclient/client_test.go
+++ b/internal/upstreamclient/client_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -351,3 +352,33 @@
 	require.NoError(t, err)
 	assert.Greater(t, left, 59*time.Minute)
 }
+
+// Guards against an upload that is broken off because its upstream is at work and
+// has not read the whole body yet.
+func TestLateReaderIsNotBrokenOff(t *testing.T) {
+	const smallWindow, longBody, workTime = 32 << 10, 300_000, 1200 * time.Millisecond
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallWindow)
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(workTime)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, n)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	resp, outcome, err := newClient(t).Send(ctx, upstream.Target{Address: listener.Addr().String()}, newRequest(http.MethodPost, strings.Repeat("x", longBody)), Options{RequestID: "a"})
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, owner.OK, outcome.Kind)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	assert.Equal(t, fmt.Sprint(longBody), string(body))
+}
--- a/internal/upstreamclient/transport.go
+++ b/internal/upstreamclient/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/tcpalive"
 )
 
 // Limits and timeouts of connections to upstreams.
@@ -22,6 +23,7 @@
 	keepAliveCount        = 3
 	maxResponseHeader     = 32 << 10 // bytes
 	maxIdleConnsPerTarget = 1024
+	maxInlineBody         = 16 << 10 // bytes of a body that any target takes at once
 )
 
 // connPools are the connection pools of one target. Non-idempotent requests have
@@ -56,7 +58,7 @@
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
-		Control: setUserTimeout,
+		Control: tcpalive.Control(userTimeout),
 	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -105,12 +107,25 @@
 			e.reused.Store(info.Reused)
 			if info.Reused && e.mustNotReuse(conn, info) {
 				conn.rejectsWrites.Store(true)
+				return
+			}
+			if !e.windowDeadline.IsZero() {
+				if e.restoreTimeout != nil {
+					e.restoreTimeout() // of a connection that the transport gave up
+				}
+				e.restoreTimeout = tcpalive.AllowClosedWindow(conn.Conn, time.Until(e.windowDeadline), userTimeout)
 			}
 		},
 		GotFirstResponseByte: func() { e.responseStarted.Store(true) },
 	}
 }
 
+// isLong reports whether the body of the request may fill the receive window of the
+// target, which then decides when it reads on.
+func isLong(out *http.Request) bool {
+	return out.Body != http.NoBody && (out.ContentLength < 0 || out.ContentLength > maxInlineBody)
+}
+
 // mustNotReuse reports whether the exchange must not use the pooled connection.
 func (e *exchange) mustNotReuse(conn *trackedConn, info httptrace.GotConnInfo) bool {
 	limit := maxIdle
