Consensus: a member without entries never goes back to an earlier term

TestVotesOfBlankMember failed before at the late request and after it.

Also: TransferLeadership and Leave share one way to call the loop; what targets asked for is forgotten once it has ended, and costs nothing while there is none.

--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -355,9 +355,13 @@
 // with an empty log. Its grant made it a voter of that epoch, and the leader that
 // formed the epoch may be gone before it has sent the first snapshot.
 func (c *core) stepVoteWhileBlank(m message) {
-	if !c.durable || !c.formsByMajority() || m.Epoch != c.promised || c.promisedTo == (MemberID{}) || c.hasRecentLeader() || m.Term <= c.term && c.vote != m.From {
+	hasGranted := c.durable && c.formsByMajority() && m.Epoch == c.promised && c.promisedTo != (MemberID{})
+	if !hasGranted || c.hasRecentLeader() || m.Term < c.term {
 		return
 	}
+	if m.Term == c.term && (m.Type == msgPreVote || c.vote != m.From) {
+		return // it has voted in this term
+	}
 	response := message{Type: msgPreVoteResp, To: m.From, Epoch: m.Epoch, Term: m.Term}
 	if m.Type == msgVote {
 		response.Type = msgVoteResp
--- a/internal/consensus/formation_faults_test.go
+++ b/internal/consensus/formation_faults_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// Guards against a member that votes twice in a term, or goes back to an earlier
+// term, while it has no entries yet.
+func TestVotesOfBlankMember(t *testing.T) {
+	s := newDynamicSim(1, 3, 4, true)
+	c := s.nodes[0].core
+	a, b := s.nodes[1].core.id, s.nodes[2].core.id
+	c.promise(64, a)
+	vote := func(from MemberID, kind messageType, epoch, term uint64) bool {
+		c.now = c.start.Add(2 * simElectionTimeout)
+		c.messages = nil
+		c.step(message{Type: kind, From: from, To: c.id, Epoch: epoch, Term: term, Index: firstIndex, LogTerm: firstTerm})
+		return len(c.messages) == 1 && !c.messages[0].Reject
+	}
+	assert.False(t, vote(a, msgVote, 128, 2), "it has not granted this epoch")
+	assert.True(t, vote(a, msgPreVote, 64, 2))
+	assert.True(t, vote(a, msgVote, 64, 4))
+	assert.True(t, vote(a, msgVote, 64, 4), "the response may have been lost")
+	assert.False(t, vote(b, msgVote, 64, 4))
+	assert.False(t, vote(a, msgVote, 64, 3), "a late request of an earlier term")
+	assert.False(t, vote(b, msgVote, 64, 4))
+	assert.False(t, vote(b, msgPreVote, 64, 4))
+	assert.True(t, vote(b, msgVote, 64, 5))
+	c.promise(64, MemberID{})
+	assert.False(t, vote(b, msgVote, 64, 6), "it follows this epoch, but was not asked for a grant")
+}
+
 // disturbFormation injects one random fault while a group forms. At most a minority
 // of the seeds loses its disk.
 func (s *sim) disturbFormation(seeds int, lost map[*simNode]bool) {
--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -99,31 +99,12 @@
 		if err := g.TransferLeadership(ctx); err != nil && !errors.Is(err, ErrNotTransferred) {
 			return err
 		}
-		if err := g.awaitLeave(ctx); !errors.Is(err, errLeading) {
+		if err := g.callLoop(ctx, g.leaves); !errors.Is(err, errLeading) {
 			return err
 		}
 	}
 }
 
-func (g *Group) awaitLeave(ctx context.Context) error {
-	done := make(chan error, 1)
-	select {
-	case g.leaves <- done:
-	case <-g.done:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-g.done:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (g *Group) handleLeave(done chan error) {
 	g.core.startLeave()
 	g.pendingLeaves = append(g.pendingLeaves, done)
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -98,9 +98,14 @@
 // is the only voter. It returns ErrNotTransferred after an election timeout;
 // this member may then still be the leader.
 func (g *Group) TransferLeadership(ctx context.Context) error {
+	return g.callLoop(ctx, g.transfers)
+}
+
+// callLoop passes a call to the loop by one of its queues and waits for the result.
+func (g *Group) callLoop(ctx context.Context, queue chan<- chan error) error {
 	done := make(chan error, 1)
 	select {
-	case g.transfers <- done:
+	case queue <- done:
 	case <-g.done:
 		return ErrStopped
 	case <-ctx.Done():
--- a/internal/grants/candidates.go
+++ b/internal/grants/candidates.go
@@ -21,7 +21,7 @@
 // targets, but none wants a request of this entry now.
 func (b *Broker) candidateTargets(service string) (candidates, error) {
 	c := candidates{all: b.options.View().UsableTargets(service), regions: len(lo.Uniq(lo.Values(b.options.Regions)))}
-	if b.options.Advice == nil {
+	if b.options.Advice.IsEmpty() {
 		c.preferred = b.preferOwnRegion(c.all)
 		return c, nil
 	}
--- a/internal/targetadvice/table.go
+++ b/internal/targetadvice/table.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// IsEmpty reports whether no target has asked for anything.
+func (t *Table) IsEmpty() bool {
+	if t == nil {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.leaving)+len(t.postponed) == 0
+}
+
 // IsLeaving reports whether the target has said that it is leaving.
 func (t *Table) IsLeaving(target fleetstate.Target) bool {
 	if t == nil {
@@ -92,13 +102,14 @@
 	return !t.IsLeaving(target) && t.PostponedFor(target) == 0
 }
 
-// Retain forgets the advice of all incarnations that are not in the records.
+// Retain forgets the advice of all incarnations that are not in the records, and
+// what has ended by time.
 func (t *Table) Retain(records []fleetstate.Target) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.leaving)+len(t.postponed) == 0 {
+	if t.IsEmpty() {
 		return
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	listed := make(map[incarnation]bool, len(records))
 	for _, r := range records {
 		listed[incarnation{r.ID, r.StartedAtMS}] = true
@@ -108,8 +119,9 @@
 			delete(t.leaving, key)
 		}
 	}
-	for key := range t.postponed {
-		if !listed[key] {
+	now := t.clock.Now()
+	for key, until := range t.postponed {
+		if !listed[key] || !now.Before(until) {
 			delete(t.postponed, key)
 		}
 	}
--- a/internal/targetadvice/table_test.go
+++ b/internal/targetadvice/table_test.go
@@ -47,5 +47,7 @@
 	assert.False(t, table.Allows(target(1)))
 	clock.Advance(1)
 	assert.True(t, table.Allows(target(1)))
+	table.Retain([]fleetstate.Target{target(1)})
+	assert.True(t, table.IsEmpty())
 	assert.True(t, (*Table)(nil).Allows(target(1)), "without a table there is no advice")
 }
