--- a/internal/consensus/formation_faults_test.go
+++ b/internal/consensus/formation_faults_test.go
@@ -50,7 +50,7 @@
 // Guards against seeds that supersede each other's requests for grants for ever,
 // because grants arrive after the next request, as on machines that are very busy.
 func TestGroupFormsOnSlowLinks(t *testing.T) {
-	for seed := range uint64(20) {
+	for seed := range uint64(100) {
 		s := newDynamicSim(seed, 3, 5, true)
 		s.maxDelay = simElectionTimeout
 		formed := false
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -239,7 +239,7 @@
 			panic(err)
 		}
 		s.order++
-		delay := time.Millisecond + time.Duration(s.random.Int64N(int64(s.maxDelay)))
+		delay := time.Duration(1+s.random.IntN(int(s.maxDelay/time.Millisecond))) * time.Millisecond
 		s.network = append(s.network, delivery{at: s.now.Add(delay), order: s.order, m: copied})
 	}
 }
