--- a/internal/consensus/replacement_sim_test.go
+++ b/internal/consensus/replacement_sim_test.go
@@ -282,7 +282,7 @@
 	return true
 }
 
-func runReplacements(t *testing.T, seed uint64, size int) {
+func runReplacements(t *testing.T, seed uint64, size int, dropRate float64) {
 	r := newReplacementRun(t, seed, size)
 	defer func() {
 		if problem := recover(); problem != nil {
@@ -295,6 +295,7 @@
 			t.Log(r.s.describe())
 		}
 	}()
+	r.s.dropRate = dropRate
 	for range 12 {
 		for range 1 + r.s.random.IntN(8) {
 			r.disturb()
@@ -316,7 +317,21 @@
 			for seed := range max(1, *seeds/3) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
 					t.Parallel()
-					runReplacements(t, uint64(seed), size)
+					runReplacements(t, uint64(seed), size, 0)
+				})
+			}
+		})
+	}
+}
+
+// The same if one message in a hundred is lost without notice.
+func TestReplacementsWithLostMessages(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size, " members"), func(t *testing.T) {
+			for seed := range 5 * *seeds {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					runReplacements(t, uint64(seed), size, 0.01)
 				})
 			}
 		})
