Pool: a target is tried again some time after a 421

A single 421 took a target out of the choice of its pool until it announced itself anew or from another address. An outcome reported late by another entry about an earlier incarnation (Observe) marked the new one in the same way. A service whose targets all had the mark was refused with "no target".

Change: the mark ends after 5 s. Until then the record of a target that is gone has normally been replaced, and a 421 proves that nothing ran, so that a trial costs one attempt.

Test: TestMisdirectedTargetIsTriedAgain; with the mark kept, as before, it fails with "pool: no eligible target for the request".

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -27,7 +27,7 @@
 	bestCost, bestRisk := 0.0, 0.0
 	full := math.Inf(1) // lowest cost among full targets
 	for _, t := range p.targets {
-		if !t.isEligible(r) || now.Before(t.backoffUntil) {
+		if !t.isEligible(r, now) || now.Before(t.backoffUntil) {
 			continue
 		}
 		cost, risk := p.cost(t, r, now)
--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -40,7 +40,7 @@
 // healthy reports whether the target counts for the floor: it may get requests,
 // and has not failed one within recoveryTime.
 func (t *target) healthy(now time.Time) bool {
-	return !t.misdirected && !t.leaving && now.Sub(t.lastFailureAt) > recoveryTime
+	return !t.isMisdirected(now) && !t.leaving && now.Sub(t.lastFailureAt) > recoveryTime
 }
 
 // belowFloor reports whether more healthy targets of the region than allowed got
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	shedBackoff         = 150 * time.Millisecond // no requests for this long after a shed request
-	connectBackoff      = 400 * time.Millisecond // no requests for this long after a failed connection
-	durationRatioWeight = 0.25                   // weight of a new ratio in the moving average
+	shedBackoff    = 150 * time.Millisecond // no requests for this long after a shed request
+	connectBackoff = 400 * time.Millisecond // no requests for this long after a failed connection
+	// misdirectedTime is how long a target gets no requests after a different one has
+	// responded at its address. The record of a target that is gone is replaced soon.
+	misdirectedTime     = 5 * time.Second
+	durationRatioWeight = 0.25 // weight of a new ratio in the moving average
 )
 
 // Release ends a grant and records its outcome. A second call has no effect.
@@ -53,7 +56,7 @@
 		t.lastFailureAt = now
 		t.backoffUntil = now.Add(connectBackoff)
 	case Misdirected:
-		t.misdirected = true
+		t.misdirectedUntil = now.Add(misdirectedTime)
 	}
 	if o.Leaving && !t.leaving {
 		p.setLeaving(t)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -138,7 +138,7 @@
 func (p *Pool) grantOrQueue(r Request, now time.Time) (Grant, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !lo.SomeBy(p.targets, func(t *target) bool { return t.isEligible(r) }) {
+	if !lo.SomeBy(p.targets, func(t *target) bool { return t.isEligible(r, now) }) {
 		return Grant{}, nil, ErrNoTarget
 	}
 	if r.IsRetry && !p.budget.allows(now) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -315,6 +315,20 @@
 	r.mustAcquire(t, newRequest())
 }
 
+// Guards against a target that gets no request for good, because once a different
+// target has responded at its address.
+func TestMisdirectedTargetIsTriedAgain(t *testing.T) {
+	r := newTestPool(1, 2)
+	for range 3 {
+		g := r.mustAcquire(t, newRequest())
+		r.Release(g.LeaseID, Outcome{Kind: Misdirected})
+		_, err := r.Acquire(context.Background(), newRequest(), 0)
+		require.ErrorIs(t, err, ErrNoTarget)
+		r.clock.Advance(misdirectedTime)
+	}
+	r.mustAcquire(t, newRequest())
+}
+
 // Guards against sending retryable requests to a target known to fail when the
 // retry budget is exhausted.
 func TestExhaustedBudgetAvoidsRiskyTargets(t *testing.T) {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -18,26 +18,31 @@
 
 // target is the state that the pool keeps of a target.
 type target struct {
-	record          fleetstate.Target
-	region          string
-	inOwnRegion     bool // is in the region of the pool
-	estimate        estimate
-	otherRequests   int       // requests of other pools at the last load report
-	otherRequestsAt time.Time // time of that report; zero: none
-	inFlight        int
-	lastGrantAt     time.Time
-	lastFailureAt   time.Time
-	leases          map[uint64]*lease
-	durationRatio   float64 // moving average of duration to route mean; 0: unknown
-	backoffUntil    time.Time
-	coldUntil       time.Time
-	leaving         bool // it has said in a response that it is about to stop
-	misdirected     bool // a different target responds at its address
+	record           fleetstate.Target
+	region           string
+	inOwnRegion      bool // is in the region of the pool
+	estimate         estimate
+	otherRequests    int       // requests of other pools at the last load report
+	otherRequestsAt  time.Time // time of that report; zero: none
+	inFlight         int
+	lastGrantAt      time.Time
+	lastFailureAt    time.Time
+	leases           map[uint64]*lease
+	durationRatio    float64 // moving average of duration to route mean; 0: unknown
+	backoffUntil     time.Time
+	coldUntil        time.Time
+	leaving          bool      // it has said in a response that it is about to stop
+	misdirectedUntil time.Time // a different target has responded at its address; until then it is taken to be gone
 }
 
-// isEligible reports whether the request may be sent to the target, now or later.
-func (t *target) isEligible(r Request) bool {
-	return !t.misdirected && !t.leaving && !slices.Contains(r.Tried, t.record.ID) && !slices.Contains(r.Avoid, t.record.ID)
+// isMisdirected reports whether a different target has recently responded at the
+// address.
+func (t *target) isMisdirected(now time.Time) bool { return now.Before(t.misdirectedUntil) }
+
+// isEligible reports whether the request may be sent to the target, now or once it
+// has capacity.
+func (t *target) isEligible(r Request, now time.Time) bool {
+	return !t.isMisdirected(now) && !t.leaving && !slices.Contains(r.Tried, t.record.ID) && !slices.Contains(r.Avoid, t.record.ID)
 }
 
 // hasCapacity reports whether the target can take a request now.
