Grants: slots of grants that nobody holds are given back

What callers saw: after an owner had been paused or cut off, its free targets counted as full until the deadlines of requests that had long ended, 3 to 13 s with the users' timeouts, and requests waited or were refused beside them.

Cause, three ways to one state: - An owner that runs again reads the calls that their senders have given up, and grants them before it notices that the connections are closed. - The outcome of an attempt was reported once, with a limit of 1 s. While the owner was cut off or paused, it was lost. - Grants were numbered from 1 in each process, so that a late outcome ended a grant that a restarted owner had made to someone else.

Numbers of grants begin at random.

--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -11,8 +11,9 @@
 
 // Paths of the calls between entries.
 const (
-	AcquirePath = "/fleet/v1/grants"
-	ReleasePath = "/fleet/v1/releases"
+	AcquirePath  = "/fleet/v1/grants"
+	ReleasePath  = "/fleet/v1/releases"
+	WithdrawPath = "/fleet/v1/withdrawals"
 )
 
 // AcquireRequest asks the owner of a group for a grant.
@@ -35,6 +36,14 @@
 	Outcome pool.Outcome `json:"outcome" cbor:"3,keyasint"`
 }
 
+// WithdrawRequest ends what an AcquireRequest has led to whose result its sender
+// does not know.
+type WithdrawRequest struct {
+	Group  Group       `json:"group" cbor:"1,keyasint"`
+	Sender pool.Sender `json:"sender" cbor:"2,keyasint"`
+	Call   uint64      `json:"call" cbor:"3,keyasint"`
+}
+
 var rejections = map[string]error{
 	"busy":      pool.ErrBusy,
 	"no_target": pool.ErrNoTarget,
@@ -55,6 +64,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+AcquirePath, b.serveAcquire)
 	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
+	mux.HandleFunc("POST "+WithdrawPath, b.serveWithdraw)
 	mux.HandleFunc("POST "+EvidencePath, b.serveEvidence)
 	return mux
 }
@@ -92,3 +102,15 @@
 	}
 	call.RespondEmpty()
 }
+
+func (b *Broker) serveWithdraw(w http.ResponseWriter, r *http.Request) {
+	var request WithdrawRequest
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
+		return
+	}
+	if request.Group.isKnown(b.options.View()) {
+		b.pool(request.Group).Withdraw(request.Sender, request.Call)
+	}
+	call.RespondEmpty()
+}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -27,7 +28,6 @@
 	maxOwnerWait         = 200 * time.Millisecond // maximum wait at an owner within one call
 	ownerResponseTimeout = 250 * time.Millisecond // on top of the wait, after which the next owner is asked
 	ownerBackoff         = time.Second            // no requests to an owner for this long after it did not respond
-	releaseTimeout       = time.Second
 	changedGroupsBuffer  = 16
 	maxOwnersAsked       = 2 // before the entry uses its own pool
 )
@@ -65,6 +65,8 @@
 type Broker struct {
 	options Options
 
+	lastCall atomic.Uint64 // of the calls to owners for grants
+
 	mu               sync.Mutex
 	pools            map[Group]*pool.Pool
 	unavailableUntil map[string]time.Time // owners that did not respond, by name
@@ -248,9 +250,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+ownerResponseTimeout)
 	defer cancel()
 	started := b.options.Clock.Now()
+	r.Call = b.lastCall.Add(1)
 	var response AcquireResponse
 	err := b.options.Peers.Post(ctx, traffic.Grant, owner.PeerAddress, AcquirePath, AcquireRequest{Group: group, Request: r, MaxWait: wait}, &response)
 	if err != nil {
+		b.withdraw(owner, group, r, err)
 		return nil, err
 	}
 	b.remoteDuration.Update(b.options.Clock.Now().Sub(started).Seconds())
@@ -289,19 +293,3 @@
 	b.unavailableUntil[name] = b.options.Clock.Now().Add(ownerBackoff)
 	b.options.Log.Warn("grant request to owner failed", zap.String("owner", name), zap.Error(err))
 }
-
-// releaseRemote reports the outcome to the owner that made the grant, and to this
-// entry's own pool, which is the fallback when no owner responds.
-func (b *Broker) releaseRemote(owner fleetstate.Entry, group Group, r pool.Request, g pool.Grant, o pool.Outcome) {
-	if o.Kind != pool.Unsent {
-		b.pool(group).Observe(g.Target, r, o)
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		request := ReleaseRequest{Group: group, LeaseID: g.LeaseID, Outcome: o}
-		if err := b.options.Peers.Post(ctx, traffic.Release, owner.PeerAddress, ReleasePath, request, nil); err != nil {
-			b.options.Log.Debug("release request to owner failed; lease will expire", zap.String("owner", owner.Name), zap.Error(err))
-		}
-	}()
-}
--- a/internal/grants/malformed_test.go
+++ b/internal/grants/malformed_test.go
@@ -30,7 +30,7 @@
 	} {
 		for path, call := range map[string]any{
 			AcquirePath: AcquireRequest{Group: group, Request: request("q"), MaxWait: time.Millisecond},
-			ReleasePath: ReleaseRequest{Group: group, LeaseID: 1}, EvidencePath: EvidenceRequest{Group: group},
+			ReleasePath: ReleaseRequest{Group: group, LeaseID: 1}, WithdrawPath: WithdrawRequest{Group: group, Call: 1}, EvidencePath: EvidenceRequest{Group: group},
 		} {
 			response, err := http.Post("http://"+r.servers[0].Listener.Addr().String()+path, "", bytes.NewReader(encoded(t, call)))
 			require.NoError(t, err)
@@ -60,12 +60,13 @@
 	f.Add(0, encoded(f, AcquireRequest{Group: group, Request: request("q"), MaxWait: time.Millisecond}))
 	f.Add(1, encoded(f, ReleaseRequest{Group: group, LeaseID: 1, Outcome: pool.Outcome{Kind: pool.OK, Took: -1, Load: &pool.Load{Running: -5}}}))
 	f.Add(2, encoded(f, EvidenceRequest{Group: group, Report: pool.Report{Region: "r2", MeanIdle: math.NaN()}}))
+	f.Add(3, encoded(f, WithdrawRequest{Group: group, Call: 1}))
 	f.Add(0, []byte(`{"group":{"service":"s","shards":1},"request":{"objective":-1,"time_left":9223372036854775807,"bytes":-9}}`))
 	f.Fuzz(func(t *testing.T, path int, body []byte) {
 		r := newTestRegion(t, 1, 2)
-		paths := []string{AcquirePath, ReleasePath, EvidencePath}
+		paths := []string{AcquirePath, ReleasePath, EvidencePath, WithdrawPath}
 		handler := r.brokers[0].Handler()
-		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, paths[uint(path)%3], bytes.NewReader(body)))
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, paths[uint(path)%uint(len(paths))], bytes.NewReader(body)))
 		w := httptest.NewRecorder()
 		good := encoded(t, AcquireRequest{Group: group, Request: request("good"), MaxWait: 10 * time.Millisecond})
 		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, AcquirePath, bytes.NewReader(good)))
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -44,7 +44,7 @@
 	}
 	p.countGrant(r, now)
 	p.lastLeaseID++
-	l := &lease{target: best, request: r, started: now, expires: now.Add(min(r.TimeLeft, maxLeaseTime) + leaseGrace)}
+	l := &lease{target: best, request: r, started: now, expires: now.Add(r.LeaseTime())}
 	p.leases[p.lastLeaseID] = l
 	best.leases[p.lastLeaseID] = l
 	best.inFlight++
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -37,8 +38,9 @@
 	mu            sync.Mutex
 	targets       []*target // ordered by id
 	leases        map[uint64]*lease
-	lastLeaseID   uint64
-	waiters       []*waiter // by priority, then by arrival
+	lastLeaseID   uint64                // begins at random: ids of an earlier process name no grant of this one
+	withdrawn     map[callKey]time.Time // calls that were withdrawn before they arrived, until when they are remembered
+	waiters       []*waiter             // by priority, then by arrival
 	wake          wake
 	durations     durations
 	failingShare  failingShare
@@ -79,6 +81,8 @@
 	return &Pool{
 		cfg:          cfg,
 		leases:       map[uint64]*lease{},
+		lastLeaseID:  uint64(rand.Uint32()),
+		withdrawn:    map[callKey]time.Time{},
 		idleReports:  map[string]idleReport{},
 		durations:    durations{routes: map[string]*routeDurations{}},
 		failingShare: failingShare{value: initialFailingShare},
@@ -145,6 +149,9 @@
 		p.budgetSpent.Inc()
 		return Grant{}, nil, ErrBudget
 	}
+	if r.Call != 0 && p.takeWithdrawn(r, now) {
+		return Grant{}, nil, ErrBusy
+	}
 	w := &waiter{request: r, arrived: now, granted: make(chan Grant, 1)}
 	at := len(p.waiters)
 	for at > 0 && p.waiters[at-1].request.Priority > r.Priority {
@@ -160,6 +167,11 @@
 	}
 }
 
+func (p *Pool) removeWaiter(w *waiter) {
+	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
+	p.scheduleWake(p.cfg.Clock.Now())
+}
+
 // leaveQueue removes the waiter from the queue. It returns the grant if one was
 // made concurrently.
 func (p *Pool) leaveQueue(w *waiter) (Grant, bool) {
@@ -170,7 +182,6 @@
 		return g, true
 	default:
 	}
-	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
-	p.scheduleWake(p.cfg.Clock.Now())
+	p.removeWaiter(w)
 	return Grant{}, false
 }
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -41,8 +41,12 @@
 	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"` // the wait is about to end: accept any target with capacity
 	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`  // ids of targets that want no request of the sender now
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
+	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
 }
 
+// LeaseTime returns for how long the grant of the request lasts at most.
+func (r Request) LeaseTime() time.Duration { return min(r.TimeLeft, maxLeaseTime) + leaseGrace }
+
 // Grant permits one attempt of a request on a target.
 type Grant struct {
 	LeaseID uint64 `json:"lease" cbor:"1,keyasint"`
