Pool: bounded work for each event while many requests wait

Since each arrival and each outcome looked at all waiting requests while any target was free. In an overload a target that fails is always free, and the others rather wait.

Change: a look ends after 16 waiting requests in a row that take no target, except once in 50 ms, when all are looked at. A new request is offered what they left at once, since it may be one that cannot wait (a hedge). The failure probability of a target is computed once in a look, not once for each waiting request.

Test: TestRequestBehindManyRefusalsIsServed; it fails without the look at all, and without the offer to the new request. TestNoWaiterBesideAFreeTarget holds as it was.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -16,13 +16,23 @@
 	leaseGrace       = time.Second // lifetime of a lease beyond the deadline of its request
 )
 
+// beginLook prepares what the costs of targets for all waiting requests depend on.
+func (p *Pool) beginLook(now time.Time) {
+	p.looks++
+	p.updateLook(now)
+}
+
+// updateLook updates what a grant changes for the other waiting requests.
+func (p *Pool) updateLook(now time.Time) {
+	p.floorBreached = p.belowFloor(now)
+	p.retryableWeight = p.currentRetryableWeight(now)
+}
+
 // grant selects the target with the lowest cost. If that target is full, the
 // request waits for it rather than use one that costs much more. A target that
 // fails requests immediately always has capacity, and would otherwise receive
 // all requests that exceed the capacity of the others.
 func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
-	p.floorBreached = p.belowFloor(now)
-	p.retryableWeight = p.currentRetryableWeight(now)
 	var best *target
 	bestCost, bestRisk := 0.0, 0.0
 	full := math.Inf(1) // lowest cost among full targets
@@ -50,6 +60,8 @@
 	best.inFlight++
 	best.lastGrantAt = now
 	p.granted.Inc()
+	best.risk.look = 0
+	p.updateLook(now)
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
 		HedgeDelay: p.durations.hedgeDelay(r.Route, p.budget.spentShare(now) < hedgeBudgetShare), Risk: bestRisk,
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -25,7 +25,7 @@
 // cost returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
 func (p *Pool) cost(t *target, r Request, now time.Time) (cost, risk float64) {
-	risk = failureProbability(p.currentFailingProbability(t, now))
+	risk = p.currentRisk(t, now)
 	cost = risk
 	if r.Retryable {
 		cost *= p.retryableWeight
@@ -45,6 +45,22 @@
 	return cost, risk
 }
 
+// knownRisk is the failure probability of a target in a look at the waiting
+// requests.
+type knownRisk struct {
+	value float64
+	look  uint64 // number of the look; 0: not known
+}
+
+// currentRisk returns the probability that the next request fails on the target.
+// It is computed once in a look at the waiting requests, since it is costly.
+func (p *Pool) currentRisk(t *target, now time.Time) float64 {
+	if t.risk.look != p.looks {
+		t.risk = knownRisk{value: failureProbability(p.currentFailingProbability(t, now)), look: p.looks}
+	}
+	return t.risk.value
+}
+
 // currentRetryableWeight returns the cost of a failure of a retryable request,
 // which depends on how much of the retry budget is left.
 func (p *Pool) currentRetryableWeight(now time.Time) float64 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -42,6 +42,8 @@
 	withdrawn     map[callKey]time.Time // calls that were withdrawn before they arrived, until when they are remembered
 	waiters       []*waiter             // by priority, then by arrival
 	wake          wake
+	lookedAtAll   time.Time // when all waiters were last looked at
+	looks         uint64    // counts the looks at the waiters
 	durations     durations
 	failingShare  failingShare
 	weights       decayWeights
@@ -159,6 +161,9 @@
 	}
 	p.waiters = slices.Insert(p.waiters, at, w)
 	p.dispatch(now)
+	if len(w.granted) == 0 && p.offerToNewcomer(w, now) {
+		p.removeWaiter(w)
+	}
 	select {
 	case g := <-w.granted:
 		return g, nil, nil
@@ -167,6 +172,12 @@
 	}
 }
 
+// offerToNewcomer offers a request that has just been queued the targets that the
+// ones before it did not take. It may wait for a short time only.
+func (p *Pool) offerToNewcomer(w *waiter, now time.Time) bool {
+	return len(p.waiters) > maxRefusals && p.hasFreeTarget(now) && p.offer(w, now)
+}
+
 func (p *Pool) removeWaiter(w *waiter) {
 	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
 	p.scheduleWake(p.cfg.Clock.Now())
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -29,6 +29,7 @@
 	lastFailureAt    time.Time
 	leases           map[uint64]*lease
 	durationRatio    float64 // moving average of duration to route mean; 0: unknown
+	risk             knownRisk
 	backoffUntil     time.Time
 	coldUntil        time.Time
 	leaving          bool      // it has said in a response that it is about to stop
--- a/internal/pool/wake.go
+++ b/internal/pool/wake.go
@@ -9,6 +9,12 @@
 // looked at again: estimates, loads and costs change with time alone.
 const maxRecheckInterval = 50 * time.Millisecond
 
+// maxRefusals is the number of waiting requests in a row that find no target good
+// enough after which the others are not looked at, except once in
+// maxRecheckInterval. It bounds the work for each event while many requests wait
+// beside a target that is free because it fails.
+const maxRefusals = 16
+
 // wake is the next time at which the waiting requests are looked at although no
 // outcome arrives.
 type wake struct {
@@ -19,18 +25,44 @@
 // dispatch grants targets to waiting requests, in queue order.
 func (p *Pool) dispatch(now time.Time) {
 	p.expireLeases(now)
-	if p.hasFreeTarget(now) {
-		p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
-			g, ok := p.grant(w.request, now)
-			if ok {
-				w.granted <- g
-			}
-			return ok
-		})
+	if len(p.waiters) > 0 && p.hasFreeTarget(now) {
+		p.look(now)
 	}
 	p.scheduleWake(now)
 }
 
+// look offers the free targets to the waiting requests: to all of them once in
+// maxRecheckInterval, and otherwise until maxRefusals in a row take none.
+func (p *Pool) look(now time.Time) {
+	limit := maxRefusals
+	if now.Sub(p.lookedAtAll) >= maxRecheckInterval {
+		p.lookedAtAll = now
+		limit = len(p.waiters)
+	}
+	p.beginLook(now)
+	refusals := 0
+	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
+		if refusals >= limit {
+			return false
+		}
+		refusals++
+		granted := p.offer(w, now)
+		if granted {
+			refusals = 0
+		}
+		return granted
+	})
+}
+
+// offer grants the waiting request a target if there is one for it now.
+func (p *Pool) offer(w *waiter, now time.Time) bool {
+	g, ok := p.grant(w.request, now)
+	if ok {
+		w.granted <- g
+	}
+	return ok
+}
+
 func (p *Pool) hasFreeTarget(now time.Time) bool {
 	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.hasCapacity(now) })
 }
@@ -68,6 +100,9 @@
 // time alone: a backoff, a lease, or at the latest the recheck interval.
 func (p *Pool) nextChange(now time.Time) time.Time {
 	next := now.Add(maxRecheckInterval)
+	if due := p.lookedAtAll.Add(maxRecheckInterval); due.After(now) {
+		next = due
+	}
 	earlier := func(at time.Time) {
 		if at.After(now) && at.Before(next) {
 			next = at
