--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -15,6 +15,9 @@
 	lastContact time.Time // send time of the last message that the member responded to
 	ackedSent   int64     // message.Sent of that message; 0: none in this term
 	snapshotDue time.Time // earliest time to send the snapshot again
+	// snapshotDelay is the time between the last two sends of the snapshot; 0: it
+	// was not sent again since the last acknowledgement.
+	snapshotDelay time.Duration
 }
 
 func newProgress(id MemberID, next uint64, now time.Time) *progress {
@@ -28,6 +31,7 @@
 	p.inflight = 0
 	p.lastAck = now
 	p.snapshotDue = time.Time{}
+	p.snapshotDelay = 0
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
 }
--- a/internal/consensus/snapshots.go
+++ b/internal/consensus/snapshots.go
@@ -2,11 +2,16 @@
 
 import "fmt"
 
+// sendSnapshot sends the snapshot, unless an earlier one may still be on its way.
+// The time allowed for it grows from the election timeout to the snapshot timeout:
+// a lost snapshot is soon sent again, and a large one on a slow link only a few
+// times.
 func (c *core) sendSnapshot(p *progress) {
 	if c.now.Before(p.snapshotDue) {
 		return
 	}
-	p.snapshotDue = c.now.Add(c.snapshotTimeout)
+	p.snapshotDelay = min(max(2*p.snapshotDelay, c.electionTimeout), c.snapshotTimeout)
+	p.snapshotDue = c.now.Add(p.snapshotDelay)
 	s := c.log.snapshot
 	c.send(message{Type: msgSnapshot, To: p.id, Term: c.term, Sent: c.nextSentTime(), Snapshot: &s})
 }
