Consensus: no membership change during a transfer of leadership

Cause: a transfer refuses commands, so that the next leader can hold the whole log, but admitting or removing a member still appended an entry. In the trace the entry that admits x0006 as a fourth voter is appended 60 ms after the transfer to x0004 began, and x0004, which lacks it, cannot be elected for 0.8 s. One of the four voters was gone already and the next was lost before its removal: two of four remained.

Change: neither change is appended while a transfer lasts (mayChangeMembers).

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -38,7 +38,7 @@
 }
 
 // admitLearner proposes a Replace entry for a learner that responds and has stored
-// all committed entries. Only one membership change is pending at a time.
+// all committed entries.
 func (c *core) admitLearner(p *progress) {
 	if c.learners[p.id.Slot] != p || !c.isResponsive(p) || c.dynamic && !c.canAdmit() {
 		return
@@ -47,7 +47,7 @@
 		return
 	}
 	caughtUp := p.match >= c.log.commit && c.log.matches(c.log.commit, c.term)
-	if !caughtUp || c.pendingChangeIndex != 0 {
+	if !caughtUp || !c.mayChangeMembers() {
 		return
 	}
 	data, err := cbor.Marshal(p.id)
@@ -62,6 +62,12 @@
 	c.broadcastAppend()
 }
 
+// mayChangeMembers reports whether the leader may append a membership change. Only
+// one is pending at a time, and none is appended during a transfer: the next leader
+// may not have it, and then has to be elected without the votes of a member that is
+// being replaced.
+func (c *core) mayChangeMembers() bool { return c.pendingChangeIndex == 0 && !c.isTransferring() }
+
 // applyReplace applies a committed Replace entry.
 func (c *core) applyReplace(entry Entry) {
 	var id MemberID
--- a/internal/consensus/voter_removal.go
+++ b/internal/consensus/voter_removal.go
@@ -43,7 +43,7 @@
 // log and on who responds now, so each new leader comes to the same one. A majority
 // must respond: a change in the log counts before it is committed.
 func (c *core) removeDepartedVoter() {
-	if !c.dynamic || !c.isFormed() || c.pendingChangeIndex != 0 || !c.log.matches(c.log.commit, c.term) {
+	if !c.dynamic || !c.isFormed() || !c.mayChangeMembers() || !c.log.matches(c.log.commit, c.term) {
 		return
 	}
 	removal, ok := c.nextRemoval()
