Health: probes sooner take the place of trial requests while requests wait

Cause: after two good probes a target in trial waits for a request as its next trial, 5 s long. A request suits only if it is idempotent and has used less than a quarter of its time. With a backlog none has, and a service without idempotent requests has none at all.

Change: while requests wait, the wait is 1 s: a request that suits becomes the trial at once, so that none does.

Test: TestProbesReplaceTrialRequestsWhileRequestsWait (new interface).

--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	_ "github.com/sequoialane/sequoialane/internal/fixedseed"
@@ -204,3 +205,23 @@
 	assert.False(t, paused.ShouldEject())
 	assert.Equal(t, float64(maxWaitWeight), WaitWeight(fullWaitTime, fullWaitRatio, 0.5))
 }
+
+// Guards against an ejected target that stays idle beside waiting requests, none of
+// which suits as its trial: probes take the place of the request sooner then.
+func TestProbesReplaceTrialRequestsWhileRequestsWait(t *testing.T) {
+	var target Target
+	now := time.Unix(1, 0)
+	target.Eject(now)
+	now = now.Add(FirstEjectionTime)
+	target.Advance(Baseline{}, now)
+	for range minProbeTrials {
+		require.True(t, target.WantsProbe(true, now))
+		target.BeginProbe()
+		target.EndProbe(Good, false, now)
+	}
+	assert.False(t, target.WantsProbe(true, now), "a request may suit as the next trial")
+	now = now.Add(busyTrialRequestWait)
+	assert.False(t, target.WantsProbe(false, now))
+	assert.True(t, target.WantsProbe(true, now))
+	assert.True(t, target.WantsProbe(false, now.Add(trialRequestWait)))
+}
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -4,8 +4,8 @@
 
 // WantsProbe reports whether the target should be probed now: a suspect, a target
 // behind a path fault, an ejected target in trial, or a target without recent
-// responses.
-func (t *Target) WantsProbe(now time.Time) bool {
+// responses. requestsWait tells whether requests wait for a slot of the service.
+func (t *Target) WantsProbe(requestsWait bool, now time.Time) bool {
 	if t.probeInFlight || now.Before(t.nextProbe) {
 		return false
 	}
@@ -13,7 +13,7 @@
 	case Suspect, Avoided:
 		return true
 	case Trial:
-		return !t.trialInFlight && (t.trials < minProbeTrials || now.Sub(t.trialSince) >= trialRequestWait)
+		return !t.trialInFlight && (t.trials < minProbeTrials || t.lacksTrialRequest(requestsWait, now))
 	case Healthy:
 		return t.hasUnansweredWait || now.Sub(t.lastResponseAt) >= idleProbeInterval
 	default:
@@ -21,11 +21,21 @@
 	}
 }
 
+// lacksTrialRequest reports whether no request suits as a trial of the target. If
+// requests wait, none of them does, since one that does becomes the trial at once.
+func (t *Target) lacksTrialRequest(requestsWait bool, now time.Time) bool {
+	limit := trialRequestWait
+	if requestsWait {
+		limit = busyTrialRequestWait
+	}
+	return now.Sub(t.trialSince) >= limit
+}
+
 // WantsReturnProbe reports whether a target without a probe path should get a
 // probe as its trial, because no idempotent request has arrived for one.
-func (t *Target) WantsReturnProbe(now time.Time) bool {
+func (t *Target) WantsReturnProbe(requestsWait bool, now time.Time) bool {
 	idle := !t.probeInFlight && !t.trialInFlight && !now.Before(t.nextProbe)
-	return t.state == Trial && idle && now.Sub(t.trialSince) >= trialRequestWait
+	return t.state == Trial && idle && t.lacksTrialRequest(requestsWait, now)
 }
 
 // WantsPeerProbe reports whether another entry should probe the target: a suspect
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -25,8 +25,10 @@
 	probeInterval     = 200 * time.Millisecond // between probes of a suspect
 	idleProbeInterval = 5 * time.Second
 	trialRequestWait  = 5 * time.Second // time in trial without a request for it, after which probes are used instead
-	peerProbeInterval = 2 * time.Second // between requests for a probe by another entry
-	peerProbeValidity = 3 * time.Second // of another entry's probe result
+	// busyTrialRequestWait is the same while requests wait for a slot.
+	busyTrialRequestWait = time.Second
+	peerProbeInterval    = 2 * time.Second // between requests for a probe by another entry
+	peerProbeValidity    = 3 * time.Second // of another entry's probe result
 
 	// PeerProbeWait is how long an ejection waits for the result of another entry's
 	// probe.
--- a/internal/owner/probe.go
+++ b/internal/owner/probe.go
@@ -33,12 +33,13 @@
 
 // requestProbes adds probe actions for the targets that need a probe.
 func (s *Service) requestProbes(now time.Time) {
+	requestsWait := s.queue.Len() > 0
 	for _, t := range s.targets {
 		if _, ok := s.registry.Target(t.record.Address); !ok {
 			continue
 		}
 		if t.record.ProbePath == "" {
-			if t.health.WantsReturnProbe(now) && t.takeProbeCredit(now) {
+			if t.health.WantsReturnProbe(requestsWait, now) && t.takeProbeCredit(now) {
 				t.health.BeginProbe()
 				s.requestProbe(t, Probe, now)
 			}
@@ -48,7 +49,7 @@
 			t.health.PeerProbeRequested(now)
 			s.requestProbe(t, PeerProbe, now)
 		}
-		if t.health.WantsProbe(now) && t.takeProbeCredit(now) {
+		if t.health.WantsProbe(requestsWait, now) && t.takeProbeCredit(now) {
 			t.health.BeginProbe()
 			s.requestProbe(t, Probe, now)
 		}
