Owner: a target whose lease is renewed is not ejected for what was seen meanwhile

Cause: the evidence of the cut stays, and good responses do not weigh while most targets fail (likelihoodRatiosFor), so that nothing takes it back. Targets whose leases ended are no candidates; the renewal made them candidates again.

Change: with a renewal after a mass expiry the score goes back to that of a suspect, and an ejected target may be tried at once.

--- a/internal/health/eject.go
+++ b/internal/health/eject.go
@@ -106,6 +106,18 @@
 	}
 }
 
+// RenewLease records that the target announces itself after its lease has expired.
+// What was seen meanwhile may have concerned the path to it: it takes new evidence to
+// eject it, and an ejected target may be tried at once.
+func (t *Target) RenewLease(now time.Time) {
+	if t.isEjected() {
+		t.trialAt = now
+		return
+	}
+	t.score = min(t.score, suspectScore)
+	t.windowGood, t.windowBad = 0, 0
+}
+
 // WantsTrial reports whether the target should get an idempotent request as its
 // next trial. If probes are possible, the first trials are probes.
 func (t *Target) WantsTrial(canProbe bool) bool {
--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -225,3 +225,30 @@
 	assert.True(t, target.WantsProbe(true, now))
 	assert.True(t, target.WantsProbe(false, now.Add(trialRequestWait)))
 }
+
+// Guards against a target that is ejected, just after its lease was renewed, for
+// what was seen while it was cut off. While most targets fail, no evidence counts,
+// so that good responses alone do not help it.
+func TestRenewedLeaseTakesNewEvidenceToEject(t *testing.T) {
+	var target Target
+	now := time.Unix(1, 0)
+	mostFail := Baseline{BadRate: 0.9}
+	for range 10 {
+		target.Advance(Baseline{}, now)
+		target.Observe(Unreachable, now)
+		now = now.Add(WindowLength)
+	}
+	require.True(t, target.ShouldEject())
+	target.Advance(mostFail, now)
+	for range 20 {
+		target.Observe(Good, now)
+	}
+	require.True(t, target.ShouldEject())
+	target.RenewLease(now)
+	assert.False(t, target.ShouldEject())
+	assert.Equal(t, Suspect, target.State())
+	target.Eject(now)
+	target.RenewLease(now)
+	target.Advance(mostFail, now)
+	assert.Equal(t, Trial, target.State(), "an ejected target is tried at once")
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -128,7 +128,12 @@
 		return upstream.Rejected
 	}
 	now := s.cfg.Clock.Now()
+	before := s.registry.Availability(a.Address, now)
 	result := s.registry.Apply(a, now)
+	renewed := result == upstream.Renewed || result == upstream.Applied
+	if t := s.findTarget(a.Address); t != nil && renewed && before == upstream.LastResort {
+		t.health.RenewLease(now)
+	}
 	if result != upstream.Applied {
 		return result
 	}
