Test ports: no loopback address twice in a process, seldom in two

Fleets that start at the same time in one test process, or in tests of two packages, reserved ports on the same addresses, and one could get a port that the other had just released for a process that was not listening yet. TestHostsDiffer fails on the earlier code.

--- a/internal/freeports/ports.go
+++ b/internal/freeports/ports.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 )
@@ -14,14 +16,18 @@
 // own: the kernel takes the source ports of connections on 127.0.0.1 from the same
 // range and could assign the port of a process that is restarting.
 type Ports struct {
-	hostCount int
-	reserved  []interface{ Close() error }
+	reserved []interface{ Close() error }
 }
 
-// NextHost returns a loopback address that has not been returned before.
+// hostCount is the number of addresses that NextHost has returned in this process.
+var hostCount atomic.Int64
+
+// NextHost returns a loopback address that this process has not got before, and
+// hardly another one at the same time: a port that was released could be reserved
+// again there before the process that it was for listens on it.
 func (p *Ports) NextHost() string {
-	p.hostCount++
-	return fmt.Sprintf("127.0.%d.%d", 1+p.hostCount/250, 1+p.hostCount%250)
+	n := hostCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+n/250, 1+n%250)
 }
 
 // ReserveTCP reserves a TCP port of the loopback address.
--- a/internal/freeports/ports_test.go
+++ b/internal/freeports/ports_test.go
@@ -21,3 +21,10 @@
 		seen[address] = true
 	}
 }
+
+// Guards against two fleets of one process that get the same address, and so may
+// get the same port.
+func TestHostsDiffer(t *testing.T) {
+	var a, b Ports
+	assert.NotEqual(t, a.NextHost(), b.NextHost())
+}
