Gateway: large bodies stay within the memory of an entry

Cause: the buffer of a body doubled while it filled, old beside new, and only bytes received were counted. Bodies that fit one after the other filled the limit together and were all rejected halfway.

Change: beyond 64 KiB the declared length is taken and allocated at once, or the request rejected; one that never fits is rejected unread. A body of unknown length takes the memory of its buffer. The heap of an entry is limited to 0.8 of its memory. Reading bodies moves to a file of its own. Bodies up to 64 KiB are read as before, but for one byte of room, which saves the last doubling.

--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/gravitational/trace"
 	"github.com/samber/do/v2"
@@ -51,6 +52,7 @@
 		return err
 	}
 	return serve(ctx, file, s.Telemetry, entryName, s.Name, func(i do.Injector) (*fleetentry.Process, error) {
+		debug.SetMemoryLimit(s.HeapLimit())
 		return fleetentry.New(s, platform.EntryHandlers(), do.MustInvoke[sys.Clock](i), do.MustInvoke[*zap.Logger](i))
 	}, func(p *fleetentry.Process) error {
 		changed, err := loadEntry(file)
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -59,6 +59,9 @@
 	// 1/responseMemoryDivisor of the memory.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
+	// heapShare is the share of the memory that the heap may take. The rest is for
+	// stacks, buffers of the kernel and the program itself.
+	heapShare = 0.8
 	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
 	// and ratio that one owner uses. An owner that takes over starts with its
 	// full slack, so two owners in a row within a window use up the allowed
@@ -133,6 +136,9 @@
 // other requests.
 func (s *Settings) lowBandwidth() bool { return s.LinkMbps > 0 && s.LinkMbps < lowBandwidthMbps }
 
+// HeapLimit returns the bytes that the heap of the process may take.
+func (s *Settings) HeapLimit() int64 { return int64(heapShare * float64(int64(s.MemoryMB)<<20)) }
+
 // bodyMemory returns the bytes that buffered request bodies may take.
 func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyMemoryDivisor }
 
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -1,10 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
-	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,11 +52,10 @@
 	if rejection != nil {
 		return release, rejection
 	}
-	size := int64(len(body))
 	req.outgoing = targetconn.Request{
-		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body,
+		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body.bytes,
 	}
-	return func() { g.options.BodyMemory.Give(size) }, nil
+	return body.release, nil
 }
 
 // headerBytes returns the size of the request line and the header fields.
@@ -103,63 +98,6 @@
 	req.service = g.splits.Next(host, req.route, g.phase)
 }
 
-// readBody reads the request body, which must arrive by the request's deadline.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, req *request, limit int64) ([]byte, *fault.Error) {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit > 0 && r.ContentLength > limit {
-		return nil, fault.New(fault.BodyTooLarge, "the body is over the limit")
-	}
-	if limit <= 0 {
-		limit = math.MaxInt64
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(req.deadline); err != nil {
-		return nil, fault.Newf(fault.Internal, "no read deadline: %v", err).WithEffect(fault.NotRun)
-	}
-	body, rejection := g.bufferBody(r.Body, max(r.ContentLength, 0), limit)
-	_ = controller.SetReadDeadline(time.Time{}) // supported, since the call above succeeded
-	return body, rejection
-}
-
-// bufferBody reads the body into memory and takes its bytes from the memory for
-// bodies as it grows. On failure it gives them back. sizeHint is the declared
-// length; 0 if it is unknown.
-func (g *Gateway) bufferBody(src io.Reader, sizeHint, limit int64) ([]byte, *fault.Error) {
-	memory := g.options.BodyMemory
-	body := make([]byte, 0, min(max(sizeHint, 512), 64<<10))
-	for {
-		if len(body) == cap(body) {
-			body = append(body, 0)[:len(body)]
-		}
-		n, err := src.Read(body[len(body):cap(body)])
-		if !memory.Take(int64(n)) {
-			memory.Give(int64(len(body)))
-			return nil, fault.New(fault.Overloaded, "too many bodies are held").WithRetryAfter(retryAfterBodyMemory)
-		}
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			memory.Give(int64(len(body)))
-			return nil, fault.New(fault.BodyTooLarge, "the body is over the limit")
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			memory.Give(int64(len(body)))
-			return nil, bodyError(err)
-		}
-	}
-}
-
-func bodyError(err error) *fault.Error {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
-		return fault.New(fault.SlowSender, "the body did not arrive in time")
-	}
-	return fault.Newf(fault.BadRequest, "the body cannot be read: %v", err)
-}
-
 // forwardedHeader returns the header without hop-by-hop fields and without fields
 // that the gateway sets itself.
 func (g *Gateway) forwardedHeader(original http.Header) http.Header {
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -21,6 +21,12 @@
 // SetLimit changes the limit in bytes. What was taken stays taken.
 func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
 
+// Fits reports whether n bytes can be taken at all.
+func (b *Budget) Fits(n int64) bool {
+	limit := b.limit.Load()
+	return limit <= 0 || n <= limit
+}
+
 // Take reserves n bytes. It reports false, and reserves nothing, if the limit
 // would be exceeded.
 func (b *Budget) Take(n int64) bool {
