Pool: targets that work on a long request count for the floor

Silence is evidence against a target, so it is avoided, and the floor looked only at targets without a request in flight. Ruled out: unequal sharing between regions and a change of owner (no such line in the logs), targets that failed (excluded).

Change: a target whose requests in flight are all older than the window of the floor counts like an idle one.

TestFloorCountsTargetsWithLongRequests: 4 of 10 targets got requests before.

--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -46,17 +46,20 @@
 // belowFloor reports whether more healthy targets of the region than allowed got
 // no request within floorWindow.
 //
-// The floor applies to the idle targets, those without a request in flight. If
-// the entries lose power, their requests in flight fail, the targets of these no
-// longer count as healthy, and only the idle targets do.
+// The floor applies to the idle targets: those without a request in flight, and
+// those whose requests in flight are all older than floorWindow. If the entries lose
+// power, the requests in flight fail, the targets of these no longer count as
+// healthy, and only the idle targets do. A target that has worked on a long request
+// meanwhile is healthy all the while.
 func (p *Pool) belowFloor(now time.Time) bool {
 	idle, unused := 0, 0
 	for _, t := range p.targets {
-		if !t.inOwnRegion || !t.healthy(now) || t.inFlight > 0 {
+		isUnused := now.Sub(t.lastGrantAt) >= floorWindow
+		if !t.inOwnRegion || !t.healthy(now) || t.inFlight > 0 && !isUnused {
 			continue
 		}
 		idle++
-		if now.Sub(t.lastGrantAt) >= floorWindow {
+		if isUnused {
 			unused++
 		}
 	}
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // Guards against regions that together leave more targets unused than the service
@@ -156,3 +157,36 @@
 	below := lo.CountBy(momentsUnderLoad(t), func(m moment) bool { return m.served < 0.7*m.healthy })
 	assert.Zero(t, below, "moments at which a loss of power would leave the service below its floor")
 }
+
+// Guards against a service that uses few of its healthy targets while others work on
+// long requests: their silence is evidence against them, but they are not failing,
+// and count for the floor like idle ones.
+func TestFloorCountsTargetsWithLongRequests(t *testing.T) {
+	const (
+		targets  = 10
+		long     = 5 // targets that work on one long request each
+		interval = 25 * time.Millisecond
+		work     = 50 * time.Millisecond
+		settle   = 4 * time.Second
+		window   = 2 * time.Second
+	)
+	r := newTestPool(targets, 6)
+	start := r.clock.Now()
+	grantedAt, isLong := map[string]time.Time{}, map[string]bool{}
+	for r.clock.Now().Sub(start) < 20*time.Second {
+		request := newRequest()
+		request.TimeLeft = time.Minute
+		g := r.mustAcquire(t, request)
+		grantedAt[g.Target] = r.clock.Now()
+		r.clock.Advance(interval)
+		if len(isLong) < long && !isLong[g.Target] {
+			isLong[g.Target] = true
+			continue
+		}
+		r.Release(g.LeaseID, Outcome{Kind: OK, Took: work})
+		if now := r.clock.Now(); now.Sub(start) > settle {
+			used := lo.CountBy(lo.Values(grantedAt), func(at time.Time) bool { return now.Sub(at) <= window })
+			require.GreaterOrEqual(t, used, 7, "targets with a request within %v, at %v", window, now.Sub(start))
+		}
+	}
+}
