Grants: entries that reach no owner share the retry slack

Cause: an entry that reaches no owner grants its own requests, with the slack of the whole region; so do all others that are cut off at the same time. After the first owners had not responded, the entry even took itself for the owner.

Change: only the entry that ranks first for a group has the whole slack, any other one the slack divided by the serving entries of the region. The share goes with the request inside the process.

TestCutOffEntriesShareTheRetrySlack: 80 retries of a slack of 10 before. TestExhaustedBudgetAvoidsRiskyTargets now states the share 1, the whole slack.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -233,11 +233,24 @@
 	return b.acquireLocal(ctx, group, r, wait, b.fallback)
 }
 
+// slackShare returns the share of a group's retry slack that this entry may use: all
+// of it as the owner. Other entries grant only while owners do not respond, which
+// may be many entries at the same time, each cut off from the others.
+func (b *Broker) slackShare(group Group) float64 {
+	region := b.options.Self.Region
+	ranked := b.rankedEntries(group, region)
+	if len(ranked) == 0 || ranked[0].Name == b.options.Self.Name {
+		return 1
+	}
+	return 1 / float64(len(b.options.View().Serving(region)))
+}
+
 func isRejection(err error) bool {
 	return lo.SomeBy(lo.Values(rejections), func(rejection error) bool { return errors.Is(err, rejection) })
 }
 
 func (b *Broker) acquireLocal(ctx context.Context, group Group, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
+	r.SlackShare = b.slackShare(group)
 	g, err := b.pool(group).Acquire(ctx, r, wait)
 	if err != nil {
 		return nil, err
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -188,6 +188,32 @@
 	assert.Positive(t, granted)
 }
 
+// Guards against entries that are cut off from each other and each spend the retry
+// slack of the whole group.
+func TestCutOffEntriesShareTheRetrySlack(t *testing.T) {
+	const entries = 8
+	r := newTestRegion(t, entries, 20)
+	for _, server := range r.servers {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	granted := 0
+	for _, b := range r.brokers {
+		var err error
+		for n := 0; err == nil; n++ {
+			retry := request(fmt.Sprint("q", n))
+			retry.IsRetry = true
+			if _, err = b.Acquire(context.Background(), "s", retry, time.Second); err == nil {
+				granted++
+			}
+		}
+		require.ErrorIs(t, err, pool.ErrBudget)
+	}
+	owner, others := pool.DefaultSettings().RetrySlack, pool.DefaultSettings().RetrySlack
+	assert.LessOrEqual(t, float64(granted), owner+others)
+	assert.GreaterOrEqual(t, float64(granted), owner)
+}
+
 // Guards against evidence that is not sent to other regions.
 func TestEvidenceIsSentToOtherRegions(t *testing.T) {
 	r := newTestRegion(t, 1, 2)
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -16,10 +16,14 @@
 	b.firsts = append(b.firsts, now)
 }
 
-// allows reports whether one more retry fits the budget.
-func (b *budget) allows(now time.Time) bool {
+// allows reports whether one more retry fits the budget with the share of the slack;
+// a share of 0 is the whole slack.
+func (b *budget) allows(now time.Time, slackShare float64) bool {
 	b.trim(now)
-	return float64(len(b.retries)+1) <= b.maxRetries()
+	if slackShare == 0 {
+		slackShare = 1
+	}
+	return float64(len(b.retries)+1) <= b.ratio*float64(len(b.firsts))+slackShare*b.slack
 }
 
 // maxRetries returns the number of retries allowed in the current window.
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -49,7 +49,7 @@
 		}
 	}
 	worthWaiting := !r.AcceptAny && bestCost > full+waitAdvantage
-	if best == nil || worthWaiting || r.IsRetry && !p.budget.allows(now) {
+	if best == nil || worthWaiting || r.IsRetry && !p.budget.allows(now, r.SlackShare) {
 		return Grant{}, false
 	}
 	p.countGrant(r, now)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -147,7 +147,7 @@
 	if !lo.SomeBy(p.targets, func(t *target) bool { return t.isEligible(r, now) }) {
 		return Grant{}, nil, ErrNoTarget
 	}
-	if r.IsRetry && !p.budget.allows(now) {
+	if r.IsRetry && !p.budget.allows(now, r.SlackShare) {
 		p.budgetSpent.Inc()
 		return Grant{}, nil, ErrBudget
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -343,7 +343,7 @@
 	assert.Equal(t, "failing", r.mustAcquire(t, retryable).Target, "a retry costs less than bytes between regions")
 	retry := newRequest()
 	retry.IsRetry = true
-	for r.budget.allows(r.clock.Now()) {
+	for r.budget.allows(r.clock.Now(), 1) {
 		r.mustAcquire(t, retry)
 	}
 	assert.Equal(t, "far", r.mustAcquire(t, retryable).Target, "no retry is left")
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -42,6 +42,9 @@
 	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`  // ids of targets that want no request of the sender now
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
+	// SlackShare is the share of the retry slack that the request may draw on; 0: all
+	// of it. It is not sent to other processes.
+	SlackShare float64 `json:"-" cbor:"-"`
 }
 
 // LeaseTime returns for how long the grant of the request lasts at most.
