Gateway: the grant of a hedge is awaited in the background, and asked for again

And a hedge had one chance: without a free target at that moment the request stayed with a silent target until its deadline.

Change: the grant is requested in the background (hedge.go). If the attempt in flight ends first, the grant serves as its retry; if the request ends, the call is withdrawn and the grant given back. Without a grant the hedge is tried again after the same delay. If one of several attempts fails, the next hedge is tried at once. The limit of 6 counts grants, no longer the calls for them.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -21,14 +21,12 @@
 	// minWait is the time that a request may wait for a grant even if its latency
 	// objective is shorter.
 	minWait = 300 * time.Millisecond
-	// maxHedgeWait is how long a hedge may wait for a grant.
-	maxHedgeWait = 20 * time.Millisecond
 	// outcomeInFlight is the logged outcome of an attempt that was still
 	// running when its request ended.
 	outcomeInFlight pool.OutcomeKind = "under_way"
-	// maxGrantRequests limits how often a request asks for a grant, whether or
-	// not the grants are used.
-	maxGrantRequests = 6
+	// maxGrants limits how many grants a request gets, whether or not they are
+	// used.
+	maxGrants = 6
 
 	// Retry-After values of rejected requests.
 	retryAfterBusy     = 250 * time.Millisecond
@@ -54,12 +52,13 @@
 
 	ends            chan attemptEnd // buffered for all attempts, so that a late one does not block
 	inFlight        int
-	grantRequests   int
+	grants          int      // received so far
 	countedAttempts int      // finished attempts that count against MaxAttempts: all but failed connects
 	mayHaveRun      bool     // a target may have run the request
 	tried           []string // ids of the granted targets
 	lastFailure     *targetconn.Response
-	hedgeTimer      <-chan time.Time
+	lastEnd         targetconn.Result // of the last attempt that ended
+	hedge           hedge
 }
 
 type attemptEnd struct {
@@ -68,7 +67,7 @@
 }
 
 func (g *Gateway) execute(ctx context.Context, req *request) result {
-	e := &execution{g: g, req: req, callerCtx: ctx, ends: make(chan attemptEnd, maxGrantRequests)}
+	e := &execution{g: g, req: req, callerCtx: ctx, ends: make(chan attemptEnd, maxGrants)}
 	base := ctx
 	if !req.route.Kind.IsIdempotent() {
 		// The request must not be sent again, so it continues when the caller
@@ -82,6 +81,7 @@
 		return result{err: err}
 	}
 	r := e.await()
+	e.hedge.abandon()
 	e.closeUnused(r)
 	return r
 }
@@ -115,14 +115,17 @@
 			if r, done := e.handleEnd(end); done {
 				return r
 			}
-		case <-e.hedgeTimer:
-			e.hedgeTimer = nil
-			if e.mayRetry() {
-				// If no grant is available, the attempt in flight continues
-				// alone.
-				_ = e.startNextAttempt(maxHedgeWait)
+		case <-e.hedge.timer:
+			e.hedge.timer = nil
+			e.requestHedge()
+		case granted := <-e.hedge.granted:
+			if r, done := e.handleHedgeGrant(granted); done {
+				return r
 			}
 		case <-e.workCtx.Done():
+			if e.inFlight == 0 {
+				return e.failure(e.lastEnd)
+			}
 			return result{err: e.timeoutError()}
 		case <-callerDone:
 			if e.req.route.Kind.IsIdempotent() {
@@ -148,25 +151,33 @@
 // startNextAttempt acquires a grant and starts an attempt with it. It skips
 // grants for targets that this entry knows to be unusable.
 func (e *execution) startNextAttempt(wait time.Duration) *fault.Error {
-	for e.grantRequests < maxGrantRequests {
-		e.grantRequests++
+	for e.grants < maxGrants {
 		l, err := e.g.options.Broker.Acquire(e.callerCtx, e.req.service, e.poolRequest(), wait)
 		if err != nil {
 			return acquireError(err)
 		}
-		e.tried = append(e.tried, l.Target)
-		record, usable := e.usableTarget(l)
-		if !usable {
-			e.recordAttempt(l)
-			l.Release(pool.Outcome{Kind: pool.Unsent, Leaving: e.g.options.Advice.IsLeaving(record)})
-			continue
+		if e.useGrant(l) {
+			return nil
 		}
-		e.startAttempt(l, record)
-		return nil
 	}
 	return acquireError(pool.ErrBusy)
 }
 
+// useGrant starts an attempt with the grant. It returns false, and gives the grant
+// back, if this entry knows that its target is not usable.
+func (e *execution) useGrant(l *grants.Lease) bool {
+	e.grants++
+	e.tried = append(e.tried, l.Target)
+	record, usable := e.usableTarget(l)
+	if !usable {
+		e.recordAttempt(l)
+		l.Release(pool.Outcome{Kind: pool.Unsent, Leaving: e.g.options.Advice.IsLeaving(record)})
+		return false
+	}
+	e.startAttempt(l, record)
+	return true
+}
+
 // usableTarget returns the record of the granted target in this entry's copy of the
 // fleet state, which may be newer than that of the owner. It reports false if the
 // target is not usable any more, or wants no request of this entry now.
@@ -202,14 +213,15 @@
 	return float64(e.g.options.Clock.Now().Sub(e.req.started).Microseconds()) / 1000
 }
 
-// startAttempt sends the request to the granted target in the background. The
-// first attempt of an idempotent request also starts the hedge timer.
+// startAttempt sends the request to the granted target in the background, and
+// schedules a hedge if the request is idempotent.
 func (e *execution) startAttempt(l *grants.Lease, record fleetstate.Target) {
 	index := e.recordAttempt(l)
 	e.req.attempts[index].Outcome = outcomeInFlight
 	e.inFlight++
-	if e.hedgeTimer == nil && e.req.route.Kind.IsIdempotent() {
-		e.hedgeTimer = e.g.options.Clock.After(l.HedgeDelay)
+	if e.req.route.Kind.IsIdempotent() {
+		e.hedge.delay = l.HedgeDelay
+		e.scheduleHedge(l.HedgeDelay)
 	}
 	started := e.g.options.Clock.Now()
 	outgoing := e.req.outgoing
@@ -245,6 +257,7 @@
 // and true, or false while another attempt is in flight.
 func (e *execution) handleEnd(end attemptEnd) (result, bool) {
 	r := end.result
+	e.lastEnd = r
 	e.recordEnd(end)
 	if r.MayHaveRun {
 		e.mayHaveRun = true
@@ -256,9 +269,21 @@
 		return result{response: r.Response}, true
 	}
 	e.keepFailure(r)
+	if e.hedge.granted != nil {
+		return result{}, false // the grant of the hedge serves as a retry
+	}
 	if e.inFlight > 0 {
+		e.hedge.timer = nil
+		e.scheduleHedge(0) // the remaining attempt may get no response at all
 		return result{}, false
 	}
+	return e.retryOrFail(r)
+}
+
+// retryOrFail starts the next attempt of a request without one in flight, whose
+// last one ended with r. If it may not get one, it returns the result of the
+// request and true.
+func (e *execution) retryOrFail(r targetconn.Result) (result, bool) {
 	if e.mayRetry() {
 		err := e.startNextAttempt(e.maxWait())
 		if err == nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -68,6 +68,12 @@
 	return nil, pool.ErrNoTarget
 }
 
+func (f *fakeFleet) releasedLeases() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.released
+}
+
 func (f *fakeFleet) Send(_ context.Context, t targetconn.Target, r targetconn.Request) targetconn.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
