Health: good responses count at any share of bad requests on the other targets

Cause: while 30% or more of the requests to the other targets are bad, no evidence counted, good responses neither.

Change: bad requests still count nothing then, good ones as at a share of 30%.

--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -74,13 +74,15 @@
 type likelihoodRatios struct{ bad, good float64 }
 
 // likelihoodRatiosFor returns the ratios for the share of bad requests on the other
-// targets. They are 0 if that share is maxBaseRate or more.
+// targets. If that share is maxBaseRate or more, a bad request is no evidence, while
+// good ones still reduce the score: the fault of all targets may have ended.
 func likelihoodRatiosFor(base float64) likelihoodRatios {
-	base = max(base, minBaseRate)
+	limited := min(max(base, minBaseRate), maxBaseRate)
+	ratios := likelihoodRatios{bad: math.Log(faultRate / limited), good: math.Log((1 - faultRate) / (1 - limited))}
 	if base >= maxBaseRate {
-		return likelihoodRatios{}
+		ratios.bad = 0
 	}
-	return likelihoodRatios{bad: math.Log(faultRate / base), good: math.Log((1 - faultRate) / (1 - base))}
+	return ratios
 }
 
 var ratiosWithoutBaseline = likelihoodRatiosFor(0)
