Grants: a request that has waited in vain is offered to other groups

Cause: the group followed from the id and the attempt; each call for a grant, every 200 ms, asked the same one.

Result: TestWaitingRequestIsOfferedToOtherGroups got ErrBusy after 2 s before.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -194,7 +194,7 @@
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	deadline := b.options.Clock.Now().Add(maxWait)
 	r.Sender = pool.Sender{Entry: b.options.Self.Name, Incarnation: b.options.Self.Incarnation}
-	for {
+	for call := 0; ; call++ {
 		remaining := deadline.Sub(b.options.Clock.Now())
 		if remaining <= 0 {
 			return nil, pool.ErrBusy
@@ -205,7 +205,7 @@
 		}
 		r.Avoid = c.avoided
 		r.AcceptAny = remaining <= maxOwnerWait
-		group := groupFor(c.all, c.preferred, c.regions, service, r.ID, len(r.Tried))
+		group := groupFor(c.all, c.preferred, c.regions, service, r.ID, len(r.Tried), call)
 		l, err := b.acquireOnce(ctx, group, r, min(remaining, maxOwnerWait))
 		if err == nil {
 			return l, nil
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -145,14 +145,14 @@
 			ownRegionTargets = append(ownRegionTargets, fleetstate.Target{ID: fmt.Sprint("t", n)})
 		}
 		sizes, requests := map[Group]int{}, map[Group]int{}
-		shards := groupFor(ownRegionTargets, ownRegionTargets, 1, "s", "1", 0).Shards
+		shards := groupFor(ownRegionTargets, ownRegionTargets, 1, "s", "1", 0, 0).Shards
 		assert.LessOrEqual(t, shards*targetsPerGroup, max(count, targetsPerGroup))
 		for _, target := range ownRegionTargets {
 			sizes[Group{Service: "s", Shard: shardOf(target.ID, shards), Shards: shards}]++
 		}
 		const drawn = 4000
 		for n := range drawn {
-			requests[groupFor(ownRegionTargets, ownRegionTargets, 1, "s", fmt.Sprint("q", n), 0)]++
+			requests[groupFor(ownRegionTargets, ownRegionTargets, 1, "s", fmt.Sprint("q", n), 0, 0)]++
 		}
 		assert.Len(t, requests, len(sizes))
 		for group, size := range sizes {
@@ -169,7 +169,7 @@
 		all = append(all, fleetstate.Target{ID: fmt.Sprint("t", n)})
 	}
 	for desc, ownRegionTargets := range map[string][]fleetstate.Target{"none": nil, "a few": all[:10], "most": all[10:]} {
-		assert.Equal(t, 2, groupFor(all, ownRegionTargets, 2, "s", "q", 0).Shards, desc)
+		assert.Equal(t, 2, groupFor(all, ownRegionTargets, 2, "s", "q", 0, 0).Shards, desc)
 	}
 }
 
@@ -188,6 +188,26 @@
 	assert.Positive(t, granted)
 }
 
+// Guards against a request that waits for a full group of targets until it is
+// rejected, beside free targets of the service's other groups.
+func TestWaitingRequestIsOfferedToOtherGroups(t *testing.T) {
+	r := newTestRegion(t, 1, 64)
+	b := r.brokers[0]
+	targets := r.view.UsableTargets("s")
+	full := groupFor(targets, targets, 1, "s", "q", 0, 0)
+	require.Greater(t, full.Shards, 1)
+	for n := 0; ; n++ {
+		_, err := b.pool(full).Acquire(context.Background(), request(fmt.Sprint("r", n)), 0)
+		if err != nil {
+			require.ErrorIs(t, err, pool.ErrBusy)
+			break
+		}
+	}
+	l, err := b.Acquire(context.Background(), "s", request("q"), 10*maxOwnerWait)
+	require.NoError(t, err)
+	assert.False(t, full.contains(l.Target))
+}
+
 // Guards against entries that are cut off from each other and each spend the retry
 // slack of the whole group.
 func TestCutOffEntriesShareTheRetrySlack(t *testing.T) {
--- a/internal/grants/group.go
+++ b/internal/grants/group.go
@@ -64,12 +64,13 @@
 }
 
 // groupFor returns the group that grants a target for a request. It selects one
-// of the targets by a hash of the request's id and attempt, so that groups get
-// requests in proportion to their targets and each attempt may use another group.
+// of the targets by a hash of the request's id, attempt and call for a grant, so that
+// groups get requests in proportion to their targets, and each attempt, and each
+// further call after one that has waited in vain, may use another group.
 // ownRegionTargets holds the targets of this region. The number of groups is
 // derived from the targets of all regions, since owners of different regions
 // exchange evidence within a group.
-func groupFor(all, ownRegionTargets []fleetstate.Target, regions int, service, requestID string, attempt int) Group {
+func groupFor(all, ownRegionTargets []fleetstate.Target, regions int, service, requestID string, attempt, call int) Group {
 	shards := 1
 	for 2*shards*targetsPerGroup*regions <= len(all) {
 		shards *= 2
@@ -80,6 +81,6 @@
 	if len(ownRegionTargets) == 0 {
 		ownRegionTargets = all
 	}
-	index := xxhash.Sum64String(fmt.Sprint(requestID, "/", attempt)) % uint64(len(ownRegionTargets))
+	index := xxhash.Sum64String(fmt.Sprint(requestID, "/", attempt, "/", call)) % uint64(len(ownRegionTargets))
 	return Group{Service: service, Shard: shardOf(ownRegionTargets[index].ID, shards), Shards: shards}
 }
