Target advice: a leaving incarnation is remembered after the state has dropped it

Cause: an entry forgot that a target had said it was leaving once the fleet state no longer listed that incarnation. Control forgets old incarnations when there are many tombstones, and a late announcement can list one again; requests then went there.

Change: it is remembered for 15 minutes after it was last listed. TestAdviceBindsOneIncarnation: the late announcement was allowed before.

--- a/internal/targetadvice/table.go
+++ b/internal/targetadvice/table.go
@@ -15,6 +15,11 @@
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 )
 
+// leavingMemory is how long it is remembered that an incarnation is leaving once the
+// fleet state does not list it. A late announcement may list it again: control
+// forgets old incarnations when there are many.
+const leavingMemory = 15 * time.Minute
+
 // incarnation identifies one start of a target.
 type incarnation struct {
 	id          string
@@ -28,7 +33,7 @@
 	log   *zap.Logger
 
 	mu        sync.Mutex
-	leaving   map[incarnation]bool
+	leaving   map[incarnation]time.Time // when it was last known to be listed
 	postponed map[incarnation]time.Time // until when the target wants no request
 
 	leavingCount, postponedCount, malformedCount *metrics.Counter
@@ -37,7 +42,7 @@
 // New returns a table without advice.
 func New(clock sys.Clock, log *zap.Logger) *Table {
 	return &Table{
-		clock: clock, log: log, leaving: map[incarnation]bool{}, postponed: map[incarnation]time.Time{},
+		clock: clock, log: log, leaving: map[incarnation]time.Time{}, postponed: map[incarnation]time.Time{},
 		leavingCount:   metrics.GetOrCreateCounter("sequoialane_target_advice_leaving_total"),
 		postponedCount: metrics.GetOrCreateCounter("sequoialane_target_advice_retry_after_total"),
 		malformedCount: metrics.GetOrCreateCounter("sequoialane_target_advice_malformed_total"),
@@ -54,8 +59,8 @@
 		t.log.Warn("target sent a Retry-After that is malformed or out of range",
 			zap.String("target", from.ID), zap.String("value", a.Malformed), zap.Duration("used", a.RetryAfter))
 	}
-	if a.Leaving && !t.leaving[key] {
-		t.leaving[key] = true
+	if _, known := t.leaving[key]; a.Leaving && !known {
+		t.leaving[key] = t.clock.Now()
 		t.leavingCount.Inc()
 		t.log.Info("target is leaving by its response", zap.String("target", from.ID), zap.Int64("born", from.StartedAtMS))
 	}
@@ -84,7 +89,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.leaving[incarnation{target.ID, target.StartedAtMS}]
+	_, leaving := t.leaving[incarnation{target.ID, target.StartedAtMS}]
+	return leaving
 }
 
 // PostponedFor returns for how long the target wants no request; 0: it takes them.
@@ -102,8 +108,8 @@
 	return !t.IsLeaving(target) && t.PostponedFor(target) == 0
 }
 
-// Retain forgets the advice of all incarnations that are not in the records, and
-// what has ended by time.
+// Retain forgets the advice of incarnations that are not in the records, those that
+// are leaving after leavingMemory, and what has ended by time.
 func (t *Table) Retain(records []fleetstate.Target) {
 	if t.IsEmpty() {
 		return
@@ -114,12 +120,15 @@
 	for _, r := range records {
 		listed[incarnation{r.ID, r.StartedAtMS}] = true
 	}
-	for key := range t.leaving {
-		if !listed[key] {
+	now := t.clock.Now()
+	for key, lastListed := range t.leaving {
+		switch {
+		case listed[key]:
+			t.leaving[key] = now
+		case now.Sub(lastListed) > leavingMemory:
 			delete(t.leaving, key)
 		}
 	}
-	now := t.clock.Now()
 	for key, until := range t.postponed {
 		if !listed[key] || !now.Before(until) {
 			delete(t.postponed, key)
--- a/internal/targetadvice/table_test.go
+++ b/internal/targetadvice/table_test.go
@@ -32,6 +32,10 @@
 	table.Retain([]fleetstate.Target{target(1)})
 	assert.False(t, table.Allows(target(1)), "its announcement may still say that it is ready")
 	table.Retain([]fleetstate.Target{target(2)})
+	table.Retain([]fleetstate.Target{target(1)})
+	assert.False(t, table.Allows(target(1)), "a late announcement lists it again")
+	clock.Advance(leavingMemory + 1)
+	table.Retain([]fleetstate.Target{target(2)})
 	assert.Empty(t, table.leaving)
 }
 
