Consensus: a member that leaves while it is admitted says so

Cause: a member stopped at once if its own configuration did not name it. That of a member that is being admitted does not yet, while it counts by the leader's log.

Change: a member whose configuration has never named it asks the leader; the leader removes it or does not admit it any more. A blank member stops at once as before: it has acknowledged nothing, so it cannot have been admitted.

TestMemberLeavesWhileItIsAdmitted: four voters after the stop before, three now.

--- a/internal/consensus/leave.go
+++ b/internal/consensus/leave.go
@@ -24,27 +24,31 @@
 	started      bool
 	nextAnnounce time.Time
 	decision     leaveDecision
+	wasVoter     bool // its own configuration has named this member
 }
 
 // startLeave announces to the leader that this member is about to stop. The
 // member votes until the group has decided whether it still counts, and it does
-// not join again.
+// not join again. A member that its own configuration does not name yet may be one
+// by the log of the leader.
 func (c *core) startLeave() {
 	if !c.leave.started {
-		c.leave = leaveState{started: true, nextAnnounce: c.now}
+		c.leave.started = true
+		c.leave.nextAnnounce = c.now
 	}
 	c.tickLeave()
 }
 
 // tickLeave repeats the announcement until the leader has decided.
 func (c *core) tickLeave() {
+	c.leave.wasVoter = c.leave.wasVoter || c.config.contains(c.id)
 	if !c.leave.started || c.leave.decision != leaveUndecided {
 		return
 	}
 	switch {
 	case !c.dynamic:
 		c.leave.decision = leaveKept
-	case !c.config.contains(c.id):
+	case c.isBlank() || c.leave.wasVoter && !c.config.contains(c.id):
 		c.leave.decision = leaveRemoved
 	}
 	if c.leave.decision != leaveUndecided {
@@ -64,8 +68,11 @@
 	if c.role != leader {
 		return
 	}
+	c.leavers[m.From] = c.now
+	if p := c.learners[m.From.Slot]; p != nil && p.id == m.From {
+		delete(c.learners, m.From.Slot)
+	}
 	if c.votingConfig().contains(m.From) {
-		c.leavers[m.From] = c.now
 		c.removeDepartedVoter()
 	}
 	if c.pendingChangeIndex != 0 || !c.log.matches(c.log.commit, c.term) {
--- a/internal/consensus/voter_removal_test.go
+++ b/internal/consensus/voter_removal_test.go
@@ -251,3 +251,33 @@
 	require.True(t, s.runUntil(func() bool { return s.leader() != nil && s.leader().core.config.contains(old.core.id) }), s.describe())
 	s.requireCommit(t, nil)
 }
+
+// Guards against a member that stops, since its own configuration does not name it
+// yet, after the leader has admitted it: it counts as a voter and is gone.
+func TestMemberLeavesWhileItIsAdmitted(t *testing.T) {
+	s := newDynamicSim(1, 3, 3, true)
+	s.requireAllAdmitted(t)
+	n := s.addNode(s.runningSlots())
+	require.True(t, s.runUntil(func() bool {
+		l := s.leader()
+		return l != nil && l.core.votingConfig().contains(n.core.id) && !n.core.config.contains(n.core.id)
+	}), s.describe())
+	s.leaveAndStop(t, n)
+	s.requireCommit(t, nil)
+	assert.Len(t, s.leader().core.votingConfig(), 3)
+	s.crash(s.nodes[0], false)
+	s.startSuccessor(t)
+	s.requireCommit(t, nil)
+}
+
+// Guards against a member that is admitted after it has said that it is leaving.
+func TestLearnerThatLeavesIsNotAdmitted(t *testing.T) {
+	s := newDynamicSim(1, 3, 3, true)
+	s.requireAllAdmitted(t)
+	n := s.addNode(s.runningSlots())
+	require.True(t, s.runUntil(func() bool { return !n.core.isBlank() }), s.describe())
+	require.False(t, s.leader().core.votingConfig().contains(n.core.id))
+	s.leaveAndStop(t, n)
+	s.run(4 * simElectionTimeout)
+	assert.Len(t, s.leader().core.votingConfig(), 3)
+}
