Test of forwarded commands: hold back Apply for less than the member waits

TestForwardedCommandIsAppliedBeforeItReturns held back Apply for 200 ms. The member waits for it for ElectionTimeout at most (awaitApplied), which is 200 ms in this test as well, so it failed in about a third of the runs on x86-64, old code and new, alone and beside others.

--- a/internal/consensus/forward_apply_test.go
+++ b/internal/consensus/forward_apply_test.go
@@ -27,7 +27,7 @@
 	select {
 	case <-done:
 		early = true
-	case <-time.After(200 * time.Millisecond):
+	case <-time.After(follower.group.config.ElectionTimeout / 2): // it waits for ElectionTimeout at most
 	}
 	follower.machine.mu.Unlock()
 	require.False(t, early, "the command returned before the member applied it")
