Consensus: campaigns at the same time no longer split the votes again and again

Seen: after the loss of a leader, the two others of three members began pre-votes within 45 ms of each other four times in a row and took 2.2 s (4.4 election timeouts); the successor of the lost member came too late for the next loss.

Cause: members grant each other's pre-votes, become candidates and vote for themselves. Nothing is requested twice.

Change: a member that is asked for a pre-vote puts off its own campaign, once in a term, unless its own has begun and comes first (newer log, then the later slot). A candidate requests missing votes again after each heartbeat interval.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -64,7 +64,10 @@
 	leaderLastKnown   time.Time // last message from a leader or end of this member's leadership, or the start
 	lastLeaderSent    int64     // latest message.Sent of the leader
 	electionDeadline  time.Time
-	votes             map[string]bool
+	votes             map[string]bool // responses to the current campaign, by slot
+	voteRequest       message         // of the current campaign
+	deferredTerm      uint64          // term of the last pre-vote for which this member put off its campaign
+	voteRequestsDue   time.Time       // when voteRequest is sent again to those that have not responded
 
 	voters             map[string]*progress // by slot: the other members in the voting configuration
 	learners           map[string]*progress // by slot: members that are being admitted
@@ -176,6 +179,8 @@
 		c.tickLeader()
 	case c.isVoter() && c.leave.decision != leaveRemoved && !now.Before(c.electionDeadline):
 		c.campaign(preCandidate)
+	case (c.role == preCandidate || c.role == candidate) && !now.Before(c.voteRequestsDue):
+		c.sendVoteRequests()
 	}
 	c.tickTransfer()
 	c.tickLeave()
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -154,3 +154,46 @@
 	s.dropMessage = nil
 	s.requireAllAdmitted(t)
 }
+
+// Guards against an election that fails because the request for a vote, or the vote,
+// was lost: it is requested again from the members that have not responded.
+func TestVotesAreRequestedAgain(t *testing.T) {
+	response := map[messageType]messageType{msgPreVote: msgPreVoteResp, msgVote: msgVoteResp}
+	for as, kind := range map[role]messageType{preCandidate: msgPreVote, candidate: msgVote} {
+		c := newTestCore(true, true)
+		c.now = c.start.Add(time.Second)
+		c.campaign(as)
+		requested := func() []MemberID {
+			var members []MemberID
+			for _, m := range c.messages {
+				if m.Type == kind {
+					members = append(members, m.To)
+				}
+			}
+			c.messages = nil
+			return members
+		}
+		assert.Equal(t, []MemberID{memberB, memberC}, requested())
+		c.tick(c.now.Add(c.heartbeatInterval / 2))
+		assert.Empty(t, requested())
+		c.step(message{Type: response[kind], From: memberB, To: memberA, Epoch: 64, Term: c.term, Reject: true})
+		c.tick(c.now.Add(c.heartbeatInterval))
+		assert.Equal(t, []MemberID{memberC}, requested())
+	}
+}
+
+// Guards against members that campaign at the same time and each get a part of the
+// votes.
+func TestPreVoteYieldsToOther(t *testing.T) {
+	c := newTestCore(true, true)
+	c.now = c.start.Add(time.Second)
+	c.campaign(preCandidate)
+	other := message{Type: msgPreVote, From: memberB, Epoch: 64, Term: 4, Index: 1, LogTerm: 1}
+	assert.Empty(t, stepAndCollect(c, time.Second, other), "its log is shorter")
+	assert.Equal(t, preCandidate, c.role)
+	other.Index, other.LogTerm = 2, 2
+	assert.Equal(t, []messageType{msgPreVoteResp}, stepAndCollect(c, time.Second, other))
+	assert.Equal(t, follower, c.role)
+	stepAndCollect(c, time.Second, message{Type: msgPreVoteResp, From: memberB, Epoch: 64, Term: 4})
+	assert.Equal(t, follower, c.role, "a response to the pre-vote that has ended")
+}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// campaignHeartbeats is the number of heartbeat intervals within which a campaign
+// ends if all messages arrive.
+const campaignHeartbeats = 2
+
 // campaign starts a pre-vote, which changes no term, or an election.
 func (c *core) campaign(as role) { c.requestVotes(as, false) }
 
@@ -24,9 +28,19 @@
 	}
 	request.Index = c.log.lastIndex()
 	request.LogTerm = c.log.lastTerm()
+	c.voteRequest = request
+	c.sendVoteRequests()
+}
+
+// sendVoteRequests sends the request of the current campaign to the voters that
+// have not responded to it.
+func (c *core) sendVoteRequests() {
+	c.voteRequestsDue = c.now.Add(c.heartbeatInterval)
+	request := c.voteRequest
 	config := c.votingConfig()
 	for _, slot := range sortedSlots(config) {
-		if slot != c.id.Slot && config[slot] != 0 {
+		_, responded := c.votes[slot]
+		if !responded && config[slot] != 0 {
 			request.To = MemberID{Slot: slot, Incarnation: config[slot]}
 			c.send(request)
 		}
@@ -49,10 +63,28 @@
 	if m.Type == msgVote {
 		c.vote = m.From
 		c.resetElection()
+	} else {
+		c.deferCampaign(m)
 	}
 	c.send(response)
 }
 
+// deferCampaign puts off this member's campaign for that of another member which
+// has just asked for a pre-vote: both together would split the votes. It does so
+// once in a term, since the other member may be one that receives no responses.
+func (c *core) deferCampaign(preVote message) {
+	sameLog := preVote.Index == c.log.lastIndex() && preVote.LogTerm == c.log.lastTerm()
+	precedes := c.role != preCandidate || !sameLog || preVote.From.Slot > c.id.Slot
+	if preVote.Term <= c.deferredTerm || !precedes {
+		return
+	}
+	c.deferredTerm = preVote.Term
+	c.role = follower
+	if earliest := c.now.Add(campaignHeartbeats * c.heartbeatInterval); c.electionDeadline.Before(earliest) {
+		c.electionDeadline = earliest
+	}
+}
+
 func (c *core) stepVoteResp(m message) {
 	expectedRole := preCandidate
 	if m.Type == msgVoteResp {
--- a/internal/consensus/failure_test.go
+++ b/internal/consensus/failure_test.go
@@ -266,3 +266,38 @@
 	s.requireCommit(t, nil)
 	assert.Equal(t, []string{"command 1", "command 2"}, s.nodes[0].commands)
 }
+
+// Guards against two members that campaign at the same time, again and again, and
+// split the votes: a group whose leader is lost has the next one within the time in
+// which a follower notices the loss, and one campaign.
+func TestVotesAreNotSplit(t *testing.T) {
+	const campaign = simElectionTimeout / 2
+	for seed := range uint64(200) {
+		s := newDynamicSim(seed, 3, 3, true)
+		s.requireAllAdmitted(t)
+		s.run(simElectionTimeout)
+		s.crash(s.leader(), false)
+		lost := s.now
+		require.True(t, s.runUntil(func() bool { return s.leader() != nil }), s.describe())
+		assert.LessOrEqual(t, s.now.Sub(lost), 2*simElectionTimeout+campaign, "seed %d", seed)
+	}
+}
+
+// Guards against members that put off their campaigns for ever for one that sends
+// requests and receives no responses.
+func TestOneWayCandidateHoldsUpNoElection(t *testing.T) {
+	for seed := range uint64(50) {
+		s := newDynamicSim(seed, 3, 5, true)
+		s.requireAllAdmitted(t)
+		s.run(simElectionTimeout)
+		lost := s.leader()
+		deaf := s.others(lost)[0]
+		for _, other := range s.others(deaf) {
+			s.blockedLinks[[2]string{other.slot, deaf.slot}] = true
+		}
+		s.crash(lost, false)
+		at := s.now
+		require.True(t, s.runUntil(func() bool { return s.leader() != nil }), s.describe())
+		assert.LessOrEqual(t, s.now.Sub(at), 4*simElectionTimeout, "seed %d", seed)
+	}
+}
