--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -69,9 +69,10 @@
 	c.send(response)
 }
 
-// deferCampaign puts off this member's campaign for that of another member which
-// has just asked for a pre-vote: both together would split the votes. It does so
-// once in a term, since the other member may be one that receives no responses.
+// deferCampaign puts off this member's campaign, or ends one that has not won, for
+// that of another member which has just asked for a pre-vote: both together would
+// split the votes. It does so once in a term, since the other member may be one that
+// receives no responses.
 func (c *core) deferCampaign(preVote message) {
 	sameLog := preVote.Index == c.log.lastIndex() && preVote.LogTerm == c.log.lastTerm()
 	precedes := c.role != preCandidate || !sameLog || preVote.From.Slot > c.id.Slot
