Test of the reloader: the settings file is replaced at once

Cause: os.WriteFile empties the file before it writes, and the reloader, whose tick the test had just fired, read it in between. It read the whole content with the next tick, as it should; a reload of settings that are cut short fails and changes nothing in the programs.

Change: the test replaces the file by a rename. Its checks are the same.

--- a/cmd/sequoialane-platform/reload_test.go
+++ b/cmd/sequoialane-platform/reload_test.go
@@ -14,6 +14,14 @@
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
 
+// replaceFile replaces a file at once: a reader sees the old or the new content.
+func replaceFile(t *testing.T, file, content string) {
+	t.Helper()
+	next := file + ".next"
+	require.NoError(t, os.WriteFile(next, []byte(content), 0o600))
+	require.NoError(t, os.Rename(next, file))
+}
+
 // Guards against settings that change without a signal and are never used, and
 // against a reload of settings that have not changed.
 func TestReloader(t *testing.T) {
@@ -32,7 +40,7 @@
 	signals <- syscall.SIGHUP
 	assert.Equal(t, "a", <-reloads)
 	clock.Advance(fileCheckInterval)
-	require.NoError(t, os.WriteFile(file, []byte("b"), 0o600))
+	replaceFile(t, file, "b")
 	require.Eventually(t, func() bool { clock.Advance(fileCheckInterval); return len(reloads) > 0 }, 10*time.Second, time.Millisecond)
 	assert.Equal(t, "b", <-reloads)
 	for range 5 {
