Tests of claim groups: Await demands members of one epoch

Runs alone: 1 of 30 and 1 of 120 hung, on an idle machine too.

Cause: the status of the members of such a run shows two epochs that were formed at nearly the same time. Member m2 still followed the first, and counted as a voter by its own view, so Await returned; in the second, which had won, its slot was vacant. The test then stops two of the four voters of five slots, which leaves no majority by design: a memory group forms again only once a majority of its slots is blank.

Change: Await waits until all members vote in the same epoch. This asks for more than before.

--- a/internal/claims/localgroup/group.go
+++ b/internal/claims/localgroup/group.go
@@ -145,8 +145,8 @@
 	return nil
 }
 
-// Await waits until all members are voters and until keys that are created from
-// then on are newer than the fence.
+// Await waits until all members are voters of one epoch and until keys that are
+// created from then on are newer than the fence.
 func (g *Group) Await(ctx context.Context) error {
 	clock := sys.RealClock{}
 	for !g.allVoting() {
@@ -158,13 +158,24 @@
 }
 
 func (g *Group) allVoting() bool {
+	var statuses []consensus.Status
 	for n := range g.members {
 		m := g.member(n)
 		if m == nil {
 			return false
 		}
-		role := m.Status()[0].Role
-		if role != consensus.RoleLeader && role != consensus.RoleFollower {
+		statuses = append(statuses, m.Status()[0])
+	}
+	return voteTogether(statuses)
+}
+
+// voteTogether reports whether all members are voters of the same epoch. A member
+// may still follow an epoch that another one has replaced; the group counts its
+// slot as vacant then.
+func voteTogether(statuses []consensus.Status) bool {
+	for _, s := range statuses {
+		votes := s.Role == consensus.RoleLeader || s.Role == consensus.RoleFollower
+		if !votes || s.Epoch != statuses[0].Epoch {
 			return false
 		}
 	}
