Health: evidence against a target ages

Six errors two minutes apart ejected a target as six in a row do (TestEvidenceAges).

Cause: schedule.Pick prefers the lower score among equally loaded targets, and only responses to requests and probes reduced the score.

Change: the score is reduced by one for each 15 s without evidence. The score of an ejected target does not age, since trials decide there.

Considered: OPTIONS * probes of such targets. Servers that answer them with 500 would look faulty, and an error to requests is not refuted by them.

--- a/internal/health/eject_test.go
+++ b/internal/health/eject_test.go
@@ -300,3 +300,28 @@
 	target.Advance(Baseline{}, now.Add(FirstEjectionTime))
 	assert.Equal(t, Trial, target.State())
 }
+
+// Guards against an ejection for one error after others that lie minutes back, and
+// against evidence that is forgotten while new evidence arrives.
+func TestEvidenceAges(t *testing.T) {
+	for _, c := range []struct {
+		desc  string
+		pause time.Duration // between bad requests
+		eject bool
+	}{
+		{"in a row", 4 * time.Second, true},
+		{"minutes apart", 2 * time.Minute, false},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			var target Target
+			now := t0
+			for range 6 {
+				target.Observe(Failed, now)
+				for end := now.Add(c.pause); now.Before(end); now = now.Add(WindowLength) {
+					target.Advance(Baseline{}, now)
+				}
+			}
+			assert.Equal(t, c.eject, target.ShouldEject())
+		})
+	}
+}
--- a/internal/health/evidence.go
+++ b/internal/health/evidence.go
@@ -65,6 +65,8 @@
 	maxPauseTime   = time.Second
 	maxPauseWeight = 4
 
+	evidenceAgeInterval = 15 * time.Second // without evidence, after which the score is reduced by one
+
 	badProbeWeight             = 6
 	goodProbeWeight            = 2   // low, since a target may respond to probes while it does not respond to requests
 	goodProbeWeightWhenFailing = 0.7 // lower, since a target that fails half of its requests responds to half of its probes
--- a/internal/health/probe.go
+++ b/internal/health/probe.go
@@ -70,6 +70,7 @@
 func (t *Target) EndProbe(e Evidence, mayHaveWaited bool, now time.Time) (returned, changed bool) {
 	t.probeInFlight = false
 	t.nextProbe = now
+	t.evidenceAgedAt = now
 	t.lastWasResponse = isResponse(e)
 	if t.lastWasResponse {
 		t.lastResponseAt = now
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -64,6 +64,7 @@
 	lastGoodAt      time.Time // time of the last of them
 	lastResponseAt  time.Time // last response to a request or probe, good or bad
 	lastWasResponse bool      // the last evidence was a response
+	evidenceAgedAt  time.Time // last evidence, or last time at which the score was reduced for its age
 
 	ejectedAt     time.Time
 	ejectionTime  time.Duration
@@ -221,6 +222,7 @@
 		t.lastGoodAt = now
 	}
 	t.badRate += (value - t.badRate) * max(weight, 1/float64(t.samples))
+	t.evidenceAgedAt = now
 	t.lastWasResponse = isResponse(e)
 	if t.lastWasResponse {
 		t.lastResponseAt = now
@@ -258,6 +260,7 @@
 		t.windowGood, t.windowBad = 0, 0
 		t.windowStart = now
 	}
+	t.ageEvidence(now)
 	if t.state == Ejected && !now.Before(t.trialAt) {
 		t.state = Trial
 		t.trialSince = now
@@ -272,6 +275,17 @@
 	return t.updateState(now)
 }
 
+// ageEvidence reduces the score by one for each evidenceAgeInterval without evidence.
+// A suspect gets no requests while the others suffice, so that no response could
+// ever refute what was seen.
+func (t *Target) ageEvidence(now time.Time) {
+	if t.isEjected() || now.Sub(t.evidenceAgedAt) < evidenceAgeInterval {
+		return
+	}
+	t.evidenceAgedAt = now
+	t.score = clampScore(t.score - 1)
+}
+
 // ShouldEject reports whether the evidence suffices for an ejection.
 func (t *Target) ShouldEject() bool { return !t.isEjected() && t.Score() >= ejectScore }
 
