Pool: the measured slowness of a target decays with time

Cause: only responses of a target change its ratio of durations to those of its route. The cost of a target that was slow exceeds that of waiting for a full one, so it gets no request that would show that it has recovered, except at the end of a wait or for the floor.

Change: a ratio above 1 decays towards 1 with a time constant of 10 s.

Result: TestWaitForOthersEndsWithSlowness fails before (9 grants at the other three, none at the idle target) and passes now; right after the slowness requests still wait for the others.

--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -14,6 +14,7 @@
 	// responded at its address. The record of a target that is gone is replaced soon.
 	misdirectedTime     = 5 * time.Second
 	durationRatioWeight = 0.25 // weight of a new ratio in the moving average
+	maxDurationRatio    = 8.0  // so that one very long response does not count for more
 )
 
 // Release ends a grant and records its outcome. A second call has no effect.
@@ -47,7 +48,7 @@
 func (p *Pool) observe(t *target, r Request, o Outcome, now time.Time) {
 	switch o.Kind {
 	case OK:
-		p.learnDuration(t, r, o.Took)
+		p.learnDuration(t, r, o.Took, now)
 	case Shed, Postponed:
 		t.backoffUntil = now.Add(shedBackoff)
 	case Failed, Reset, Timeout, InvalidResponse:
@@ -84,13 +85,12 @@
 
 // learnDuration learns how long a successful request took. The time comes from
 // another process and may be malformed.
-func (p *Pool) learnDuration(t *target, r Request, took time.Duration) {
+func (p *Pool) learnDuration(t *target, r Request, took time.Duration, now time.Time) {
 	took = min(max(took, 0), maxLeaseTime)
-	ratio := float64(took) / float64(p.durations.mean(r.Route))
-	if t.durationRatio == 0 {
-		t.durationRatio = 1
-	}
-	t.durationRatio += durationRatioWeight * (min(ratio, 8) - t.durationRatio)
+	ratio := min(float64(took)/float64(p.durations.mean(r.Route)), maxDurationRatio)
+	previous := t.measuredSlowness(now)
+	t.durationRatio = previous + durationRatioWeight*(ratio-previous)
+	t.durationRatioAt = now
 	p.durations.learn(r.Route, took)
 }
 
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -14,6 +14,10 @@
 	// loadDecayTime is the time constant with which the reported number of requests
 	// from other pools decays.
 	loadDecayTime = 300 * time.Millisecond
+	// slownessDecayTime is the time constant with which the measured slowness of a
+	// target decays: while others suffice, a slow target gets no requests that would
+	// show that it has recovered.
+	slownessDecayTime = 10 * time.Second
 )
 
 // target is the state that the pool keeps of a target.
@@ -28,7 +32,8 @@
 	lastGrantAt      time.Time
 	lastFailureAt    time.Time
 	leases           map[uint64]*lease
-	durationRatio    float64 // moving average of duration to route mean; 0: unknown
+	durationRatio    float64   // moving average of duration to route mean; 0: unknown
+	durationRatioAt  time.Time // time of the last change of durationRatio
 	risk             knownRisk
 	backoffUntil     time.Time
 	coldUntil        time.Time
@@ -61,14 +66,24 @@
 	return own + float64(t.otherRequests)*math.Exp(-now.Sub(t.otherRequestsAt).Seconds()/loadDecayTime.Seconds())
 }
 
-// slowness returns the ratio of the target's durations to the route means.
+// slowness returns the expected ratio of the target's durations to the route means.
 func (t *target) slowness(now time.Time) float64 {
-	ratio := t.durationRatio
-	if ratio == 0 {
-		ratio = 1
-	}
+	ratio := t.measuredSlowness(now)
 	if now.Before(t.coldUntil) {
 		ratio = max(ratio, coldSlowness)
 	}
 	return ratio
 }
+
+// measuredSlowness returns the moving average of the ratio of duration to route mean,
+// decayed towards 1 by its age if the target was slow.
+func (t *target) measuredSlowness(now time.Time) float64 {
+	switch {
+	case t.durationRatio == 0:
+		return 1
+	case t.durationRatio <= 1:
+		return t.durationRatio
+	}
+	age := now.Sub(t.durationRatioAt)
+	return 1 + (t.durationRatio-1)*math.Exp(-age.Seconds()/slownessDecayTime.Seconds())
+}
