Entry: requests without capacity in their region are tried in another one

Cause: the spill-over compared the expected wait with the deadline. Admission rejects earlier: beyond a quarter of the time left, by the 90th percentile of the service time, by the queue limit, and without a usable target.

Change: checkCapacity is the part of admission without the rate of the plan; it decides on both. ExpectedWait of owner.Service has no user left.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -157,6 +157,36 @@
 	assert.Equal(t, fault.NoUpstream, g.err.Kind)
 }
 
+// Guards against requests that are rejected for want of capacity in their region
+// while the targets of another one are idle.
+func TestOverloadSpillsToOtherRegion(t *testing.T) {
+	const requests = 40 // 2 s of work for the four slots of a region
+	c := newCluster(t, "north", "south")
+	work := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		echo(w, r)
+	}
+	c.addTarget(t, "north", work)
+	c.addTarget(t, "south", work)
+	north := c.ranked("north")[0]
+	header := map[string]string{headerTimeout: "4s"}
+	for range 10 {
+		require.Nil(t, north.call(t, "PUT", "/s/consents/uploads", "x", header).err)
+	}
+	var rejected atomic.Int64
+	var calls sync.WaitGroup
+	for range requests {
+		calls.Go(func() {
+			if g := north.call(t, "PUT", "/s/consents/uploads", "x", header); g.err != nil {
+				rejected.Add(1)
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	calls.Wait()
+	assert.Zero(t, rejected.Load(), "of %d requests", requests)
+}
+
 // Guards against a restarted owner rejecting requests because it knows no
 // targets yet.
 func TestOwnerWithoutRecordsForwardsToSecondOwner(t *testing.T) {
--- a/internal/entry/runlocal.go
+++ b/internal/entry/runlocal.go
@@ -24,7 +24,8 @@
 }
 
 // runLocal runs the request on the targets of this region. It spills the request
-// to another region if it would miss its deadline here or there is no target.
+// to another region if it would be rejected here for want of capacity, or there is no
+// target.
 func (e *Entry) runLocal(ctx context.Context, q *request) (*Response, *errorResponse) {
 	s := e.services.get(q.service)
 	if s == nil || !s.hasTargets() {
@@ -34,8 +35,7 @@
 		return e.spillOrFail(ctx, q, newErrorResponse(fault.New(fault.NoUpstream, "the service has no target in this region").WithRetryAfter(time.Second)))
 	}
 	req := e.dispatchRequest(q, s)
-	wait := s.service.ExpectedWait(ownerRequest(req))
-	if e.clock.Now().Add(wait).After(q.deadline) {
+	if !s.service.HasCapacity(ownerRequest(req)) {
 		if resp, errResp := e.spill(ctx, q); resp != nil || errResp != nil {
 			return resp, errResp
 		}
--- a/internal/owner/admit.go
+++ b/internal/owner/admit.go
@@ -17,6 +17,17 @@
 // admit returns an error if the request cannot be served before its deadline or
 // exceeds the request rate of its plan. A rejected request has not run.
 func (s *Service) admit(r Request, now time.Time) *fault.Error {
+	if err := s.checkCapacity(r, now); err != nil {
+		return err
+	}
+	if ok, retryAfter := s.rates.Allow(r.Plan, r.RequestsPerSecond, now); !ok {
+		return fault.New(fault.RateLimited, "request rate of the plan is exceeded").WithRetryAfter(retryAfter)
+	}
+	return nil
+}
+
+// checkCapacity returns an error if the request cannot be served before its deadline.
+func (s *Service) checkCapacity(r Request, now time.Time) *fault.Error {
 	remaining := r.Deadline.Sub(now)
 	if remaining <= 0 {
 		return fault.New(fault.DeadlineExceeded, "deadline passed before admission").WithEffect(fault.NotRun)
@@ -33,19 +44,15 @@
 	if ok, retryAfter := schedule.MayAdmit(wait, remaining, arrival.Estimate); !ok {
 		return fault.New(fault.Overloaded, "expected wait exceeds the deadline").WithRetryAfter(retryAfter)
 	}
-	if ok, retryAfter := s.rates.Allow(r.Plan, r.RequestsPerSecond, now); !ok {
-		return fault.New(fault.RateLimited, "request rate of the plan is exceeded").WithRetryAfter(retryAfter)
-	}
 	return nil
 }
 
-// ExpectedWait returns the time that the request would wait for a slot if it
-// were submitted now. The caller compares it with the deadline to decide whether
-// to spill over to another region. Without targets it is one hour.
-func (s *Service) ExpectedWait(r Request) time.Duration {
+// HasCapacity reports whether the request could be served here before its deadline
+// if it were submitted now. If not, the caller tries another region.
+func (s *Service) HasCapacity(r Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return schedule.ExpectedWait(s.load(s.cfg.Clock.Now()), s.newArrival(r))
+	return s.checkCapacity(r, s.cfg.Clock.Now()) == nil
 }
 
 func (s *Service) newArrival(r Request) schedule.Arrival {
