Entry: a leaving target is known to the other owners of its service

Only the owner that got the response knows; the next owner sends requests to it.

Causes: the news stayed with the owner; and a handover of records that failed was never repeated, which ends only with the next announcement, and not at all for records that are final.

Change: the owner turns its record to draining and hands it over; a failed handover is repeated after 2 s, so that entries that are gone do not take up the workers. These are two faults in one commit, since the second case of the test needs both: without the repetition it alone fails.

Retry-After still binds only the owner that got it.

--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/httpserver"
+	"github.com/sequoialane/sequoialane/internal/upstream"
+	"github.com/sequoialane/sequoialane/internal/upstreamclient"
 )
 
 // freezePeerPort replaces the peer port of a node by one that accepts connections
@@ -37,6 +41,22 @@
 	}()
 }
 
+// hasHandedOver reports whether another entry holds the records.
+func (s *serviceState) hasHandedOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.recordHolders) > 0
+}
+
+// restartPeerPort serves the peer port of a node again after it was closed.
+func (n *node) restartPeerPort(t *testing.T) {
+	t.Helper()
+	server, err := httpserver.Listen(n.peerServer.Address(), n.PeerHandler(nil))
+	require.NoError(t, err)
+	server.Start()
+	n.peerServer = server
+}
+
 // Guards against callers seeing an error when the owner is lost, and against a
 // request with a key running twice when it is sent again to the next owner.
 func TestFailoverToSecondOwner(t *testing.T) {
@@ -220,6 +240,39 @@
 	}, waitLimit, pollStep)
 }
 
+// Guards against requests at a target that has said in a response that it is leaving,
+// once another entry owns the service: the news must reach the other owners, also if
+// one of them does not respond at first.
+func TestLeavingTargetIsKnownToOtherOwners(t *testing.T) {
+	for _, reachable := range []bool{true, false} {
+		t.Run(fmt.Sprint("reachable ", reachable), func(t *testing.T) {
+			c := newCluster(t, "north", "north", "north")
+			c.addTarget(t, "north", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(upstreamclient.HeaderLeaving, "1")
+				echo(w, r)
+			})
+			first, second := c.ranked("north")[0], c.ranked("north")[1]
+			require.Eventually(t, func() bool { // until the records are handed over
+				first.updateRanks(context.Background())
+				return second.services.get(testService) != nil && first.services.get(testService).hasHandedOver()
+			}, waitLimit, pollStep)
+			if !reachable {
+				require.NoError(t, second.peerServer.Close())
+			}
+			require.Nil(t, first.call(t, "PUT", "/s/consents/uploads", "x", nil).err)
+			first.tickServices(context.Background())
+			if !reachable {
+				time.Sleep(500 * time.Millisecond) // the news cannot be delivered meanwhile
+				second.restartPeerPort(t)
+			}
+			require.Eventually(t, func() bool {
+				first.updateRanks(context.Background())
+				return second.services.get(testService).service.Snapshot().Targets[0].Announced == upstream.Draining
+			}, waitLimit, pollStep)
+		})
+	}
+}
+
 // Guards against a truncated response reaching the caller as a complete one.
 func TestTruncatedResponseAbortsConnection(t *testing.T) {
 	c := newCluster(t, "north", "north")
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -79,17 +79,47 @@
 		newHolders, records := s.updateRank(e.self.Name, e.ranker.Rank(s.name, e.self.Region), now)
 		s.service.SetActive(s.isFirst())
 		for _, m := range newHolders {
-			e.workers.Submit(func(ctx context.Context) { e.handOverRecords(ctx, m, records) })
+			e.submitHandover(s, m, records)
 		}
 	}
 }
 
-func (e *Entry) handOverRecords(ctx context.Context, to membership.Member, records []upstream.Announcement) {
+// submitHandover sends records to an entry in the background. After a failure all
+// records of the service are handed over again.
+func (e *Entry) submitHandover(s *serviceState, to membership.Member, records []upstream.Announcement) {
+	submitted := e.workers.Submit(func(ctx context.Context) {
+		if err := e.handOverRecords(ctx, to, records); err != nil {
+			e.log.Info("target records not handed over", zap.String("service", s.name), zap.String("entry", to.Name), zap.Error(err))
+			s.handoverFailed(to, e.clock.Now())
+		}
+	})
+	if !submitted {
+		s.handoverFailed(to, e.clock.Now())
+	}
+}
+
+func (e *Entry) handOverRecords(ctx context.Context, to membership.Member, records []upstream.Announcement) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	for _, a := range records {
 		if _, err := e.ForwardAnnouncement(ctx, to, a); err != nil {
-			return
+			return err
+		}
+	}
+	return nil
+}
+
+// announceDraining tells the other owners of the service that a target wants no
+// further work, which it has said in a response to this entry.
+func (e *Entry) announceDraining(s *serviceState, t upstream.Target) {
+	record, ok := s.markDraining(t, e.clock.Now())
+	if !ok {
+		return
+	}
+	ranked := e.ranker.Rank(s.name, e.self.Region)
+	for _, m := range ranked[:min(maxOwnersTried, len(ranked))] {
+		if m.Name != e.self.Name {
+			e.submitHandover(s, m, []upstream.Announcement{record})
 		}
 	}
 }
@@ -135,8 +165,10 @@
 		if !first || !e.workers.Submit(func(ctx context.Context) { e.probe(ctx, s, a) }) {
 			s.service.ProbeResult(a.ProbeID, canceled)
 		}
-	default:
-		e.log.Info("target changed state", zap.String("service", s.name), zap.String("target", a.Target.Address),
-			zap.String("change", string(a.Kind)), zap.String("reason", a.Reason))
+		return
+	case owner.Left:
+		e.announceDraining(s, a.Target)
 	}
+	e.log.Info("target changed state", zap.String("service", s.name), zap.String("target", a.Target.Address),
+		zap.String("change", string(a.Kind)), zap.String("reason", a.Reason))
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -17,6 +17,9 @@
 const (
 	unrankedLimit  = time.Minute // a service for which this entry ranks neither first nor second for this long is dropped
 	maxServices    = 10_000      // bounds the memory used by announcements of services that do not exist
+	// handoverRetryInterval is the time until a failed handover of records is repeated.
+	handoverRetryInterval = 2 * time.Second
+
 	recordLifetime = upstream.LeaseDuration + upstream.MassExpiryRetention
 )
 
@@ -42,7 +45,8 @@
 	records       map[string]storedRecord // by target address
 	lastRanked    time.Time               // last time this entry ranked first or second
 	rankedFirst   bool                    // this entry ranks first
-	recordHolders []string                // entries that hold the records, by incarnationName
+	recordHolders []string                // other entries that hold the records, by incarnationName
+	nextHandover  time.Time               // earliest time of the next handover, after one has failed
 }
 
 type storedRecord struct {
@@ -160,17 +164,22 @@
 	defer s.mu.Unlock()
 	top := ranked[:min(maxOwnersTried, len(ranked))]
 	s.rankedFirst = len(top) > 0 && top[0].Name == self
-	names := lo.Map(top, func(m membership.Member, _ int) string { return incarnationName(m) })
-	for i, m := range top {
+	var holders []string
+	for _, m := range top {
 		if m.Name == self {
 			s.lastRanked = now
 			continue
 		}
-		if !lo.Contains(s.recordHolders, names[i]) {
+		name := incarnationName(m)
+		if !lo.Contains(s.recordHolders, name) {
+			if now.Before(s.nextHandover) {
+				continue
+			}
 			newHolders = append(newHolders, m)
 		}
+		holders = append(holders, name)
 	}
-	s.recordHolders = names
+	s.recordHolders = holders
 	if len(newHolders) == 0 {
 		return nil, nil
 	}
@@ -182,6 +191,30 @@
 	return newHolders, records
 }
 
+// markDraining changes the record of a serving target to draining and returns it. It
+// reports false if there is no such record of this incarnation.
+func (s *serviceState) markDraining(t upstream.Target, now time.Time) (upstream.Announcement, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, known := s.records[t.Address]
+	if !known || r.record.Incarnation != t.Incarnation || r.record.State != upstream.Serving {
+		return upstream.Announcement{}, false
+	}
+	r.record.State = upstream.Draining
+	r.at = now
+	s.records[t.Address] = r
+	return r.record, true
+}
+
+// handoverFailed records that an entry may not hold the records, so that they are
+// handed over to it again after handoverRetryInterval.
+func (s *serviceState) handoverFailed(to membership.Member, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordHolders = lo.Without(s.recordHolders, incarnationName(to))
+	s.nextHandover = now.Add(handoverRetryInterval)
+}
+
 func (s *serviceState) isFirst() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
