--- a/internal/announce/handler_test.go
+++ b/internal/announce/handler_test.go
@@ -1,6 +1,7 @@
 package announce
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -128,3 +130,25 @@
 	s := &Server{Self: "a", Ranker: owners, LocalRecords: owners, Forwarder: owners}
 	assert.Equal(t, fault.BadRequest, fault.Decode(post(s.Handler(), validAnnouncement).Body.Bytes()).Kind)
 }
+
+// Guards against announcements that end the process, and against accepted ones that
+// a registry would reject, or that change when they are passed on.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(validAnnouncement))
+	f.Add([]byte(`{"service":"s","address":"[::1]:1","slots":10000,"state":"leaving","incarnation":18446744073709551615}`))
+	f.Add([]byte(`{"routes":[{}]}{}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a, err := Decode(bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		if result := upstream.NewRegistry().Apply(a, time.Unix(1, 0)); result != upstream.Applied {
+			t.Fatalf("%s: %+v", result, a)
+		}
+		passedOn, err := json.Marshal(a)
+		require.NoError(t, err)
+		again, err := Decode(bytes.NewReader(passedOn))
+		require.NoError(t, err)
+		require.Equal(t, a, again)
+	})
+}
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -15,8 +15,8 @@
 
 // Limits of the service table.
 const (
-	unrankedLimit  = time.Minute // a service for which this entry ranks neither first nor second for this long is dropped
-	maxServices    = 10_000      // bounds the memory used by announcements of services that do not exist
+	unrankedLimit = time.Minute // a service for which this entry ranks neither first nor second for this long is dropped
+	maxServices   = 10_000      // bounds the memory used by announcements of services that do not exist
 	// handoverRetryInterval is the time until a failed handover of records is repeated.
 	handoverRetryInterval = 2 * time.Second
 
