Routing document: tenants with key digests, download routes

Configurations of one deployment hold tenants with keys, priority, rate and burst, and routes that allow requests without a key; those of another hold routes of type download and were refused as invalid ('unknown kind'). Two tenants with one key make it invalid. Nothing acts on tenants yet.

--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -42,6 +42,7 @@
 	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`  // ids of targets that want no request of the sender now
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
+	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"` // empty: the request carries no key
 	// SlackShare is the share of the retry slack that the request may draw on; 0: all
 	// of it. It is not sent to other processes.
 	SlackShare float64 `json:"-" cbor:"-"`
@@ -85,6 +86,7 @@
 	Took    time.Duration `json:"took" cbor:"2,keyasint"`
 	Leaving bool          `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"` // the target is about to stop
 	Load    *Load         `json:"load,omitempty" cbor:"3,keyasint,omitempty"`    // nil: not reported by the target
+	Bytes   int64         `json:"bytes,omitempty" cbor:"5,keyasint,omitempty"`   // of the response body; 0: not known
 }
 
 // Load is the load that a target reports with a response.
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -17,10 +17,11 @@
 	Idempotent Kind = "idempotent" // may run more than once
 	Once       Kind = "once"       // runs at most once for each attempt of the caller
 	Upload     Kind = "upload"     // has a large body and runs at most once
+	Download   Kind = "download"   // has a large response and may run more than once
 )
 
 // IsIdempotent reports whether a request may be sent again after it may have run.
-func (k Kind) IsIdempotent() bool { return k == Idempotent }
+func (k Kind) IsIdempotent() bool { return k == Idempotent || k == Download }
 
 // Document is the complete configuration of routes.
 type Document struct {
@@ -28,6 +29,7 @@
 	Limits   Limits    `json:"limits"`
 	Hosts    []Host    `json:"hosts"`
 	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants,omitempty"` // empty: requests carry no keys
 }
 
 // Limits restrict what a caller may send. Zero means that the document sets no
@@ -55,6 +57,9 @@
 	Priority     int           `json:"priority"`    // 0 is the most urgent
 	MaxAttempts  int           `json:"max_attempts"`
 	Destinations []Destination `json:"destinations"`
+	// AllowAnonymous permits requests without a key although the document has
+	// tenants.
+	AllowAnonymous bool `json:"allow_anonymous,omitempty"`
 }
 
 // Destination is a service with its weight in a route.
@@ -90,6 +95,7 @@
 type Table struct {
 	Document *Document
 	hosts    map[string]*Host
+	tenants  map[string]*Tenant // by key digest
 }
 
 // NewTable indexes a valid document. Hosts whose names differ only in case are
@@ -103,6 +109,7 @@
 		}
 		t.hosts[key] = &h
 	}
+	t.tenants = tenantsByDigest(d.Tenants)
 	return t
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -45,6 +45,12 @@
 		{"prefix without slash", func(d *Document) { first(d).PathPrefix = "/x" }},
 		{"two routes for one path prefix", func(d *Document) { d.Hosts[0].Routes[1].PathPrefix = "/x/" }},
 		{"service listed twice", func(d *Document) { d.Services[1].Name = "a" }},
+		{"tenant without a name", func(d *Document) { d.Tenants = []Tenant{{}} }},
+		{"tenant listed twice", func(d *Document) { d.Tenants = []Tenant{{Name: "t"}, {Name: "t"}} }},
+		{"key of two tenants", func(d *Document) {
+			d.Tenants = []Tenant{{Name: "t", KeyDigests: []string{KeyDigest("k")}}, {Name: "u", KeyDigests: []string{KeyDigest("k")}}}
+		}},
+		{"rate below zero", func(d *Document) { d.Tenants = []Tenant{{Name: "t", Rate: -1}} }},
 	}
 	require.NoError(t, validDocument().Validate())
 	for _, tc := range cases {
--- /dev/null
+++ b/internal/routing/tenant.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+)
+
+// Tenant is a customer whose requests carry one of its keys.
+type Tenant struct {
+	Name string `json:"name"`
+	// KeyDigests are the digests of its keys, as KeyDigest returns them. The keys
+	// themselves are secret and are not part of the document.
+	KeyDigests []string `json:"key_digests"`
+	Priority   *int     `json:"priority,omitempty"` // takes precedence over the priority of a route; nil: does not
+	Rate       float64  `json:"rate,omitempty"`     // requests per second over all entries; 0: no limit
+	Burst      float64  `json:"burst,omitempty"`    // requests beyond the rate
+}
+
+// KeyDigest returns the hexadecimal SHA-256 digest of a key.
+func KeyDigest(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// TenantByKey returns the tenant that holds the key, or nil. No tenant holds the
+// empty key.
+func (t *Table) TenantByKey(key string) *Tenant {
+	if key == "" {
+		return nil
+	}
+	return t.tenants[KeyDigest(key)]
+}
+
+func tenantsByDigest(tenants []Tenant) map[string]*Tenant {
+	table := map[string]*Tenant{}
+	for i := range tenants {
+		for _, digest := range tenants[i].KeyDigests {
+			table[digest] = &tenants[i]
+		}
+	}
+	return table
+}
+
+// validateTenants returns an error if a tenant has no name, two tenants have the
+// same name or key, or a limit is negative.
+func validateTenants(tenants []Tenant) error {
+	names, holders := map[string]bool{}, map[string]string{}
+	for _, t := range tenants {
+		if t.Name == "" {
+			return fmt.Errorf("a tenant has no name")
+		}
+		if names[t.Name] {
+			return fmt.Errorf("tenant %q is listed twice", t.Name)
+		}
+		names[t.Name] = true
+		if t.Rate < 0 || t.Burst < 0 {
+			return fmt.Errorf("tenant %q: rate %v or burst %v is below zero", t.Name, t.Rate, t.Burst)
+		}
+		for _, digest := range t.KeyDigests {
+			if holder, held := holders[digest]; held && holder != t.Name {
+				return fmt.Errorf("tenants %q and %q have the same key", holder, t.Name)
+			}
+			holders[digest] = t.Name
+		}
+	}
+	return nil
+}
--- a/internal/routing/validate.go
+++ b/internal/routing/validate.go
@@ -19,6 +19,9 @@
 		}
 		services[s.Name] = true
 	}
+	if err := validateTenants(d.Tenants); err != nil {
+		return err
+	}
 	prefixes := map[string]bool{}
 	for _, h := range d.Hosts {
 		if h.Name == "" {
@@ -40,7 +43,7 @@
 
 func (r Route) validate(services map[string]bool) error {
 	switch r.Kind {
-	case Idempotent, Once, Upload:
+	case Idempotent, Once, Upload, Download:
 	default:
 		return fmt.Errorf("unknown kind %q", r.Kind)
 	}
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -31,6 +31,8 @@
 	Signature string // in a response: proves that the target itself responded
 	Leaving   string // in a response: 1 if the target is about to stop; empty: targets do not say so
 	Load      string // in a response: running requests, waiting requests and slots, separated by commas
+	Key       string // key of the caller's tenant; never sent to a target
+	Tenant    string // name of the caller's tenant, set by the gateway
 }
 
 // Request is a request to a target.
