Pool: waiting requests are ordered by fair shares of tenants

Cause: requests of one priority were served in order of arrival, so that a tenant at eight times its usual rate took the slots of the others when all targets were full. Within a priority the order is now start-time fair queueing over tenants, weighted by their rate limits. Without tenants the order stays that of arrival.

--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -79,7 +79,7 @@
 		call.Respond(AcquireResponse{Rejection: rejectionOf(pool.ErrNoTarget)})
 		return
 	}
-	request.Request.SlackShare = b.slackShare(request.Group)
+	request.Request.SlackShare, request.Request.Weight = b.slackShare(request.Group), b.tenantWeight(request.Request.Tenant)
 	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, maxOwnerWait))
 	if err != nil {
 		call.Respond(AcquireResponse{Rejection: rejectionOf(err)})
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -245,12 +245,26 @@
 	return 1 / float64(len(b.options.View().Serving(region)))
 }
 
+// tenantWeight returns the weight of a tenant among the waiting requests: its rate
+// limit, since that is what operators have promised it. Without a limit it is the mean
+// of the others, which the pool takes as 1 if no tenant has one.
+func (b *Broker) tenantWeight(name string) float64 {
+	v := b.options.View()
+	if name == "" || v.Routes == nil {
+		return 0
+	}
+	if t := v.Routes.Tenant(name); t != nil && t.Rate > 0 {
+		return t.Rate
+	}
+	return v.Routes.MeanTenantRate()
+}
+
 func isRejection(err error) bool {
 	return lo.SomeBy(lo.Values(rejections), func(rejection error) bool { return errors.Is(err, rejection) })
 }
 
 func (b *Broker) acquireLocal(ctx context.Context, group Group, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
-	r.SlackShare = b.slackShare(group)
+	r.SlackShare, r.Weight = b.slackShare(group), b.tenantWeight(r.Tenant)
 	g, err := b.pool(group).Acquire(ctx, r, wait)
 	if err != nil {
 		return nil, err
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -53,6 +53,7 @@
 		return Grant{}, false
 	}
 	p.countGrant(r, now)
+	p.shares.charge(r.Tenant, r.weight(), p.expectedRunTime(r))
 	p.lastLeaseID++
 	l := &lease{target: best, request: r, started: now, expires: now.Add(r.LeaseTime())}
 	p.leases[p.lastLeaseID] = l
@@ -68,6 +69,9 @@
 	}, true
 }
 
+// expectedRunTime returns the expected run time of a request in seconds.
+func (p *Pool) expectedRunTime(r Request) float64 { return p.durations.mean(r.Route).Seconds() }
+
 // countGrant records a grant in the retry budget. A rejected request that asks
 // again is counted only once, when it is granted.
 func (p *Pool) countGrant(r Request, now time.Time) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -40,7 +40,8 @@
 	leases        map[uint64]*lease
 	lastLeaseID   uint64                // begins at random: ids of an earlier process name no grant of this one
 	withdrawn     map[callKey]time.Time // calls that were withdrawn before they arrived, until when they are remembered
-	waiters       []*waiter             // by priority, then by arrival
+	waiters       []*waiter             // by priority, then by fair shares of tenants and by arrival
+	shares        tenantShares
 	wake          wake
 	lookedAtAll   time.Time // when all waiters were last looked at
 	looks         uint64    // counts the looks at the waiters
@@ -71,6 +72,7 @@
 	request Request
 	arrived time.Time
 	granted chan Grant // capacity 1
+	due     float64    // virtual time at which its tenant is due
 }
 
 // New returns a pool without targets.
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -43,6 +43,9 @@
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
 	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"` // empty: the request carries no key
+	// Weight is the weight of the tenant in the order of waiting requests; 0 counts as
+	// 1. It is not sent to other processes.
+	Weight float64 `json:"-" cbor:"-"`
 	// SlackShare is the share of the retry slack that the request may draw on; 0: all
 	// of it. It is not sent to other processes.
 	SlackShare float64 `json:"-" cbor:"-"`
@@ -51,6 +54,13 @@
 // LeaseTime returns for how long the grant of the request lasts at most.
 func (r Request) LeaseTime() time.Duration { return min(r.TimeLeft, maxLeaseTime) + leaseGrace }
 
+func (r Request) weight() float64 {
+	if r.Weight <= 0 {
+		return 1
+	}
+	return r.Weight
+}
+
 // Grant permits one attempt of a request on a target.
 type Grant struct {
 	LeaseID uint64 `json:"lease" cbor:"1,keyasint"`
--- a/internal/pool/wake.go
+++ b/internal/pool/wake.go
@@ -40,6 +40,8 @@
 		limit = len(p.waiters)
 	}
 	p.beginLook(now)
+	p.shares.prune()
+	p.shares.order(p.waiters, p.expectedRunTime)
 	refusals := 0
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
 		if refusals >= limit {
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -96,6 +96,9 @@
 	Document *Document
 	hosts    map[string]*Host
 	tenants  map[string]*Tenant // by key digest
+
+	tenantNames map[string]*Tenant // by name
+	meanRate    float64            // of the tenants with a rate limit; 0: none has one
 }
 
 // NewTable indexes a valid document. Hosts whose names differ only in case are
@@ -110,6 +113,8 @@
 		t.hosts[key] = &h
 	}
 	t.tenants = tenantsByDigest(d.Tenants)
+	t.tenantNames = tenantsByName(d.Tenants)
+	t.meanRate = meanRate(d.Tenants)
 	return t
 }
 
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+
+	"github.com/samber/lo"
 )
 
 // Tenant is a customer whose requests carry one of its keys.
@@ -32,6 +34,17 @@
 	return t.tenants[KeyDigest(key)]
 }
 
+// Tenant returns the tenant with the name, or nil.
+func (t *Table) Tenant(name string) *Tenant { return t.tenantNames[name] }
+
+// MeanTenantRate returns the mean rate limit of the tenants that have one, or 0.
+func (t *Table) MeanTenantRate() float64 { return t.meanRate }
+
+func meanRate(tenants []Tenant) float64 {
+	limited := lo.Filter(tenants, func(t Tenant, _ int) bool { return t.Rate > 0 })
+	return lo.MeanBy(limited, func(t Tenant) float64 { return t.Rate })
+}
+
 func tenantsByDigest(tenants []Tenant) map[string]*Tenant {
 	table := map[string]*Tenant{}
 	for i := range tenants {
@@ -42,6 +55,14 @@
 	return table
 }
 
+func tenantsByName(tenants []Tenant) map[string]*Tenant {
+	table := make(map[string]*Tenant, len(tenants))
+	for i := range tenants {
+		table[tenants[i].Name] = &tenants[i]
+	}
+	return table
+}
+
 // validateTenants returns an error if a tenant has no name, two tenants have the
 // same name or key, or a limit is negative.
 func validateTenants(tenants []Tenant) error {
