Gateway: keys of tenants decide which requests run

Cause: the document holds tenants, but nothing acted on them. A request ran whatever key it carried, and the key went on to the target.

Change: if the document has tenants, a request needs a known key (401), except on routes that allow anonymous requests. The target gets the tenant's name instead of the key, whatever the caller sent. The tenant's priority precedes that of the route, and its name goes to the owner of the group and into the log line. The key is looked up again immediately before each attempt is sent (targetconn.Request.Permit, once there is a connection), since a request may wait for seconds; a withdrawn key gets 401 then. A tenant's name with a control character makes a document invalid, since it could end a header line. Rejections are counted by reason.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -53,11 +53,12 @@
 	ends            chan attemptEnd // buffered for all attempts, so that a late one does not block
 	inFlight        int
 	grants          int      // received so far
-	countedAttempts int      // finished attempts that count against MaxAttempts: all but failed connects
+	countedAttempts int      // finished attempts that count against MaxAttempts: all but those that were not sent
 	mayHaveRun      bool     // a target may have run the request
 	tried           []string // ids of the granted targets
 	lastFailure     *targetconn.Response
 	lastEnd         targetconn.Result // of the last attempt that ended
+	denied          *fault.Error      // why the request may not be sent any more; nil: it may
 	hedge           hedge
 }
 
@@ -196,7 +197,7 @@
 	now := e.g.options.Clock.Now()
 	route := e.req.route
 	return pool.Request{
-		ID: e.req.id, Route: route.Name, Retryable: route.Kind.IsIdempotent() && e.countedAttempts+e.inFlight+1 < route.MaxAttempts, Priority: route.Priority,
+		ID: e.req.id, Route: route.Name, Retryable: route.Kind.IsIdempotent() && e.countedAttempts+e.inFlight+1 < route.MaxAttempts, Priority: e.req.priority(), Tenant: e.req.tenantName(),
 		Bytes: len(e.req.outgoing.Body), Objective: max(e.req.started.Add(route.Objective).Sub(now), 0),
 		TimeLeft: e.req.deadline.Sub(now), DataCentre: e.g.options.DataCentre, Tried: e.tried, IsRetry: e.countedAttempts+e.inFlight > 0,
 	}
@@ -226,6 +227,7 @@
 	started := e.g.options.Clock.Now()
 	outgoing := e.req.outgoing
 	outgoing.TimeLeft = e.req.deadline.Sub(started)
+	outgoing.Permit = func() error { return e.g.checkAgain(e.req) }
 	go func() {
 		ctx, span := telemetry.StartSpan(e.workCtx, "gateway.attempt")
 		defer span.End()
@@ -262,7 +264,9 @@
 	if r.MayHaveRun {
 		e.mayHaveRun = true
 	}
-	if r.Outcome != pool.ConnectFailed {
+	if r.Outcome == pool.Unsent {
+		e.denied = fault.From(r.Err)
+	} else if r.Outcome != pool.ConnectFailed {
 		e.countedAttempts++
 	}
 	if r.Outcome == pool.OK {
@@ -326,7 +330,7 @@
 
 // mayRetry reports whether the request may be sent to another target.
 func (e *execution) mayRetry() bool {
-	if e.workCtx.Err() != nil || e.callerCtx.Err() != nil {
+	if e.denied != nil || e.workCtx.Err() != nil || e.callerCtx.Err() != nil {
 		return false
 	}
 	if e.mayHaveRun && !e.req.route.Kind.IsIdempotent() {
@@ -338,6 +342,8 @@
 // failure returns the result of a request whose last attempt failed with r.
 func (e *execution) failure(r targetconn.Result) result {
 	switch {
+	case e.denied != nil && !e.mayHaveRun:
+		return result{err: e.denied}
 	case e.lastFailure != nil:
 		return e.failureResponse()
 	case !e.mayHaveRun:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,11 +50,14 @@
 	DataCentre  string
 	HeaderNames targetconn.HeaderNames
 	View        func() *fleetview.View
-	Broker      Broker
-	Sender      Sender
-	Advice      *targetadvice.Table // what targets have asked of this entry; may be nil
-	Clock       sys.Clock
-	Log         *zap.Logger
+	// Confirmed reports whether the view that View returns afterwards is recent enough
+	// for a decision about a key; nil: any view is.
+	Confirmed func() bool
+	Broker    Broker
+	Sender    Sender
+	Advice    *targetadvice.Table // what targets have asked of this entry; may be nil
+	Clock     sys.Clock
+	Log       *zap.Logger
 	// BodyMemory limits the bytes of request bodies buffered at the same time. Its
 	// limit must not be 0.
 	BodyMemory *membudget.Budget
@@ -71,6 +74,7 @@
 
 	requests, callersGone *metrics.Counter
 	duration              *metrics.Histogram
+	keys                  keyCounters
 }
 
 // New returns a gateway.
@@ -82,6 +86,7 @@
 		requests:    metrics.GetOrCreateCounter("sequoialane_gateway_requests_total"),
 		callersGone: metrics.GetOrCreateCounter("sequoialane_gateway_callers_gone_total"),
 		duration:    metrics.GetOrCreateHistogram("sequoialane_gateway_request_seconds"),
+		keys:        newKeyCounters(),
 	}
 }
 
@@ -97,6 +102,7 @@
 	id          string
 	host        string
 	route       *routing.Route
+	identity    identity
 	service     string
 	version     uint64 // version of the routing document
 	started     time.Time
@@ -174,6 +180,9 @@
 	if req.route != nil {
 		fields = append(fields, zap.String("route", req.route.Name), zap.String("kind", string(req.route.Kind)), zap.String("service", req.service))
 	}
+	if name := req.tenantName(); name != "" {
+		fields = append(fields, zap.String("tenant", name))
+	}
 	if req.retryDenied != "" {
 		fields = append(fields, zap.String("no_repeat", req.retryDenied))
 	}
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -24,11 +24,12 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// prepare matches the route, sets the deadline and reads the body. The caller
-// must call release once the request has ended; it frees the memory of the
-// body.
+// prepare matches the route, identifies the tenant, sets the deadline and reads the
+// body. The caller must call release once the request has ended; it frees the memory of
+// the body.
 func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, req *request) (release func(), rejection *fault.Error) {
 	release = func() {}
+	confirmed := g.isConfirmed() // before the view is loaded, so that it holds for that view
 	v := g.options.View()
 	if v.Routes == nil {
 		return release, fault.New(fault.ControlUnavailable, "no routing document is known yet").WithRetryAfter(retryAfterNoRoutes)
@@ -41,6 +42,11 @@
 	if req.id == "" {
 		return release, fault.New(fault.BadRequest, "the request carries no id")
 	}
+	var denial denial
+	req.identity, denial = identify(v.Routes, req.route, callerKey(r.Header, g.options.HeaderNames.Key), confirmed)
+	if rejection := g.keys.count(denial); rejection != nil {
+		return release, rejection
+	}
 	if rejection := g.setDeadline(r, req); rejection != nil {
 		return release, rejection
 	}
@@ -55,6 +61,9 @@
 	req.outgoing = targetconn.Request{
 		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body.bytes,
 	}
+	if len(v.Routes.Document.Tenants) > 0 {
+		g.setTenantHeader(req.outgoing.Header, req.identity)
+	}
 	return body.release, nil
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -46,6 +46,7 @@
 		{"two routes for one path prefix", func(d *Document) { d.Hosts[0].Routes[1].PathPrefix = "/x/" }},
 		{"service listed twice", func(d *Document) { d.Services[1].Name = "a" }},
 		{"tenant without a name", func(d *Document) { d.Tenants = []Tenant{{}} }},
+		{"tenant whose name ends a header line", func(d *Document) { d.Tenants = []Tenant{{Name: "t\r\nX: y"}} }},
 		{"tenant listed twice", func(d *Document) { d.Tenants = []Tenant{{Name: "t"}, {Name: "t"}} }},
 		{"key of two tenants", func(d *Document) {
 			d.Tenants = []Tenant{{Name: "t", KeyDigests: []string{KeyDigest("k")}}, {Name: "u", KeyDigests: []string{KeyDigest("k")}}}
--- a/internal/routing/tenant.go
+++ b/internal/routing/tenant.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
+	"unicode"
 )
 
 // Tenant is a customer whose requests carry one of its keys.
@@ -29,9 +31,12 @@
 	if key == "" {
 		return nil
 	}
-	return t.tenants[KeyDigest(key)]
+	return t.TenantByDigest(KeyDigest(key))
 }
 
+// TenantByDigest returns the tenant that holds the key with the digest, or nil.
+func (t *Table) TenantByDigest(digest string) *Tenant { return t.tenants[digest] }
+
 func tenantsByDigest(tenants []Tenant) map[string]*Tenant {
 	table := map[string]*Tenant{}
 	for i := range tenants {
@@ -42,14 +47,17 @@
 	return table
 }
 
-// validateTenants returns an error if a tenant has no name, two tenants have the
-// same name or key, or a limit is negative.
+// validateTenants returns an error if a tenant has no name or one that a header cannot
+// carry, two tenants have the same name or key, or a limit is negative.
 func validateTenants(tenants []Tenant) error {
 	names, holders := map[string]bool{}, map[string]string{}
 	for _, t := range tenants {
 		if t.Name == "" {
 			return fmt.Errorf("a tenant has no name")
 		}
+		if strings.ContainsFunc(t.Name, unicode.IsControl) {
+			return fmt.Errorf("tenant %q: the name holds a control character, which a header cannot carry", t.Name)
+		}
 		if names[t.Name] {
 			return fmt.Errorf("tenant %q is listed twice", t.Name)
 		}
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -44,6 +44,10 @@
 	Header   http.Header // without hop-by-hop fields
 	Body     []byte
 	TimeLeft time.Duration
+	// Permit is called immediately before the request is sent. With an error, which
+	// the result holds, the request is not sent, and its outcome is pool.Unsent. It may
+	// be nil.
+	Permit func() error
 }
 
 // Result is the result of an attempt.
@@ -67,6 +71,12 @@
 		}
 		return Result{Outcome: outcome, Err: err}
 	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			_ = cn.Close()
+			return Result{Outcome: pool.Unsent, Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(pastUnixSeconds, 0)) })
 	result, keepAlive, reusable := c.exchange(t, cn, r)
 	result.Reused = cn.reused
