Gateway: requests wait for the first copy of the fleet state

An owner without a copy rejected the requests of the others, too.

Change: in the first 5 s of a process a request waits for routes and for a target of its service, at most 2 s each and 0.3 of the caller's time, 512 requests at most. An owner without a copy responds 503, so that the next one is asked.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -113,7 +113,7 @@
 	})
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
-		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Broker: broker,
+		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, ViewChanged: p.follower.Changed, Broker: broker,
 		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -55,6 +55,7 @@
 	redirectMembers []fleetstate.Member  // members named by a redirect, until there is a copy of the state
 	avoidUntil      map[string]time.Time // by peer address, for members whose poll failed
 	start           time.Time
+	changed         chan struct{} // closed at the next change of the view
 
 	polls, failures, switches *metrics.Counter
 }
@@ -62,7 +63,7 @@
 // NewFollower returns a follower with an empty view.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		options: o, self: o.Self, seeds: o.Seeds, avoidUntil: map[string]time.Time{}, start: o.Clock.Now(),
+		options: o, self: o.Self, seeds: o.Seeds, avoidUntil: map[string]time.Time{}, start: o.Clock.Now(), changed: make(chan struct{}),
 		polls:    metrics.GetOrCreateCounter("sequoialane_view_polls_total"),
 		failures: metrics.GetOrCreateCounter("sequoialane_view_poll_failures_total"),
 		switches: metrics.GetOrCreateCounter("sequoialane_view_source_switches_total"),
@@ -74,6 +75,20 @@
 // View returns the current copy.
 func (f *Follower) View() *View { return f.view.Load() }
 
+// Changed returns a channel that is closed when the view changes next.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *Follower) notifyChanged() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // Fresh reports whether a member in contact with a leader has confirmed the copy
 // within staleAfter.
 func (f *Follower) Fresh() bool {
@@ -260,6 +275,7 @@
 	}
 	next := previous.withUpdate(u)
 	f.view.Store(next)
+	f.notifyChanged()
 	if next.Version() != previous.Version() {
 		f.options.Log.Info("routing document in force", zap.Uint64("version", next.Version()), zap.Uint64("index", next.Index))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,11 +53,14 @@
 	// Confirmed reports whether the view that View returns afterwards is recent enough
 	// for a decision about a key; nil: any view is.
 	Confirmed func() bool
-	Broker    Broker
-	Sender    Sender
-	Advice    *targetadvice.Table // what targets have asked of this entry; may be nil
-	Clock     sys.Clock
-	Log       *zap.Logger
+	// ViewChanged returns a channel that is closed when the view changes next; nil: a
+	// request does not wait for the first view.
+	ViewChanged func() <-chan struct{}
+	Broker      Broker
+	Sender      Sender
+	Advice      *targetadvice.Table // what targets have asked of this entry; may be nil
+	Clock       sys.Clock
+	Log         *zap.Logger
 	// BodyMemory limits the bytes of request bodies buffered at the same time. Its
 	// limit must not be 0.
 	BodyMemory *membudget.Budget
@@ -72,6 +75,10 @@
 	inFlight      atomic.Int64
 	draining      atomic.Bool
 
+	started        time.Time
+	startupWaiters atomic.Int64 // requests that wait for the first view
+	startupWaits   *metrics.Counter
+
 	requests, callersGone *metrics.Counter
 	duration              *metrics.Histogram
 	keys                  keyCounters
@@ -87,6 +94,9 @@
 		callersGone: metrics.GetOrCreateCounter("sequoialane_gateway_callers_gone_total"),
 		duration:    metrics.GetOrCreateHistogram("sequoialane_gateway_request_seconds"),
 		keys:        newKeyCounters(),
+
+		started:      o.Clock.Now(),
+		startupWaits: metrics.GetOrCreateCounter("sequoialane_gateway_startup_waits_total"),
 	}
 }
 
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -29,6 +29,7 @@
 // the body.
 func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, req *request) (release func(), rejection *fault.Error) {
 	release = func() {}
+	g.awaitRoutes(r)
 	confirmed := g.isConfirmed() // before the view is loaded, so that it holds for that view
 	v := g.options.View()
 	if v.Routes == nil {
@@ -54,6 +55,7 @@
 		return release, fault.Newf(fault.HeaderTooLarge, "the header is over the limit of %d bytes", limit)
 	}
 	g.chooseService(v, r.Host, req)
+	g.awaitTargets(r, req.service)
 	body, rejection := g.readBody(w, r, req, v.Routes.Document.Limits.MaxBodyBytes)
 	if rejection != nil {
 		return release, rejection
--- /dev/null
+++ b/internal/gateway/startup.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/fleetview"
+)
+
+// An entry that has just started has no copy of the fleet state. After a loss of power
+// of the whole fleet all entries are in this state for the second or two that control
+// needs to elect a leader, and callers that do not retry would lose every request. Until
+// then members may serve an old copy with a routing document and no targets. So a request
+// waits for routes and for a target of its service, within these bounds.
+const (
+	// maxStartupWait bounds each of the two waits.
+	maxStartupWait = 2 * time.Second
+	// startupWaitShare is the share of the time that the caller states that a wait may
+	// take. The rest is left for running the request.
+	startupWaitShare = 0.3
+	// startupPeriod is the time after the start of the process in which requests wait.
+	// If there is no copy by then, control is out of reach, and more requests are
+	// rejected at once.
+	startupPeriod = 5 * time.Second
+	// maxStartupWaiters bounds the requests that wait, and with them their memory.
+	maxStartupWaiters = 512
+)
+
+// awaitRoutes waits for a view with routes if there is none yet.
+func (g *Gateway) awaitRoutes(r *http.Request) {
+	g.awaitView(r, func(v *fleetview.View) bool { return v.Routes != nil })
+}
+
+// awaitTargets waits for a view with a usable target of the service if there is none
+// yet.
+func (g *Gateway) awaitTargets(r *http.Request, service string) {
+	g.awaitView(r, func(v *fleetview.View) bool { return len(v.UsableTargets(service)) > 0 })
+}
+
+func (g *Gateway) awaitView(r *http.Request, suffices func(*fleetview.View) bool) {
+	if suffices(g.options.View()) || g.options.ViewChanged == nil || g.options.Clock.Now().Sub(g.started) > startupPeriod {
+		return
+	}
+	defer g.startupWaiters.Add(-1)
+	if g.startupWaiters.Add(1) > maxStartupWaiters {
+		return
+	}
+	g.startupWaits.Inc()
+	ctx, cancel := context.WithTimeout(r.Context(), g.startupWait(r))
+	defer cancel()
+	for {
+		changed := g.options.ViewChanged() // before the view is loaded, so that no change is missed
+		if suffices(g.options.View()) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// startupWait returns how long a request may wait for a view.
+func (g *Gateway) startupWait(r *http.Request) time.Duration {
+	milliseconds, err := strconv.ParseInt(r.Header.Get(g.options.HeaderNames.Deadline), 10, 64)
+	if err != nil {
+		return maxStartupWait
+	}
+	left := time.Duration(max(milliseconds, 0)) * time.Millisecond
+	return min(time.Duration(startupWaitShare*float64(left)), maxStartupWait)
+}
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -75,7 +75,12 @@
 	if !ok {
 		return
 	}
-	if !request.Group.isKnown(b.options.View()) {
+	if v := b.options.View(); !request.Group.isKnown(v) {
+		if len(v.Targets) == 0 {
+			// This entry has just started. The sender then asks the next owner.
+			http.Error(w, "no copy of the fleet state yet", http.StatusServiceUnavailable)
+			return
+		}
 		call.Respond(AcquireResponse{Rejection: rejectionOf(pool.ErrNoTarget)})
 		return
 	}
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -296,3 +296,14 @@
 		assert.Zero(t, inFlight, desc)
 	}
 }
+
+// Guards against requests that are rejected because the owner has just started and
+// has no copy of the fleet state yet: the next entry in rank makes the grant.
+func TestOwnerWithoutCopyIsPassedOver(t *testing.T) {
+	r := newTestRegion(t, 3, 2)
+	ranked := r.view.Rank("s", "r")
+	r.brokers[index(ranked[0].Name)].options.View = func() *fleetview.View { return &fleetview.View{} }
+	l, err := r.brokers[index(ranked[2].Name)].Acquire(context.Background(), "s", request("1"), time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, ranked[1].Name, l.Owner)
+}
