Control members confirm to entries how recent their state is

Cause: an entry cannot tell whether its copy lacks the withdrawal of a key. That its member is in contact with a leader proves nothing: the heartbeat may be older than the withdrawal, or the leader deposed.

Change: a poll may request a confirmation. The member then runs read barriers, at most one a second for all polls together and none in the path of a poll, and responds with the age of the last successful one on the boot-time clock, which goes on while a machine is suspended. A state that is older than the confirmed one, because the member discarded its state since, gets no age. A poll of an entry without a recent proof is answered as soon as there is one.

--- a/internal/fleetcontrol/losses_test.go
+++ b/internal/fleetcontrol/losses_test.go
@@ -22,6 +22,7 @@
 	status       consensus.Status
 	unavailable  atomic.Bool
 	index        atomic.Uint64
+	barriers     atomic.Int64
 }
 
 func (g *stateGroup) Propose(_ context.Context, command []byte) ([]byte, error) {
@@ -31,7 +32,13 @@
 	return g.stateMachine.Apply(g.index.Add(1), command), nil
 }
 
-func (g *stateGroup) ReadBarrier(context.Context) error { return nil }
+func (g *stateGroup) ReadBarrier(context.Context) error {
+	g.barriers.Add(1)
+	if g.unavailable.Load() {
+		return errors.New("no majority")
+	}
+	return nil
+}
 
 func (g *stateGroup) Status() consensus.Status { return g.status }
 
@@ -56,7 +63,7 @@
 	require.NoError(t, err)
 	m := New(Options{
 		Self:  fleetstate.Member{PeerAddress: memberAddress, ControlAddress: "10.0.0.1:2", Region: "r", DataCentre: "d"},
-		Group: group, StateMachine: group.stateMachine, Clock: sys.RealClock{}, Log: zap.NewNop(),
+		Group: group, StateMachine: group.stateMachine, Clock: sys.RealClock{}, Boot: sys.RealBootClock{}, Log: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -58,6 +58,7 @@
 	StateMachine *fleetstate.StateMachine
 	Locations    *traffic.Locations // updated from the state; may be nil
 	Clock        sys.Clock
+	Boot         sys.BootClock
 	Log          *zap.Logger
 }
 
@@ -71,6 +72,7 @@
 	log               *zap.Logger
 	batch             *batcher
 	presence          *presence
+	barriers          *barrierKeeper
 	counters          counters
 	stopping          chan struct{}
 	stopOnce          sync.Once
@@ -94,6 +96,7 @@
 		self: o.Self, group: o.Group, stateMachine: o.StateMachine, locations: o.Locations, clock: o.Clock, log: o.Log,
 		batch:             newBatcher(o.Group, o.Clock),
 		presence:          newPresence(),
+		barriers:          newBarrierKeeper(o.Group, o.StateMachine, o.Clock, o.Boot, o.Log),
 		stopping:          make(chan struct{}),
 		detectionRequests: make(chan struct{}, 1),
 		slotlessSince:     map[string]time.Time{},
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -41,6 +41,11 @@
 	// NoRedirect is set once the entry was redirected. The member then responds
 	// even if there is a nearer one, since that one may not respond.
 	NoRedirect bool `json:"insists,omitempty" cbor:"3,keyasint,omitempty"`
+	// Confirm requests ConfirmedAge.
+	Confirm bool `json:"confirm,omitempty" cbor:"4,keyasint,omitempty"`
+	// ConfirmSoon is set if the entry has no recent confirmation. The member then
+	// responds as soon as it has one, instead of waiting for a change.
+	ConfirmSoon bool `json:"confirm_soon,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // PollResponse holds the changes. It is sent once there are any, or empty at
@@ -52,6 +57,10 @@
 	// update is empty then.
 	Redirect []fleetstate.Member `json:"nearer,omitempty" cbor:"2,keyasint,omitempty"`
 	Update   fleetstate.Update   `json:"update" cbor:"3,keyasint"`
+	// ConfirmedAge states, if it was requested, that the entry's copy after the update
+	// holds everything that was committed this long before the update was read. Nil:
+	// not known to this member, or it is of a release that does not confirm.
+	ConfirmedAge *time.Duration `json:"confirmed_age,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 func (m *Member) servePoll(w http.ResponseWriter, r *http.Request) {
@@ -78,21 +87,41 @@
 	if !m.InContact() {
 		hold = noContactHold
 	}
-	m.awaitChange(ctx, request.After, hold)
+	m.awaitResponse(ctx, request, hold)
 	gone := ctx.Err() != nil
 	m.presence.pollEnded(request.Entry.Name, gone, m.clock.Now())
 	if gone {
 		m.requestDetection()
 		return
 	}
-	m.writePollResponse(call, w, r, request.After)
+	m.writePollResponse(call, w, r, request)
+}
+
+// awaitResponse waits until the poll should be answered, for at most the hold time.
+func (m *Member) awaitResponse(ctx context.Context, request PollRequest, hold time.Duration) {
+	if !request.Confirm {
+		m.awaitChange(ctx, request.After, hold)
+		return
+	}
+	m.barriers.pollStarted()
+	defer m.barriers.pollEnded()
+	if request.ConfirmSoon {
+		m.barriers.awaitRecent(ctx, m.stopping, hold)
+		return
+	}
+	m.awaitChange(ctx, request.After, hold)
 }
 
 // writePollResponse writes a PollResponse as JSON. It inserts the encoded update, which
 // is shared by all entries at the same index.
-func (m *Member) writePollResponse(call peerhttp.Call, w http.ResponseWriter, r *http.Request, after uint64) {
-	update := m.stateMachine.EncodedSince(after)
-	prefix := `{"fresh":` + strconv.FormatBool(m.InContact()) + `,"update":`
+func (m *Member) writePollResponse(call peerhttp.Call, w http.ResponseWriter, r *http.Request, request PollRequest) {
+	confirmation := m.barriers.last() // before the update is read, which then is at least as new
+	update := m.stateMachine.EncodedSince(request.After)
+	prefix := `{"fresh":` + strconv.FormatBool(m.InContact())
+	if age, ok := m.barriers.age(confirmation, update.Index); ok && request.Confirm {
+		prefix += `,"confirmed_age":` + strconv.FormatInt(int64(age), 10)
+	}
+	prefix += `,"update":`
 	if update.Gzip == nil || !peerhttp.AcceptsGzip(r) {
 		call.RespondEncoded([]byte(prefix), update.JSON, []byte("}"))
 		return
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -65,7 +65,7 @@
 		Self: fleetstate.Member{
 			PeerAddress: s.PeerAddress, ControlAddress: s.ControlAddress, Region: s.Region, DataCentre: s.DataCentre,
 		},
-		Group: group, StateMachine: stateMachine, Locations: locations, Clock: clock, Log: log,
+		Group: group, StateMachine: stateMachine, Locations: locations, Clock: clock, Boot: sys.RealBootClock{}, Log: log,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("/fleet/v1/", member.Handler())
--- a/internal/fleetstate/encoded.go
+++ b/internal/fleetstate/encoded.go
@@ -11,8 +11,9 @@
 
 // EncodedUpdate is an encoded Update. It is shared and must not be modified.
 type EncodedUpdate struct {
-	JSON []byte
-	Gzip []byte // JSON compressed; nil if JSON is shorter than minCompressedBytes
+	Index uint64
+	JSON  []byte
+	Gzip  []byte // JSON compressed; nil if JSON is shorter than minCompressedBytes
 }
 
 // minCompressedBytes is the length from which updates are compressed.
@@ -45,7 +46,7 @@
 	if err != nil {
 		panic("fleetstate: update cannot be encoded: " + err.Error())
 	}
-	e := EncodedUpdate{JSON: raw}
+	e := EncodedUpdate{Index: u.Index, JSON: raw}
 	if len(raw) >= minCompressedBytes {
 		e.Gzip = Compress(raw)
 	}
