Entries keep the time for which their copy is proved recent

Change: Follower.ConfirmedWithin. The time of proof is the start of the poll less the age in the response, which is conservative without synchronised clocks, and is stored after the view. A member without a recent proof is left for one that may have it; if none has, the entry stays, since each change of the member is written to the log.

--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -284,6 +284,28 @@
 	}
 }
 
+// Guards against a proof of a recent copy that is missing while the group has a majority,
+// or that is renewed while it has none.
+func TestProofNeedsMajority(t *testing.T) {
+	const limit = 3 * time.Second
+	c := startAll(t, 3)
+	c.mustPut(0, 3)
+	f := fleetview.NewFollower(fleetview.Options{
+		Self:  fleetstate.Entry{Name: "e", Region: "r1", DataCentre: "d1", CallerAddress: "10.0.0.9:1", PeerAddress: "10.0.0.9:2", Incarnation: 5, State: fleetstate.Serving},
+		Seeds: c.all[0].Seeds, Peers: peerhttp.NewCompressed(nil), Clock: sys.RealClock{}, Log: zap.NewNop(),
+		Boot: sys.RealBootClock{}, RevocationLimit: limit, OnChange: func(*fleetview.View) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	require.Eventually(t, func() bool { return f.ConfirmedWithin(limit) && f.View().Version() == 3 }, stepTimeout, 10*time.Millisecond)
+	c.kill(0)
+	c.kill(2)
+	require.Eventually(t, func() bool { return !f.ConfirmedWithin(limit) }, stepTimeout, 10*time.Millisecond)
+	c.start(0, false)
+	require.Eventually(t, func() bool { return f.ConfirmedWithin(limit) }, stepTimeout, 10*time.Millisecond)
+}
+
 // Guards against an entry that cannot read a large copy of the state, which is
 // sent compressed.
 func TestLargeCopyIsCompressed(t *testing.T) {
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -36,6 +36,10 @@
 	Peers *peerhttp.Client
 	Clock sys.Clock
 	Log   *zap.Logger
+	Boot  sys.BootClock // used if RevocationLimit is set
+	// RevocationLimit is the age of a proof up to which ConfirmedWithin will be asked
+	// for; 0: polls request no proof.
+	RevocationLimit time.Duration
 	// OnChange is called with each new view, from the goroutine of Run.
 	OnChange func(*View)
 }
@@ -47,6 +51,8 @@
 	view    atomic.Pointer[View]
 	freshAt atomic.Int64 // start of the poll with the last response of a member in contact with a leader, in nanoseconds since start; 0: none
 
+	proof proof
+
 	mu              sync.Mutex
 	self            fleetstate.Entry
 	seeds           []string
@@ -54,6 +60,7 @@
 	source          string               // peer address of the member that is polled
 	redirectMembers []fleetstate.Member  // members named by a redirect, until there is a copy of the state
 	avoidUntil      map[string]time.Time // by peer address, for members whose poll failed
+	unprovedUntil   map[string]time.Time // by peer address, for members that brought no recent proof
 	start           time.Time
 
 	polls, failures, switches *metrics.Counter
@@ -62,7 +69,8 @@
 // NewFollower returns a follower with an empty view.
 func NewFollower(o Options) *Follower {
 	f := &Follower{
-		options: o, self: o.Self, seeds: o.Seeds, avoidUntil: map[string]time.Time{}, start: o.Clock.Now(),
+		options: o, self: o.Self, seeds: o.Seeds, avoidUntil: map[string]time.Time{}, unprovedUntil: map[string]time.Time{}, start: o.Clock.Now(),
+		proof:    newProof(o.Boot, o.RevocationLimit),
 		polls:    metrics.GetOrCreateCounter("sequoialane_view_polls_total"),
 		failures: metrics.GetOrCreateCounter("sequoialane_view_poll_failures_total"),
 		switches: metrics.GetOrCreateCounter("sequoialane_view_source_switches_total"),
@@ -101,7 +109,7 @@
 
 // Run polls until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	wasFresh := false
+	wasFresh, wasConfirmed := false, false
 	for ctx.Err() == nil {
 		source := f.chooseSource()
 		if source == "" || !f.poll(ctx, source) {
@@ -111,6 +119,10 @@
 			wasFresh = fresh
 			f.options.Log.Info("contact with control changed", zap.Bool("fresh", fresh), zap.String("source", source), zap.Uint64("index", f.View().Index))
 		}
+		if confirmed := f.ConfirmedWithin(f.options.RevocationLimit); confirmed != wasConfirmed {
+			wasConfirmed = confirmed
+			f.options.Log.Info("proof of a recent copy changed", zap.Bool("confirmed", confirmed), zap.String("source", source), zap.Uint64("version", f.View().Version()))
+		}
 	}
 }
 
@@ -121,13 +133,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.options.Clock.Now()
-	usable := f.source != "" && !now.Before(f.avoidUntil[f.source])
+	usable := f.source != "" && !now.Before(f.avoidUntil[f.source]) && (f.proves(f.source, now) || !f.anyProves(now))
 	if usable && !f.hasNearer(f.source, now) {
 		return f.source
 	}
 	best, bestRank := "", 0
 	for i, address := range f.candidates() {
 		rank := f.distance(address)*100 + i
+		if !f.proves(address, now) {
+			rank += 1_000
+		}
 		if now.Before(f.avoidUntil[address]) {
 			rank += 10_000 + int(f.avoidUntil[address].Sub(now)/time.Millisecond)
 		}
@@ -148,7 +163,7 @@
 func (f *Follower) hasNearer(source string, now time.Time) bool {
 	current := f.distance(source)
 	return slices.ContainsFunc(f.members(), func(m fleetstate.Member) bool {
-		return !now.Before(f.avoidUntil[m.PeerAddress]) && f.distance(m.PeerAddress) < current
+		return !now.Before(f.avoidUntil[m.PeerAddress]) && f.proves(m.PeerAddress, now) && f.distance(m.PeerAddress) < current
 	})
 }
 
@@ -195,10 +210,13 @@
 	defer cancelPoll()
 	f.mu.Lock()
 	f.cancelPoll = cancelPoll
-	request := fleetcontrol.PollRequest{Entry: f.self, After: f.View().Index, NoRedirect: f.redirectMembers != nil}
+	request := fleetcontrol.PollRequest{
+		Entry: f.self, After: f.View().Index, NoRedirect: f.redirectMembers != nil,
+		Confirm: f.proof.limit > 0, ConfirmSoon: f.proof.isDue(),
+	}
 	f.mu.Unlock()
 	f.polls.Inc()
-	started := f.options.Clock.Now()
+	started, startedOnBootClock := f.options.Clock.Now(), f.proof.now()
 	var response fleetcontrol.PollResponse
 	err := f.options.Peers.Post(ctx, traffic.Poll, source, fleetcontrol.PollPath, request, &response)
 	if err != nil {
@@ -217,6 +235,9 @@
 		return true
 	}
 	f.applyUpdate(response.Update)
+	if f.proof.limit > 0 && response.Update.Index >= request.After {
+		f.recordProof(source, startedOnBootClock, response)
+	}
 	if !response.InContact || response.Update.Index < request.After {
 		f.avoid(source, "the member is not in contact with a leader")
 		return false
