Setting revocation_limit: keys need a copy that is proved recent

Cause: an entry that is cut off, or was paused, accepted withdrawn keys for as long as it served.

The gateway then handles a request with a key only on a view that is proved recent, and answers 503 (not run) otherwise. Such an entry becomes ready once it has had a proof; without contact it stays ready, since requests without a key are served.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -100,6 +100,7 @@
 	var broker *grants.Broker
 	p.follower = fleetview.NewFollower(fleetview.Options{
 		Self: self, Seeds: s.seedPeers(), Peers: peerhttp.NewCompressed(p.locations), Clock: clock, Log: log,
+		Boot: sys.RealBootClock{}, RevocationLimit: s.RevocationLimit.Std(),
 		OnChange: func(v *fleetview.View) {
 			p.locations.Update(v.Locations())
 			broker.ViewChanged(v)
@@ -113,7 +114,7 @@
 	})
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
-		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Broker: broker,
+		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Confirmed: p.confirmed, Broker: broker,
 		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
@@ -153,14 +154,22 @@
 	return nil
 }
 
-// Ready reports whether the entry should get requests: it has a routing document
-// and is not draining.
+// confirmed reports whether the view that is loaded afterwards may decide about keys.
+func (p *Process) confirmed() bool {
+	limit := p.settings.RevocationLimit.Std()
+	return limit == 0 || p.follower.ConfirmedWithin(limit)
+}
+
+// Ready reports whether the entry should get requests: it has a routing document, has
+// had the proof that it needs for keys, and is not draining. It stays ready without
+// contact, since it still serves requests without a key.
 func (p *Process) Ready() bool {
 	select {
 	case <-p.draining:
 		return false
 	default:
-		return p.follower.View().Routes != nil
+		routes := p.follower.View().Routes
+		return routes != nil && (p.settings.RevocationLimit == 0 || len(routes.Document.Tenants) == 0 || p.follower.HasProof())
 	}
 }
 
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -33,6 +33,9 @@
 	LinkMbps         float64           `json:"link_mbps"`         // bandwidth of this VM's link; 0: unknown
 	Retries          Retries           `json:"retries"`
 	FloorShare       float64           `json:"floor_share"` // least share of the healthy targets of a service that get requests
+	// RevocationLimit is the time after which no request runs with a key that an
+	// acknowledged document has withdrawn; 0: not enforced without contact with control.
+	RevocationLimit settings.Duration `json:"revocation_limit"`
 
 	Telemetry telemetry.Settings `json:"telemetry"`
 }
@@ -47,11 +50,12 @@
 
 // Bounds of the settings and values derived from them.
 const (
-	minGrace  = time.Second
-	maxGrace  = time.Hour
-	maxTTL    = time.Minute
-	minMemory = 32 // MB
-	maxMemory = 1 << 20
+	minGrace           = time.Second
+	maxGrace           = time.Hour
+	maxTTL             = time.Minute
+	maxRevocationLimit = time.Hour
+	minMemory          = 32 // MB
+	maxMemory          = 1 << 20
 	// lowBandwidthMbps is the bandwidth in Mbit/s below which callers are
 	// spread over all entries except those reserved as owners.
 	lowBandwidthMbps = 50.0
@@ -107,6 +111,7 @@
 	settings.RequireDurationRange(report, "grace", s.Grace, minGrace, maxGrace)
 	settings.RequireDurationRange(report, "address_ttl", s.AddressTTL, 0, maxTTL)
 	settings.RequireIntRange(report, "memory_mb", s.MemoryMB, minMemory, maxMemory)
+	settings.RequireDurationRange(report, "revocation_limit", s.RevocationLimit, 0, maxRevocationLimit)
 	if s.Retries.Ratio < 0 || s.Retries.Ratio > 1 || s.Retries.Slack < 0 {
 		report("retries", s.Retries, "want a ratio from 0 to 1 and a slack of 0 or more")
 	}
--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -18,7 +18,7 @@
 
 const good = `{"name":"e","region":"r","data_centre":"d","data_centres":{"d":"r"},"caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
 "directory_address":"10.0.0.1:3","peer_address":"10.0.0.1:4","seeds":["10.0.0.2:5"],"seed_port":7,"grace":"6s","memory_mb":184,"link_mbps":4.0,
-"floor_share":0.7,"retries":{"ratio":0.2,"slack":56,"window":"10s"},"address_ttl":"1s"}`
+"floor_share":0.7,"retries":{"ratio":0.2,"slack":56,"window":"10s"},"address_ttl":"1s","revocation_limit":"5000ms"}`
 
 // Guards against accepting invalid settings, and against errors that do not name
 // the field.
@@ -27,6 +27,7 @@
 	require.NoError(t, settings.Parse("f", []byte(good), s))
 	assert.Equal(t, []string{"10.0.0.2:7"}, s.seedPeers())
 	assert.True(t, s.lowBandwidth())
+	assert.Equal(t, 5*time.Second, s.RevocationLimit.Std())
 	cases := []struct{ desc, from, to, field string }{
 		{"no name", `"name":"e"`, `"name":""`, "name"},
 		{"address without port", `"10.0.0.1:1"`, `"10.0.0.1"`, "caller_address"},
@@ -36,6 +37,7 @@
 		{"grace", `"6s"`, `"6"`, "grace"},
 		{"ratio", `"ratio":0.2`, `"ratio":2`, "retries"},
 		{"floor", `"floor_share":0.7`, `"floor_share":7`, "floor_share"},
+		{"revocation limit below zero", `"5000ms"`, `"-1ms"`, "revocation_limit"},
 		{"the same key twice", `"name":"e"`, `"name":"e","name":"f"`, "name"},
 	}
 	for _, tc := range cases {
