--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -28,9 +28,12 @@
 	maxStartupWaiters = 512
 )
 
-// awaitRoutes waits for a view with routes if there is none yet.
+// awaitRoutes waits for a view with routes if there is none yet. If the routing
+// document has tenants, it waits for the proof that the view is recent, too.
 func (g *Gateway) awaitRoutes(r *http.Request) {
-	g.awaitView(r, func(v *fleetview.View) bool { return v.Routes != nil })
+	g.awaitView(r, func(v *fleetview.View) bool {
+		return v.Routes != nil && (len(v.Routes.Document.Tenants) == 0 || g.isConfirmed())
+	})
 }
 
 // awaitTargets waits for a view with a usable target of the service if there is none
