targetconn: validate heads, and the end of responses without length

Cause: readHead skipped status 000 like an interim response and accepted names with spaces. An end of file counted as the end of a response without length. A write that meets a reset takes the error of the socket, so that the read behind it returns an end of file; an orderly close or a reset after it, while the request was not received completely, looked the same.

Change: each head is validated in the read buffer before it is parsed. At the end of a response without length, the write of the body is ended; it must have written everything, the socket must have no error, its state must be CLOSE_WAIT and nothing may be unacknowledged. A connection whose read buffer grew beyond 16 KiB for a head is not kept.

--- a/internal/targetconn/conns.go
+++ b/internal/targetconn/conns.go
@@ -26,6 +26,10 @@
 	userTimeout      = 700 * time.Millisecond // for the acknowledgement of sent bytes
 	maxIdlePerTarget = 4                      // idle connections kept for each target
 	readBufferSize   = 4 << 10
+	// maxKeptBuffer is the size in bytes of the largest read buffer with which a
+	// connection is kept. Buffers of the largest heads on all idle connections
+	// would take most of the memory of an entry.
+	maxKeptBuffer = 16 << 10
 	// maxIdleLimit is how long a connection may be idle and still be reused,
 	// unless the target announces a shorter keep-alive timeout or resets
 	// lowered the limit.
--- a/internal/targetconn/response.go
+++ b/internal/targetconn/response.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 
+	"github.com/sequoialane/sequoialane/internal/httphead"
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
 )
@@ -84,11 +85,39 @@
 
 // Read implements io.Reader.
 func (b *restBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.Reader.Read(p)
 	b.err = err
 	return n, err
 }
 
+// endCheckedBody is a body that ends with its connection. It returns io.EOF only
+// if the response is complete.
+type endCheckedBody struct {
+	io.ReadCloser
+	conn    *conn
+	request bodyWrite
+}
+
+// Read implements io.Reader.
+func (b *endCheckedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if failed := b.conn.checkEnd(b.request); failed != nil {
+			return n, failed
+		}
+	}
+	return n, err
+}
+
+// endsWithConnection reports whether only the end of the connection delimits the
+// body of the response.
+func endsWithConnection(method string, raw *http.Response) bool {
+	return raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 && method != http.MethodHead
+}
+
 // outcome returns how reading the body ended.
 func (b *restBody) outcome() pool.OutcomeKind {
 	switch {
@@ -122,7 +151,7 @@
 
 // readResponse reads the response to the request. It skips late responses to
 // earlier requests.
-func (c *Client) readResponse(t Target, cn *conn, r Request) (*Response, responseHead, error) {
+func (c *Client) readResponse(t Target, cn *conn, r Request, written bodyWrite) (*Response, responseHead, error) {
 	headBytes := int64(maxHeadBytes)
 	for range maxSkippedResponses + 1 {
 		raw, err := cn.readHead(r.Method, &headBytes)
@@ -132,6 +161,9 @@
 		a := c.handleAdvice(t, raw)
 		id := raw.Header.Get(c.names.RequestID)
 		if id == r.ID {
+			if endsWithConnection(r.Method, raw) {
+				raw.Body = &endCheckedBody{ReadCloser: raw.Body, conn: cn, request: written}
+			}
 			response, err := c.readBody(cn, raw)
 			if err != nil {
 				return nil, responseHead{}, &invalidResponseError{err}
@@ -169,20 +201,49 @@
 		cn.limit.remaining = math.MaxInt64
 	}()
 	for range maxInterimResponses + 1 {
-		if _, err := cn.reader.Peek(1); err != nil {
-			return nil, err // no byte of a response arrived
+		if err := cn.validateHead(); err != nil {
+			return nil, err
 		}
 		raw, err := http.ReadResponse(cn.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, &invalidResponseError{err}
 		}
-		if raw.StatusCode >= http.StatusOK || raw.StatusCode == http.StatusSwitchingProtocols {
+		if raw.StatusCode >= http.StatusOK {
 			return raw, nil
 		}
 	}
 	return nil, &invalidResponseError{errInterimFlood}
 }
 
+// validateHead waits for the next head and validates it without consuming it. A
+// head that is longer than the read buffer enlarges that, up to the limit of the
+// connection.
+func (cn *conn) validateHead() error {
+	if _, err := cn.reader.Peek(1); err != nil {
+		return err // no byte of a response arrived
+	}
+	var head httphead.Parser
+	for parsed := 0; ; {
+		received, _ := cn.reader.Peek(cn.reader.Buffered())
+		if _, err := head.Parse(received[parsed:]); err != nil {
+			return &invalidResponseError{err}
+		}
+		if head.Done() {
+			return nil
+		}
+		parsed = len(received)
+		switch {
+		case parsed >= maxHeadBytes:
+			return &invalidResponseError{errHeadTooLarge}
+		case parsed == cn.reader.Size():
+			cn.reader = bufio.NewReaderSize(cn.reader, min(2*parsed, maxHeadBytes))
+		}
+		if _, err := cn.reader.Peek(parsed + 1); err != nil {
+			return &invalidResponseError{err}
+		}
+	}
+}
+
 // limitedReader reads from a connection and fails once remaining bytes were read.
 type limitedReader struct {
 	source    io.Reader
--- a/internal/targetconn/send.go
+++ b/internal/targetconn/send.go
@@ -108,12 +108,12 @@
 	if err != nil {
 		return Result{Outcome: pool.Reset, MayHaveRun: true, Err: fmt.Errorf("the request was not written completely: %w", err)}, 0, false
 	}
-	response, head, err := c.readResponse(t, cn, r)
+	response, head, err := c.readResponse(t, cn, r, written)
 	if err != nil {
 		return Result{Outcome: outcomeOfError(err), MayHaveRun: true, Err: err}, 0, false
 	}
 	raw := head.Response
-	reusable = !raw.Close && response.Rest == nil && cn.reader.Buffered() == 0 && written.done()
+	reusable = !raw.Close && response.Rest == nil && cn.reader.Buffered() == 0 && written.done() && cn.reader.Size() <= maxKeptBuffer
 	result = c.classify(response, head.advice)
 	result.Leaving = head.advice.Leaving
 	result.Load = parseLoad(raw.Header.Get(c.names.Load))
@@ -198,7 +198,10 @@
 
 // bodyWrite is a request body that is written while the response is awaited,
 // since a target may respond before it has read the complete body.
-type bodyWrite struct{ ended chan struct{} }
+type bodyWrite struct {
+	ended chan struct{} // closed when the write has returned; nil: it had before
+	err   *error        // of the write, once it has returned
+}
 
 // done reports whether the body was written completely.
 func (w bodyWrite) done() bool {
@@ -207,12 +210,21 @@
 	}
 	select {
 	case <-w.ended:
-		return true
+		return *w.err == nil
 	default:
 		return false
 	}
 }
 
+// wait returns the error of the write after it has returned.
+func (w bodyWrite) wait() error {
+	if w.ended == nil {
+		return nil
+	}
+	<-w.ended
+	return *w.err
+}
+
 // writeRequest writes the head and starts to write the body. A long body is
 // written in the background.
 func (cn *conn) writeRequest(head, body []byte) (bodyWrite, error) {
@@ -223,11 +235,10 @@
 	if _, err := cn.Conn.Write(head); err != nil {
 		return bodyWrite{}, err
 	}
-	w := bodyWrite{ended: make(chan struct{})}
+	w := bodyWrite{ended: make(chan struct{}), err: new(error)}
 	go func() {
-		if _, err := cn.Conn.Write(body); err == nil {
-			close(w.ended)
-		}
+		defer close(w.ended)
+		_, *w.err = cn.Conn.Write(body)
 	}()
 	return w, nil
 }
