upstreamclient: validate responses below the transport

Cause: the transport of net/http accepts malformed heads, and a status below 100 as a final response.

Change: the connection wrapper validates what the transport reads and follows the framing, so that every head on a kept connection is validated, also one that arrives together with the end of the previous response. The first byte of a malformed response is passed on, so that neither the transport nor sendWithReconnect sends the request again and hides the fault.

--- a/internal/upstreamclient/attempt.go
+++ b/internal/upstreamclient/attempt.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/sequoialane/sequoialane/internal/httphead"
 )
 
 // Errors of a write that was rejected before any byte was written.
@@ -74,15 +76,18 @@
 }
 
 // trackedConn is a connection to a target that reports its writes to the current
-// attempt.
+// attempt and validates the responses that the transport reads.
 type trackedConn struct {
 	net.Conn
 	openedAt      time.Time
 	now           func() time.Time
 	current       atomic.Pointer[attempt]
 	rejectsWrites atomic.Bool // rejects writes before any byte is written
+	responses     httphead.Validator
 }
 
+func (c *trackedConn) Read(p []byte) (int, error) { return c.responses.Read(c.Conn, p) }
+
 func (c *trackedConn) Write(p []byte) (int, error) {
 	if c.rejectsWrites.Load() {
 		return 0, errNotReusable
--- a/internal/upstreamclient/classify.go
+++ b/internal/upstreamclient/classify.go
@@ -16,7 +16,6 @@
 var (
 	ErrWrongID      = errors.New("upstreamclient: the answer carries another request id")
 	ErrUndefinedEnd = errors.New("upstreamclient: the answer has neither a length nor a final chunk")
-	errUpgrade      = errors.New("upstreamclient: the target switched protocols")
 )
 
 // classifyResponse returns the outcome kind of a complete response, and whether
--- a/internal/upstreamclient/client.go
+++ b/internal/upstreamclient/client.go
@@ -161,9 +161,6 @@
 }
 
 func (e *exchange) checkHeader(method string, resp *http.Response) error {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return errUpgrade
-	}
 	if err := checkID(e.target, resp.Header, e.opt.RequestID); err != nil {
 		return err
 	}
--- a/internal/upstreamclient/outgoing.go
+++ b/internal/upstreamclient/outgoing.go
@@ -33,7 +33,7 @@
 	if err := e.attachBody(out, r); err != nil {
 		return nil, err
 	}
-	return out.WithContext(httptrace.WithClientTrace(ctx, e.clientTrace())), nil
+	return out.WithContext(httptrace.WithClientTrace(ctx, e.clientTrace(r.Method))), nil
 }
 
 func (e *exchange) attachBody(out, r *http.Request) error {
--- a/internal/upstreamclient/transport.go
+++ b/internal/upstreamclient/transport.go
@@ -96,7 +96,7 @@
 // transport chose, before the first write. They make a pooled connection that must
 // not be reused reject writes. The transport then takes another connection,
 // because nothing was written.
-func (e *exchange) clientTrace() *httptrace.ClientTrace {
+func (e *exchange) clientTrace(method string) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn, ok := info.Conn.(*trackedConn)
@@ -109,6 +109,7 @@
 				conn.rejectsWrites.Store(true)
 				return
 			}
+			conn.responses.Begin(method)
 			if !e.windowDeadline.IsZero() {
 				if e.restoreTimeout != nil {
 					e.restoreTimeout() // of a connection that the transport gave up
