entry: probes reject malformed responses

Cause: a probe counted any response with a status below 500 as a success, also status 000 and malformed heads.

Change: the connection of a probe validates the response.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/httphead"
 	"github.com/sequoialane/sequoialane/internal/membership"
 	"github.com/sequoialane/sequoialane/internal/owner"
 	"github.com/sequoialane/sequoialane/internal/tcpalive"
@@ -55,11 +56,20 @@
 	defer cancel()
 	started := time.Now()
 	dialer := &net.Dialer{Timeout: timeout, Control: tcpalive.Control(userTimeout)}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	r, err := newProbe(ctx, address, path)
 	if err != nil {
 		return owner.Outcome{Kind: owner.Canceled}
 	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &probeConn{Conn: conn}
+		c.responses.Begin(r.Method)
+		return c, nil
+	}
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	r.Header.Set(headerRequestID, newID())
 	response, err := transport.RoundTrip(r)
 	if err != nil {
@@ -76,6 +86,15 @@
 	return outcome
 }
 
+// probeConn is a connection for one probe. It validates the response.
+type probeConn struct {
+	net.Conn
+	responses httphead.Validator
+}
+
+// Read implements net.Conn.
+func (c *probeConn) Read(p []byte) (int, error) { return c.responses.Read(c.Conn, p) }
+
 // newProbe returns the request of a probe. Without a path it is OPTIONS *, which
 // addresses the server as a whole and has no effect on the service.
 func newProbe(ctx context.Context, address, path string) (*http.Request, error) {
