gateway: test that malformed responses are answered with 502

Cause: nothing showed what the caller gets after a malformed response, nor that a request that may run once is not sent again.

--- a/internal/gateway/unread_test.go
+++ b/internal/gateway/unread_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/httphead/headtest"
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/sys"
@@ -148,3 +150,23 @@
 	}
 	require.Eventually(t, func() bool { return memory.Used() == 0 }, time.Second, 5*time.Millisecond)
 }
+
+// Guards against a malformed response that reaches the caller, that does not count
+// against its target, or after which a request that may run once is sent again.
+func TestMalformedResponses(t *testing.T) {
+	for _, tc := range headtest.Malformed {
+		o := &oneTarget{address: startRawTarget(t, func(c net.Conn) { _, _ = io.WriteString(c, tc.Response) })}
+		server := startRealSender(t, o, membudget.New(4<<20))
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/once/1", strings.NewReader("x"))
+		require.NoError(t, err)
+		r.Host = "h"
+		r.Header.Set("X-Id", "id-1")
+		r.Header.Set("X-Left", "2000")
+		response, err := server.Client().Do(r)
+		require.NoError(t, err, tc.Desc)
+		_ = response.Body.Close()
+		assert.Equal(t, http.StatusBadGateway, response.StatusCode, tc.Desc)
+		require.Eventually(t, func() bool { return len(o.reported()) == 1 }, time.Second, time.Millisecond, tc.Desc)
+		assert.Equal(t, pool.InvalidResponse, o.reported()[0], tc.Desc)
+	}
+}
