Quotas: limits of tenants over all entries, first version

Tenants of the routing document may have a rate, which nothing enforced. Package quota keeps a token bucket for each tenant in each region, at one entry; owners obtain credit from it and consume one unit for each request before the pool grants a target. Rejections reach the caller as 429 with Retry-After. Credit that may still be used takes up room in its bucket, so the bound of a window does not depend on how long credit is kept.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -17,6 +17,7 @@
 	"github.com/sequoialane/sequoialane/internal/grants"
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
@@ -60,6 +61,7 @@
 	clock     sys.Clock
 	follower  *fleetview.Follower
 	broker    *grants.Broker
+	quota     *quota.Limiter
 	gateway   *gateway.Gateway
 	client    *targetconn.Client
 	advice    *targetadvice.Table
@@ -103,13 +105,18 @@
 		OnChange: func(v *fleetview.View) {
 			p.locations.Update(v.Locations())
 			broker.ViewChanged(v)
+			p.quota.ViewChanged(v)
 			p.closeStaleConnections(v)
 			p.advice.Retain(v.Targets)
 		},
 	})
+	p.quota = quota.New(quota.Options{
+		Self: self, Settings: s.quotaSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
+		Fresh: p.follower.Fresh, Peers: peers, Now: sinceStart(clock), Log: log,
+	})
 	broker = grants.New(grants.Options{
 		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
-		Advice: p.advice, Peers: peers, Clock: clock, Log: log,
+		Advice: p.advice, Quota: p.quota, Peers: peers, Clock: clock, Log: log,
 	})
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
@@ -122,13 +129,21 @@
 		p.callers,
 		{name: "ready", http: &http.Server{Handler: h.Ready(p.Ready)}},
 		{name: "directory", http: &http.Server{Handler: h.Directory(directory)}},
-		{name: "peers", http: &http.Server{Handler: peerHandler(broker)}},
+		{name: "peers", http: &http.Server{Handler: peerHandler(broker, p.quota)}},
 	}
 	return p, p.listen([]string{s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress})
 }
 
-func peerHandler(broker *grants.Broker) http.Handler {
+// sinceStart returns a clock that begins now.
+func sinceStart(clock sys.Clock) func() time.Duration {
+	start := clock.Now()
+	return func() time.Duration { return clock.Now().Sub(start) }
+}
+
+func peerHandler(broker *grants.Broker, limiter *quota.Limiter) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(quota.ExchangePath, limiter.Handler())
+	mux.Handle(quota.ReleasePath, limiter.Handler())
 	mux.Handle("/fleet/v1/", broker.Handler())
 	mux.HandleFunc("GET /fleet/v1/pools", func(w http.ResponseWriter, _ *http.Request) { peerhttp.WriteJSON(w, broker.Status()) })
 	mux.Handle("GET /metrics", telemetry.MetricsHandler())
@@ -195,6 +210,7 @@
 	defer stopBackground()
 	go p.follower.Run(background)
 	go p.broker.Run(background)
+	go p.quota.Run(background)
 	p.log.Info("entry started", zap.String("callers", p.settings.CallerAddress), zap.String("peers", p.settings.PeerAddress))
 	select {
 	case err := <-failed:
@@ -212,6 +228,7 @@
 	started := p.clock.Now()
 	grace := float64(p.settings.Grace.Std())
 	close(p.draining)
+	p.quota.Drain()
 	p.follower.SetState(fleetstate.Leaving)
 	p.gateway.Drain()
 	p.log.Info("entry draining", zap.Int64("in_flight", p.gateway.InFlight()))
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -32,6 +33,7 @@
 	MemoryMB         int               `json:"memory_mb"`         // memory that the process may use
 	LinkMbps         float64           `json:"link_mbps"`         // bandwidth of this VM's link; 0: unknown
 	Retries          Retries           `json:"retries"`
+	Quota            Quota             `json:"quota"`
 	FloorShare       float64           `json:"floor_share"` // least share of the healthy targets of a service that get requests
 
 	Telemetry telemetry.Settings `json:"telemetry"`
@@ -45,6 +47,15 @@
 	Window settings.Duration `json:"window"`
 }
 
+// Quota states by how much the requests of a tenant may exceed its limit in any
+// window of the given length: by the share Overshoot and by Slack requests. Without a
+// window, limits are enforced without a stated deviation.
+type Quota struct {
+	Window    settings.Duration `json:"window"`
+	Overshoot float64           `json:"overshoot"`
+	Slack     float64           `json:"slack"` // requests
+}
+
 // Bounds of the settings and values derived from them.
 const (
 	minGrace  = time.Second
@@ -111,6 +122,10 @@
 		report("retries", s.Retries, "want a ratio from 0 to 1 and a slack of 0 or more")
 	}
 	settings.RequireDurationRange(report, "retries.window", s.Retries.Window, time.Second, time.Hour)
+	settings.RequireDurationRange(report, "quota.window", s.Quota.Window, 0, time.Hour)
+	if s.Quota.Overshoot < 0 || s.Quota.Overshoot > 1 || s.Quota.Slack < 0 {
+		report("quota", s.Quota, "want an overshoot from 0 to 1 and a slack of 0 or more")
+	}
 	if s.FloorShare < 0 || s.FloorShare > 1 {
 		report("floor_share", s.FloorShare, "want a number from 0 to 1")
 	}
@@ -132,6 +147,10 @@
 	}
 }
 
+func (s *Settings) quotaSettings() quota.Settings {
+	return quota.Settings{Window: s.Quota.Window.Std(), Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack}
+}
+
 // lowBandwidth reports whether the link is so slow that uploads would delay
 // other requests.
 func (s *Settings) lowBandwidth() bool { return s.LinkMbps > 0 && s.LinkMbps < lowBandwidthMbps }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -10,6 +10,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/grants"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -31,6 +32,7 @@
 	// Retry-After values of rejected requests.
 	retryAfterBusy     = 250 * time.Millisecond
 	retryAfterNoTarget = 500 * time.Millisecond
+	minRetryAfter      = 10 * time.Millisecond // shorter ones are written as 0
 )
 
 // result is what the caller gets: either the response of a target or an error.
@@ -198,7 +200,7 @@
 	return pool.Request{
 		ID: e.req.id, Route: route.Name, Retryable: route.Kind.IsIdempotent() && e.countedAttempts+e.inFlight+1 < route.MaxAttempts, Priority: route.Priority,
 		Bytes: len(e.req.outgoing.Body), Objective: max(e.req.started.Add(route.Objective).Sub(now), 0),
-		TimeLeft: e.req.deadline.Sub(now), DataCentre: e.g.options.DataCentre, Tried: e.tried, IsRetry: e.countedAttempts+e.inFlight > 0,
+		TimeLeft: e.req.deadline.Sub(now), DataCentre: e.g.options.DataCentre, Tried: e.tried, IsRetry: e.countedAttempts+e.inFlight > 0, Charged: e.grants > 0,
 	}
 }
 
@@ -369,7 +371,10 @@
 // acquireError translates an error of Broker.Acquire.
 func acquireError(err error) *fault.Error {
 	var postponed *grants.PostponedError
+	var exceeded *quota.ExceededError
 	switch {
+	case errors.As(err, &exceeded):
+		return fault.New(fault.RateLimited, "the tenant exceeds its limit").WithRetryAfter(max(exceeded.RetryAfter, minRetryAfter))
 	case errors.As(err, &postponed):
 		return fault.New(fault.Overloaded, err.Error()).WithRetryAfter(postponed.RetryAfter)
 	case errors.Is(err, pool.ErrNoTarget):
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/quota"
 )
 
 // Paths of the calls between entries.
@@ -26,7 +27,36 @@
 // AcquireResponse holds the grant, or the reason why the request was rejected.
 type AcquireResponse struct {
 	Grant     pool.Grant `json:"grant" cbor:"1,keyasint"`
-	Rejection string     `json:"refused,omitempty" cbor:"2,keyasint,omitempty"` // a key of rejections; empty: granted
+	Rejection string     `json:"refused,omitempty" cbor:"2,keyasint,omitempty"` // a key of rejections, or rejectionQuota; empty: granted
+	// RetryAfter is set with rejectionQuota.
+	RetryAfter time.Duration `json:"retry_after,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// rejectionQuota is the rejection of a request whose tenant exceeds its limit.
+const rejectionQuota = "quota"
+
+// rejected returns the response for a request that got no grant because of err.
+func rejected(err error) AcquireResponse {
+	var exceeded *quota.ExceededError
+	if errors.As(err, &exceeded) {
+		return AcquireResponse{Rejection: rejectionQuota, RetryAfter: exceeded.RetryAfter}
+	}
+	return AcquireResponse{Rejection: rejectionOf(err)}
+}
+
+// rejection returns the error of a rejected request, or nil. A rejection that is not
+// known, as of a later release, counts as busy.
+func (r AcquireResponse) rejection() error {
+	switch {
+	case r.Rejection == "":
+		return nil
+	case r.Rejection == rejectionQuota:
+		return &quota.ExceededError{RetryAfter: r.RetryAfter}
+	case rejections[r.Rejection] == nil:
+		return pool.ErrBusy
+	default:
+		return rejections[r.Rejection]
+	}
 }
 
 // ReleaseRequest ends a grant and reports its outcome.
@@ -79,10 +109,9 @@
 		call.Respond(AcquireResponse{Rejection: rejectionOf(pool.ErrNoTarget)})
 		return
 	}
-	request.Request.SlackShare = b.slackShare(request.Group)
-	g, err := b.pool(request.Group).Acquire(r.Context(), request.Request, min(request.MaxWait, maxOwnerWait))
+	g, err := b.acquireHere(r.Context(), request.Group, request.Request, min(request.MaxWait, maxOwnerWait))
 	if err != nil {
-		call.Respond(AcquireResponse{Rejection: rejectionOf(err)})
+		call.Respond(rejected(err))
 		return
 	}
 	if r.Context().Err() != nil {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -19,6 +19,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/traffic"
@@ -55,6 +56,7 @@
 	LowBandwidth bool              // links have little bandwidth, so owners carry no requests of callers
 	View         func() *fleetview.View
 	Advice       *targetadvice.Table // what targets have asked of this entry; may be nil
+	Quota        *quota.Limiter      // nil: tenants have no limits
 	Peers        *peerhttp.Client
 	Clock        sys.Clock
 	Log          *zap.Logger
@@ -190,7 +192,7 @@
 
 // Acquire waits for a grant for at most maxWait. It returns ErrCanceled if ctx
 // ends first, a *PostponedError at once if no target wants a request now, and
-// otherwise the errors of pool.Acquire.
+// otherwise the errors of pool.Acquire, or a *quota.ExceededError.
 func (b *Broker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*Lease, error) {
 	deadline := b.options.Clock.Now().Add(maxWait)
 	r.Sender = pool.Sender{Entry: b.options.Self.Name, Incarnation: b.options.Self.Incarnation}
@@ -246,12 +248,12 @@
 }
 
 func isRejection(err error) bool {
-	return lo.SomeBy(lo.Values(rejections), func(rejection error) bool { return errors.Is(err, rejection) })
+	var exceeded *quota.ExceededError
+	return errors.As(err, &exceeded) || lo.SomeBy(lo.Values(rejections), func(rejection error) bool { return errors.Is(err, rejection) })
 }
 
 func (b *Broker) acquireLocal(ctx context.Context, group Group, r pool.Request, wait time.Duration, counter *metrics.Counter) (*Lease, error) {
-	r.SlackShare = b.slackShare(group)
-	g, err := b.pool(group).Acquire(ctx, r, wait)
+	g, err := b.acquireHere(ctx, group, r, wait)
 	if err != nil {
 		return nil, err
 	}
@@ -271,8 +273,8 @@
 		return nil, err
 	}
 	b.remoteDuration.Update(b.options.Clock.Now().Sub(started).Seconds())
-	if response.Rejection != "" {
-		return nil, rejections[response.Rejection]
+	if err := response.rejection(); err != nil {
+		return nil, err
 	}
 	b.remote.Inc()
 	return NewLease(response.Grant, owner.Name, func(o pool.Outcome) { b.releaseRemote(owner, group, r, response.Grant, o) }), nil
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -37,12 +37,13 @@
 	TimeLeft   time.Duration `json:"time_left" cbor:"7,keyasint"`   // until the deadline of the final response
 	DataCentre string        `json:"data_centre" cbor:"8,keyasint"` // of the sending entry
 	Sender     Sender        `json:"sender" cbor:"9,keyasint"`
-	Tried      []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`  // ids of targets of earlier attempts
-	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"` // the wait is about to end: accept any target with capacity
-	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`  // ids of targets that want no request of the sender now
-	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
-	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
-	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"` // empty: the request carries no key
+	Tried      []string      `json:"tried,omitempty" cbor:"10,keyasint,omitempty"`   // ids of targets of earlier attempts
+	AcceptAny  bool          `json:"settle,omitempty" cbor:"11,keyasint,omitempty"`  // the wait is about to end: accept any target with capacity
+	Avoid      []string      `json:"avoid,omitempty" cbor:"13,keyasint,omitempty"`   // ids of targets that want no request of the sender now
+	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`  // an earlier attempt was sent, so the retry budget applies
+	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`    // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
+	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"`  // empty: the request carries no key
+	Charged    bool          `json:"charged,omitempty" cbor:"16,keyasint,omitempty"` // an earlier grant of the request has used credit of its tenant
 	// SlackShare is the share of the retry slack that the request may draw on; 0: all
 	// of it. It is not sent to other processes.
 	SlackShare float64 `json:"-" cbor:"-"`
--- /dev/null
+++ b/internal/quota/calls.go
@@ -0,0 +1,373 @@
+package quota
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/traffic"
+)
+
+const (
+	exchangeTimeout = 150 * time.Millisecond // within a region
+	remoteTimeout   = 250 * time.Millisecond // to another region
+	releaseTimeout  = 300 * time.Millisecond
+	// unusableTime is how long the holder of a region is not asked after it did not
+	// respond or did not hold.
+	unusableTime = 500 * time.Millisecond
+	// transferInterval is the time between two requests for tokens of other regions.
+	transferInterval = 50 * time.Millisecond
+
+	logLinesPerSecond = 1
+	maxLogLines       = 20
+)
+
+// Handler returns the handler for calls of other entries.
+func (l *Limiter) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+ExchangePath, l.serveExchange)
+	mux.HandleFunc("POST "+ReleasePath, l.serveRelease)
+	return mux
+}
+
+func (l *Limiter) serveExchange(w http.ResponseWriter, r *http.Request) {
+	var request ExchangeRequest
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
+		return
+	}
+	needs, err := decodeNeeds(request.Needs)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	grants, holding := l.exchangeHere(request, needs)
+	call.Respond(ExchangeResponse{Holding: holding, Grants: encodeGrants(grants)})
+}
+
+// exchangeHere applies a message to the ledger of this entry. It reports false if this
+// entry does not hold the shard.
+func (l *Limiter) exchangeHere(r ExchangeRequest, needs []Need) ([]Grant, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, ledger := l.ledger(r.Shard, r.Shards)
+	if ledger == nil {
+		return nil, false
+	}
+	now := l.options.Now()
+	grants := ledger.Exchange(now, l.index, r, needs)
+	l.startTransfer(h, now)
+	return grants, true
+}
+
+func (l *Limiter) serveRelease(w http.ResponseWriter, r *http.Request) {
+	var request ReleaseRequest
+	call, ok := peerhttp.Decode(w, r, &request)
+	if !ok {
+		return
+	}
+	call.Respond(ReleaseResponse{Released: l.release(request)})
+}
+
+// release ceases to hold a shard for an entry that takes over. It returns false if
+// this entry holds it by a newer view.
+func (l *Limiter) release(r ReleaseRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.index == nil {
+		return true
+	}
+	l.look(l.options.Now())
+	v := l.options.View()
+	if r.Shards != l.index.shards {
+		if r.Index < v.Index {
+			return len(l.holdings) == 0
+		}
+		l.dropHoldings("another entry takes over with another number of shards", func(*holding) bool { return true })
+		for shard := range l.index.shards {
+			l.yielded[shard] = max(l.yielded[shard], r.Index)
+		}
+		return true
+	}
+	if l.holdings[r.Shard] != nil && r.Index < v.Index {
+		return false
+	}
+	l.dropHoldings("another entry takes over", func(h *holding) bool { return h.shard == r.Shard })
+	if r.Shard >= 0 && r.Shard < l.index.shards {
+		l.yielded[r.Shard] = max(l.yielded[r.Shard], r.Index)
+	}
+	return true
+}
+
+// takeOver makes this entry the holder once all entries that may have been it before
+// have confirmed that they do not grant, have ended, or must have stopped.
+func (l *Limiter) takeOver(ctx context.Context, h *holding, former []fleetstate.Entry) {
+	var asking sync.WaitGroup
+	for _, e := range former {
+		asking.Go(func() { l.awaitRelease(ctx, h, e) })
+	}
+	asking.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.look(l.options.Now())
+	if l.holdings[h.shard] != h || ctx.Err() != nil {
+		return
+	}
+	now := l.options.Now()
+	h.ledger = NewLedger(h.shard, now)
+	l.options.Log.Info("quota shard held", zap.Int("shard", h.shard), zap.Int("shards", h.shards), zap.Duration("took", now-h.since), zap.Int("asked", len(former)))
+}
+
+// awaitRelease returns once the entry does not grant as holder of the shard, or this
+// entry does not want to hold it any more.
+func (l *Limiter) awaitRelease(ctx context.Context, h *holding, e fleetstate.Entry) {
+	for ctx.Err() == nil && l.wants(h) {
+		var response ReleaseResponse
+		err := l.askRelease(ctx, h, e, &response)
+		switch {
+		case err == nil && response.Released, errors.Is(err, syscall.ECONNREFUSED):
+			return // a refused connection shows that the process has ended
+		case isUnknownCall(err):
+			return // an entry of a release without quotas
+		case err != nil && l.options.Now()-h.since >= takeoverWait:
+			l.options.Log.Warn("former holder of quota shard did not respond and counts as stopped", zap.Int("shard", h.shard), zap.String("entry", e.Name), zap.Error(err))
+			return
+		}
+		sleep(ctx, tickInterval)
+	}
+}
+
+func isUnknownCall(err error) bool {
+	var responded *peerhttp.StatusError
+	return errors.As(err, &responded) && responded.Code == http.StatusNotFound
+}
+
+func (l *Limiter) askRelease(ctx context.Context, h *holding, e fleetstate.Entry, response *ReleaseResponse) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	request := ReleaseRequest{Shard: h.shard, Shards: h.shards, Index: l.options.View().Index}
+	return l.options.Peers.Post(ctx, traffic.Quota, e.PeerAddress, ReleasePath, request, response)
+}
+
+// wants reports whether the holding is still one of this entry.
+func (l *Limiter) wants(h *holding) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holdings[h.shard] == h
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// runShard sends the messages of this entry as an owner.
+func (l *Limiter) runShard(ctx context.Context, n int, s *ownedShard) {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		due, any := s.credit.Due()
+		wait := due - l.options.Now()
+		l.mu.Unlock()
+		if !any {
+			wait = time.Hour
+		}
+		if wait > 0 {
+			timer := time.NewTimer(wait)
+			select {
+			case <-ctx.Done():
+			case <-s.wake:
+			case <-timer.C:
+			}
+			timer.Stop()
+			continue
+		}
+		l.exchange(ctx, n, s)
+	}
+}
+
+// exchange sends a message to the holder of the own region, or to that of another
+// region if that one does not grant.
+func (l *Limiter) exchange(ctx context.Context, n int, s *ownedShard) {
+	l.mu.Lock()
+	now := l.options.Now()
+	needs := s.credit.Needs(now, l.index)
+	request := ExchangeRequest{Shard: n, Shards: l.index.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Needs: encodeNeeds(needs)}
+	usable := l.usableRegions(now)
+	l.mu.Unlock()
+	if len(needs) == 0 {
+		l.finish(s, now, nil, nil, true)
+		return
+	}
+	for _, region := range usable {
+		sent := l.options.Now()
+		grants, err := l.send(ctx, region, request, needs)
+		if err == nil {
+			l.finish(s, sent, needs, grants, true)
+			return
+		}
+		l.markUnusable(region, err)
+	}
+	l.finish(s, now, nil, nil, false)
+}
+
+// finish ends a message of this entry as an owner.
+func (l *Limiter) finish(s *ownedShard, sent time.Duration, needs []Need, grants []Grant, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		s.credit.Apply(l.options.Now(), sent, needs, grants)
+		return
+	}
+	s.credit.Failed(l.options.Now())
+}
+
+// usableRegions returns the regions whose holder may be asked, the own one first. The
+// caller holds mu.
+func (l *Limiter) usableRegions(now time.Duration) []string {
+	var usable []string
+	for _, r := range l.regions {
+		if now >= l.unusable[r] {
+			usable = append(usable, r)
+		}
+	}
+	return usable
+}
+
+func (l *Limiter) markUnusable(region string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures.Inc()
+	l.unusable[region] = l.options.Now() + unusableTime
+	l.options.Log.Debug("quota holder of a region did not grant", zap.String("region", region), zap.Error(err))
+}
+
+var (
+	errNoHolder   = errors.New("quota: the region has no holder")
+	errNotHolding = errors.New("quota: the entry does not hold the shard")
+)
+
+// send sends a message to the holder of a region, and returns what it grants.
+func (l *Limiter) send(ctx context.Context, region string, r ExchangeRequest, needs []Need) ([]Grant, error) {
+	holders := ranked(l.options.View(), l.options.LowBandwidth, r.Shard, r.Shards, region)
+	if len(holders) == 0 {
+		return nil, errNoHolder
+	}
+	r.Sequence = l.sequence.Add(1)
+	if holders[0].Name == l.options.Self.Name {
+		grants, holding := l.exchangeHere(r, needs)
+		if !holding {
+			return nil, errNotHolding
+		}
+		return grants, nil
+	}
+	timeout := exchangeTimeout
+	if region != l.options.Self.Region {
+		timeout = remoteTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l.exchanges.Inc()
+	var response ExchangeResponse
+	if err := l.options.Peers.Post(ctx, traffic.Quota, holders[0].PeerAddress, ExchangePath, r, &response); err != nil {
+		return nil, err
+	}
+	if !response.Holding {
+		return nil, errNotHolding
+	}
+	return decodeGrants(response.Grants)
+}
+
+// startTransfer asks other regions for tokens in the background if buckets run low.
+// The caller holds mu.
+func (l *Limiter) startTransfer(h *holding, now time.Duration) {
+	if h.transferring || now < h.nextTransfer || len(l.regions) < 2 || l.ctx == nil {
+		return
+	}
+	needs := h.ledger.TransferNeeds(now)
+	if len(needs) == 0 {
+		return
+	}
+	h.transferring = true
+	go l.transfer(l.ctx, h, needs)
+}
+
+// transfer asks the other regions for tokens, one after the other until the needs are
+// met, beginning with the one that met them last.
+func (l *Limiter) transfer(ctx context.Context, h *holding, needs []Need) {
+	others := l.regions[1:]
+	first, sum := h.region, 0
+	for i := range others {
+		at := (first + i) % len(others)
+		grants, asked := l.askTransfer(ctx, others[at], h, needs)
+		l.mu.Lock()
+		sum += h.ledger.AddTransfers(l.options.Now(), asked, grants)
+		h.region = at
+		l.mu.Unlock()
+		needs = remainingNeeds(needs, grants)
+		if len(needs) == 0 {
+			break
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.moved.Add(sum)
+	h.transferring, h.nextTransfer = false, l.options.Now()+transferInterval
+}
+
+func (l *Limiter) askTransfer(ctx context.Context, region string, h *holding, needs []Need) ([]Grant, time.Duration) {
+	asked := l.options.Now()
+	request := ExchangeRequest{Shard: h.shard, Shards: h.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Transfer: true, Needs: encodeNeeds(needs)}
+	grants, err := l.send(ctx, region, request, needs)
+	if err != nil {
+		l.failures.Inc()
+		l.options.Log.Debug("quota holder of another region gave no tokens", zap.String("region", region), zap.Error(err))
+	}
+	return grants, asked
+}
+
+// remainingNeeds returns the needs that the grants do not meet.
+func remainingNeeds(needs []Need, grants []Grant) []Need {
+	granted := map[uint32]int{}
+	for _, g := range grants {
+		granted[g.ID] += g.Granted
+	}
+	var remaining []Need
+	for _, n := range needs {
+		if n.Wanted -= granted[n.ID]; n.Wanted > 0 {
+			remaining = append(remaining, n)
+		}
+	}
+	return remaining
+}
+
+// logChanges logs tenants that begin or cease to exceed their limit in this region, a
+// limited number of them. The caller holds mu.
+func (l *Limiter) logChanges(now time.Duration) {
+	l.logLines.refill(now, 0)
+	for _, h := range l.holdings {
+		if h.ledger == nil {
+			continue
+		}
+		for _, c := range h.ledger.Changes(now) {
+			if c.Exceeded {
+				l.limits.Inc()
+			}
+			e := l.index.byID[c.ID]
+			if e == nil || l.logLines.Take(1) == 0 {
+				continue
+			}
+			l.options.Log.Info("tenant began or ceased to exceed its limit", zap.String("tenant", e.Name), zap.Bool("exceeded", c.Exceeded), zap.Float64("rate_in_region", e.Limit.Rate))
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,281 @@
+package quota
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandTime is the time constant of the mean demand.
+	demandTime = 2 * time.Second
+	// reserveTime is how long the demand of the own region is covered by tokens that
+	// are not given to other regions, and how long the demand is covered by tokens
+	// that are asked of other regions.
+	reserveTime = 300 * time.Millisecond
+	// emptyTransferInterval is the time between two requests for tokens of other
+	// regions for a tenant if the first one brought none.
+	emptyTransferInterval = 250 * time.Millisecond
+	// idleTime is how long a full bucket is kept without a request.
+	idleTime = time.Minute
+	// advanceFloor is the share of its capacity that a bucket keeps for requests that
+	// wait. Credit in advance is given from the rest only, since what one owner holds
+	// in advance is missing to the others.
+	advanceFloor = 0.25
+	// unservedTime is how long a request without credit counts as waiting before
+	// others.
+	unservedTime = 200 * time.Millisecond
+	// exceededTime is how long a tenant counts as over its limit after a request that
+	// got no credit.
+	exceededTime = 5 * time.Second
+)
+
+// Ledger holds the buckets of the tenants of one shard in one region. It is created
+// when this entry becomes the holder, and discarded when it no longer is. It is not
+// safe for concurrent use.
+type Ledger struct {
+	shard   int
+	since   time.Duration // when this entry became the holder
+	tenants map[uint32]*account
+	senders map[string]*sender
+	swept   time.Duration
+}
+
+// account is the state of a tenant.
+type account struct {
+	bucket   Bucket
+	outside  map[string]claim // credit that may still be used, by sender
+	demand   demand           // tokens that this region has asked for, per second
+	unserved int              // requests that got no credit since the last transfer was asked for
+	noAsk    time.Duration    // no transfer is asked for before
+	lacking  time.Duration    // when a request last got no credit; 0: never
+	exceeded bool             // a change to this state was reported
+}
+
+// claim is credit of a sender.
+type claim struct {
+	tokens int
+	until  time.Duration // after that the sender does not use it any more
+}
+
+// sender is what is known of an entry that sends messages.
+type sender struct {
+	incarnation, sequence uint64
+	seen                  time.Duration
+}
+
+// demand is an exponentially weighted mean of a rate.
+type demand struct {
+	perSecond float64
+	updated   time.Duration
+}
+
+func (d *demand) add(n float64, now time.Duration) {
+	d.perSecond = d.at(now) + n/demandTime.Seconds()
+	d.updated = now
+}
+
+func (d *demand) at(now time.Duration) float64 {
+	return d.perSecond * math.Exp(-max(now-d.updated, 0).Seconds()/demandTime.Seconds())
+}
+
+// NewLedger returns the ledger of a holder that takes over now.
+func NewLedger(shard int, now time.Duration) *Ledger {
+	return &Ledger{shard: shard, since: now, swept: now, tenants: map[uint32]*account{}, senders: map[string]*sender{}}
+}
+
+// Exchange applies the message of a sender and returns what it gets. A message that
+// was overtaken by a later one of the same sender has no effect.
+func (l *Ledger) Exchange(now time.Duration, x *Index, r ExchangeRequest, needs []Need) []Grant {
+	if !l.isNext(r, now) {
+		return nil
+	}
+	var grants []Grant
+	for _, n := range needs {
+		limit := x.limit(l.shard, n.ID)
+		if limit == nil {
+			continue
+		}
+		a := l.account(n.ID, *limit, now)
+		var g Grant
+		if r.Transfer {
+			g = a.transfer(senderName(r), n, now)
+		} else {
+			g = a.exchange(r.Sender, n, now)
+		}
+		if g.ID = n.ID; g.Granted > 0 || g.RetryAfter > 0 {
+			grants = append(grants, g)
+		}
+	}
+	l.sweep(now)
+	return grants
+}
+
+// senderName distinguishes the messages of an entry as an owner from those as a
+// holder, which are ordered separately.
+func senderName(r ExchangeRequest) string {
+	if r.Transfer {
+		return r.Sender + "/transfer"
+	}
+	return r.Sender
+}
+
+func (l *Ledger) isNext(r ExchangeRequest, now time.Duration) bool {
+	name := senderName(r)
+	s := l.senders[name]
+	if s != nil && (r.Incarnation < s.incarnation || r.Incarnation == s.incarnation && r.Sequence <= s.sequence) {
+		return false
+	}
+	l.senders[name] = &sender{incarnation: r.Incarnation, sequence: r.Sequence, seen: now}
+	return true
+}
+
+// account returns the state of a tenant. A bucket that was not needed so far has
+// the level that it would have if it had existed since the holder took over.
+func (l *Ledger) account(id uint32, limit Limit, now time.Duration) *account {
+	a := l.tenants[id]
+	if a == nil {
+		a = &account{bucket: NewBucket(limit.Rate, limit.Capacity, limit.Start+limit.Rate*(now-l.since).Seconds(), now), outside: map[string]claim{}}
+		l.tenants[id] = a
+	}
+	a.bucket.refill(now, a.outsideTokens(now))
+	if a.bucket.rate != limit.Rate || a.bucket.capacity != limit.Capacity {
+		a.bucket.SetLimit(limit.Rate, limit.Capacity, now)
+	}
+	return a
+}
+
+// outsideTokens returns the sum of the credit that may still be used, and forgets
+// what has expired.
+func (a *account) outsideTokens(now time.Duration) float64 {
+	sum := 0
+	for name, c := range a.outside {
+		if now >= c.until {
+			delete(a.outside, name)
+			continue
+		}
+		sum += c.tokens
+	}
+	return float64(sum)
+}
+
+// exchange gives credit to an owner. What it held before and does not state any more
+// was used or lost.
+func (a *account) exchange(owner string, n Need, now time.Duration) Grant {
+	before := a.outside[owner].tokens
+	held := min(n.Held, int(a.bucket.capacity)+1)
+	a.outside[owner] = claim{tokens: held, until: now + creditLifetime}
+	a.bucket.Give(min(n.Returned, max(before-held, 0)), a.outsideTokens(now))
+	a.demand.add(float64(max(before-held-n.Returned, 0)), now)
+
+	var g Grant
+	g.Granted = a.bucket.Take(min(n.Waiting, n.Wanted))
+	g.Granted += a.bucket.Take(min(n.Wanted-g.Granted, int(a.bucket.Level()-advanceFloor*a.bucket.capacity)))
+	a.outside[owner] = claim{tokens: held + g.Granted, until: now + creditLifetime}
+	if unserved := n.Waiting - g.Granted; unserved > 0 {
+		if now-a.lacking > unservedTime {
+			a.unserved = 0
+		}
+		a.demand.add(float64(unserved), now)
+		a.unserved += unserved
+		a.lacking = max(now, 1)
+		g.RetryAfter = max(a.bucket.Until(float64(min(a.unserved, maxQueued(a.bucket.rate))+1)), time.Millisecond)
+	}
+	return g
+}
+
+// maxQueued limits how many requests without credit count as waiting before another
+// one, for Retry-After: those of half a second.
+func maxQueued(rate float64) int { return int(rate / 2) }
+
+// transfer gives tokens to the holder of another region, as far as the own region
+// does not need them soon. They count as outside while they are on their way, and
+// belong to the bucket of the other region afterwards.
+func (a *account) transfer(holder string, n Need, now time.Duration) Grant {
+	spare := int(a.bucket.Level() - a.demand.at(now)*reserveTime.Seconds())
+	granted := a.bucket.Take(min(n.Wanted, max(spare, 0)))
+	if granted > 0 {
+		a.outside[holder] = claim{tokens: a.outside[holder].tokens + granted, until: now + transferLifetime}
+	}
+	return Grant{Granted: granted}
+}
+
+// TransferNeeds returns what this region needs of others: for tenants whose requests
+// got no credit, or whose bucket runs low since they need more than the region's rate.
+func (l *Ledger) TransferNeeds(now time.Duration) []Need {
+	var needs []Need
+	for id, a := range l.tenants {
+		if wanted := a.transferNeed(now); wanted > 0 {
+			needs = append(needs, Need{ID: id, Wanted: wanted, Waiting: a.unserved})
+			a.unserved, a.noAsk = 0, now+emptyTransferInterval
+		}
+	}
+	slices.SortFunc(needs, func(a, b Need) int { return int(int64(a.ID) - int64(b.ID)) })
+	return needs
+}
+
+func (a *account) transferNeed(now time.Duration) int {
+	outside := a.outsideTokens(now)
+	a.bucket.refill(now, outside)
+	demand := a.demand.at(now)
+	low := demand > a.bucket.rate && a.bucket.Level() < demand*reserveTime.Seconds()/2
+	if a.unserved == 0 && !low || now < a.noAsk {
+		return 0
+	}
+	wanted := math.Ceil(max(demand*reserveTime.Seconds(), float64(a.unserved)) - a.bucket.Level())
+	room := math.Floor(a.bucket.capacity - outside - a.bucket.Level())
+	return int(max(min(wanted, room), 0))
+}
+
+// AddTransfers adds tokens from another region to the buckets and returns how many.
+// asked is the time at which they were asked for.
+func (l *Ledger) AddTransfers(now, asked time.Duration, grants []Grant) int {
+	if now-asked >= transferLifetime {
+		return 0
+	}
+	sum := 0
+	for _, g := range grants {
+		if a := l.tenants[g.ID]; a != nil && g.Granted > 0 {
+			a.noAsk = 0
+			outside := a.outsideTokens(now)
+			a.bucket.refill(now, outside)
+			a.bucket.Give(g.Granted, outside)
+			sum += g.Granted
+		}
+	}
+	return sum
+}
+
+// sweep forgets tenants whose bucket is full and unused, and senders that were silent.
+func (l *Ledger) sweep(now time.Duration) {
+	if now-l.swept < idleTime {
+		return
+	}
+	l.swept = now
+	maps.DeleteFunc(l.tenants, func(_ uint32, a *account) bool {
+		a.bucket.refill(now, a.outsideTokens(now))
+		return !a.exceeded && len(a.outside) == 0 && now-a.demand.updated >= idleTime && a.bucket.Level() >= a.bucket.capacity-roundingError
+	})
+	maps.DeleteFunc(l.senders, func(_ string, s *sender) bool { return now-s.seen >= idleTime })
+}
+
+// Change is a tenant that began or ceased to exceed its limit.
+type Change struct {
+	ID       uint32
+	Exceeded bool
+}
+
+// Changes returns the tenants that began or ceased to exceed their limit since the
+// last call.
+func (l *Ledger) Changes(now time.Duration) []Change {
+	var changes []Change
+	for id, a := range l.tenants {
+		if exceeded := a.lacking > 0 && now-a.lacking < exceededTime; exceeded != a.exceeded {
+			a.exceeded = exceeded
+			changes = append(changes, Change{ID: id, Exceeded: exceeded})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return int(int64(a.ID) - int64(b.ID)) })
+	return changes
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -25,6 +25,7 @@
 	Grant     Cause = "grant"    // grants by the owners of groups
 	Release   Cause = "release"  // outcomes, reported to owners
 	Evidence  Cause = "evidence" // estimates, between owners
+	Quota     Cause = "quota"    // credit for the requests of tenants
 	Poll      Cause = "poll"     // the state, from control members to entries
 	Consensus Cause = "consensus"
 	Other     Cause = "other"
