Quotas: tokens move between regions; tests with several owners and holders

A region asks others for tokens for requests that wait, and fills its bucket when its demand exceeds its rate.

--- a/internal/quota/calls.go
+++ b/internal/quota/calls.go
@@ -16,14 +16,12 @@
 )
 
 const (
-	exchangeTimeout = 150 * time.Millisecond // within a region
-	remoteTimeout   = 250 * time.Millisecond // to another region
+	exchangeTimeout = 100 * time.Millisecond // within a region
+	remoteTimeout   = 200 * time.Millisecond // to another region
 	releaseTimeout  = 300 * time.Millisecond
 	// unusableTime is how long the holder of a region is not asked after it did not
 	// respond or did not hold.
 	unusableTime = 500 * time.Millisecond
-	// transferInterval is the time between two requests for tokens of other regions.
-	transferInterval = 50 * time.Millisecond
 
 	logLinesPerSecond = 1
 	maxLogLines       = 20
@@ -63,7 +61,7 @@
 	}
 	now := l.options.Now()
 	grants := ledger.Exchange(now, l.index, r, needs)
-	l.startTransfer(h, now)
+	l.startTransfers(h, now)
 	return grants, true
 }
 
@@ -288,46 +286,50 @@
 	return decodeGrants(response.Grants)
 }
 
-// startTransfer asks other regions for tokens in the background if buckets run low.
-// The caller holds mu.
-func (l *Limiter) startTransfer(h *holding, now time.Duration) {
-	if h.transferring || now < h.nextTransfer || len(l.regions) < 2 || l.ctx == nil {
+// startTransfers asks other regions for tokens in the background if requests lack
+// credit or buckets run low. The caller holds mu.
+func (l *Limiter) startTransfers(h *holding, now time.Duration) {
+	if len(l.regions) < 2 || l.ctx == nil {
 		return
 	}
-	needs := h.ledger.TransferNeeds(now)
-	if len(needs) == 0 {
-		return
+	for _, kind := range []Kind{UrgentTransfer, FillTransfer} {
+		t := h.transfers[kind]
+		if t.inFlight {
+			continue
+		}
+		if n := h.ledger.TransferNeeds(kind, now); len(n) > 0 {
+			t.inFlight = true
+			go l.transfer(l.ctx, h, kind, t, n)
+		}
 	}
-	h.transferring = true
-	go l.transfer(l.ctx, h, needs)
 }
 
-// transfer asks the other regions for tokens, one after the other until the needs are
-// met, beginning with the one that met them last.
-func (l *Limiter) transfer(ctx context.Context, h *holding, needs []Need) {
+// transfer asks the other regions for tokens, beginning with the one that last gave
+// some, and the next ones for what the first did not give.
+func (l *Limiter) transfer(ctx context.Context, h *holding, kind Kind, t *transfers, needs []Need) {
 	others := l.regions[1:]
-	first, sum := h.region, 0
-	for i := range others {
+	first, sum := t.region, 0
+	for i := 0; i < len(others) && len(needs) > 0; i++ {
 		at := (first + i) % len(others)
-		grants, asked := l.askTransfer(ctx, others[at], h, needs)
+		grants, asked := l.askTransfer(ctx, others[at], h, kind, needs)
 		l.mu.Lock()
-		sum += h.ledger.AddTransfers(l.options.Now(), asked, grants)
-		h.region = at
+		added := h.ledger.AddTransfers(l.options.Now(), asked, grants)
 		l.mu.Unlock()
-		needs = remainingNeeds(needs, grants)
-		if len(needs) == 0 {
-			break
+		if added > 0 {
+			t.region = at
 		}
+		sum += added
+		needs = remainingNeeds(needs, grants)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.moved.Add(sum)
-	h.transferring, h.nextTransfer = false, l.options.Now()+transferInterval
+	t.inFlight = false
 }
 
-func (l *Limiter) askTransfer(ctx context.Context, region string, h *holding, needs []Need) ([]Grant, time.Duration) {
+func (l *Limiter) askTransfer(ctx context.Context, region string, h *holding, kind Kind, needs []Need) ([]Grant, time.Duration) {
 	asked := l.options.Now()
-	request := ExchangeRequest{Shard: h.shard, Shards: h.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Transfer: true, Needs: encodeNeeds(needs)}
+	request := ExchangeRequest{Shard: h.shard, Shards: h.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Kind: kind, Needs: encodeNeeds(needs)}
 	grants, err := l.send(ctx, region, request, needs)
 	if err != nil {
 		l.failures.Inc()
@@ -336,7 +338,8 @@
 	return grants, asked
 }
 
-// remainingNeeds returns the needs that the grants do not meet.
+// remainingNeeds returns the needs that the grants do not meet: those of requests that
+// wait still, and those of buckets that got less than half of what they need.
 func remainingNeeds(needs []Need, grants []Grant) []Need {
 	granted := map[uint32]int{}
 	for _, g := range grants {
@@ -344,7 +347,10 @@
 	}
 	var remaining []Need
 	for _, n := range needs {
-		if n.Wanted -= granted[n.ID]; n.Wanted > 0 {
+		g := granted[n.ID]
+		n.Wanted -= g
+		if n.Waiting > g || g < n.Wanted {
+			n.Waiting = max(n.Waiting-g, 0)
 			remaining = append(remaining, n)
 		}
 	}
--- a/internal/quota/credit.go
+++ b/internal/quota/credit.go
@@ -16,7 +16,7 @@
 	coalesceTime = 10 * time.Millisecond
 	minInterval  = 50 * time.Millisecond
 	// scarceInterval is the same while the bucket of the tenant is empty.
-	scarceInterval = 100 * time.Millisecond
+	scarceInterval = 70 * time.Millisecond
 	// minDemand is the demand per second below which no credit is obtained in advance.
 	minDemand = 0.05
 )
--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -30,23 +30,24 @@
 	messages, bytes   map[bool]int // between regions or not
 	sequence          uint64
 	waited            int
+	salt              int // of the irregular times of requests
 }
 
 type fakeHolder struct {
-	region   int
-	ledger   *Ledger // nil: none
-	frozen   bool
-	transfer time.Duration // next
-	asking   bool
-	first    int
+	region    int
+	ledger    *Ledger // nil: none
+	frozen    bool
+	transfers map[Kind]*transfers
 }
 
 type fakeOwner struct {
-	name    string
-	region  int
-	cut     bool
-	credit  *Credit
-	waiting []fakeWaiter
+	name     string
+	region   int
+	cut      bool                  // off from all holders
+	unusable map[int]time.Duration // regions whose holder is not asked, until when
+	credit   *Credit
+	used     int // requests let through
+	waiting  []fakeWaiter
 }
 
 type fakeWaiter struct {
@@ -70,9 +71,9 @@
 	}
 	f.setLimits(tenants...)
 	for r := range fakeRegions {
-		f.holders = append(f.holders, &fakeHolder{region: r, ledger: NewLedger(0, 0), first: (r + 1) % fakeRegions})
+		f.holders = append(f.holders, &fakeHolder{region: r, ledger: NewLedger(0, -idleTime), transfers: newHolding(0, 1, 0).transfers})
 		for n := range ownersPerRegion {
-			f.owners = append(f.owners, &fakeOwner{name: fmt.Sprint("o", r, n), region: r, credit: NewCredit()})
+			f.owners = append(f.owners, &fakeOwner{name: fmt.Sprint("o", r, n), region: r, credit: NewCredit(), unusable: map[int]time.Duration{}})
 		}
 	}
 	return f
@@ -109,7 +110,7 @@
 			o.waiting = slices.DeleteFunc(o.waiting, func(w fakeWaiter) bool { return f.settle(o, w) })
 		}
 		for _, h := range f.holders {
-			f.startTransfer(h)
+			f.startTransfers(h)
 		}
 	}
 }
@@ -122,24 +123,26 @@
 		return
 	}
 	order := slices.Concat([]int{o.region}, lo.Without([]int{0, 1, 2}, o.region))
-	f.send(o, order, needs)
+	f.send(o, lo.Filter(order, func(r, _ int) bool { return f.now >= o.unusable[r] }), needs)
 }
 
 // send sends the message to the first of the regions, and to the next if there is no
 // response.
 func (f *fake) send(o *fakeOwner, order []int, needs []Need) {
+	if len(order) == 0 {
+		o.credit.Failed(f.now)
+		return
+	}
 	sent, h := f.now, f.holders[order[0]]
-	r := f.message(o.name, false)
+	r := f.message(o.name, OwnerExchange)
 	f.count(o.region != h.region, needs)
 	d := delay(o.region, h.region)
 	f.after(d, func() {
 		if h.ledger == nil || h.frozen || o.cut {
-			f.after(150*time.Millisecond, func() {
-				if len(order) > 1 {
-					f.send(o, order[1:], needs)
-				} else {
-					o.credit.Failed(f.now)
-				}
+			timeout := lo.Ternary(h.frozen || o.cut, exchangeTimeout, d)
+			f.after(timeout, func() {
+				o.unusable[h.region] = f.now + unusableTime
+				f.send(o, order[1:], needs)
 			})
 			return
 		}
@@ -149,9 +152,9 @@
 	})
 }
 
-func (f *fake) message(sender string, transfer bool) ExchangeRequest {
+func (f *fake) message(sender string, kind Kind) ExchangeRequest {
 	f.sequence++
-	return ExchangeRequest{Sender: sender, Sequence: f.sequence, Transfer: transfer}
+	return ExchangeRequest{Sender: sender, Sequence: f.sequence, Kind: kind}
 }
 
 func (f *fake) count(betweenRegions bool, needs []Need) {
@@ -159,26 +162,27 @@
 	f.bytes[betweenRegions] += len(encodeNeeds(needs))
 }
 
-func (f *fake) startTransfer(h *fakeHolder) {
-	if h.ledger == nil || h.frozen || h.asking || f.now < h.transfer {
+func (f *fake) startTransfers(h *fakeHolder) {
+	if h.ledger == nil || h.frozen {
 		return
 	}
-	if needs := h.ledger.TransferNeeds(f.now); len(needs) > 0 {
-		h.asking = true
-		f.transfer(h, h.ledger, needs, 0)
+	for _, kind := range []Kind{UrgentTransfer, FillTransfer} {
+		if h.transfers[kind].inFlight {
+			continue
+		}
+		if n := h.ledger.TransferNeeds(kind, f.now); len(n) > 0 {
+			h.transfers[kind].inFlight = true
+			f.transfer(h, h.ledger, kind, n, h.transfers[kind].region, 0)
+		}
 	}
 }
 
-func (f *fake) transfer(h *fakeHolder, l *Ledger, needs []Need, asked int) {
-	if asked == 2 || len(needs) == 0 {
-		h.asking = false
-		h.transfer = f.now + transferInterval
+func (f *fake) transfer(h *fakeHolder, l *Ledger, kind Kind, needs []Need, at, asked int) {
+	if asked == fakeRegions-1 || len(needs) == 0 {
+		h.transfers[kind].inFlight = false
 		return
 	}
-	if asked > 0 || h.first == h.region {
-		h.first = lo.Without([]int{0, 1, 2}, h.region, h.first)[0]
-	}
-	other, sent, r := f.holders[h.first], f.now, f.message(fmt.Sprint("h", h.region), true)
+	other, sent, r := f.holders[lo.Without([]int{0, 1, 2}, h.region)[at]], f.now, f.message(fmt.Sprint("h", h.region), kind)
 	f.count(true, needs)
 	f.after(delay(0, 1), func() {
 		var grants []Grant
@@ -187,8 +191,10 @@
 		}
 		f.bytes[true] += len(encodeGrants(grants))
 		f.after(delay(0, 1), func() {
-			l.AddTransfers(f.now, sent, grants)
-			f.transfer(h, l, remainingNeeds(needs, grants), asked+1)
+			if l.AddTransfers(f.now, sent, grants) > 0 {
+				h.transfers[kind].region = at
+			}
+			f.transfer(h, l, kind, remainingNeeds(needs, grants), 1-at, asked+1)
 		})
 	})
 }
@@ -215,6 +221,7 @@
 func (f *fake) use(o *fakeOwner, tenant string, key *permitKey) {
 	if o.credit.Use(key, f.now) {
 		f.admitted[tenant] = append(f.admitted[tenant], f.now)
+		o.used++
 	} else {
 		f.refused[tenant] = append(f.refused[tenant], f.now)
 	}
@@ -246,7 +253,7 @@
 	}
 	var times []time.Duration
 	for n, t := 0, from; ; n++ {
-		hash := xxhash.Sum64String(fmt.Sprint(tenant, from, "/", n))
+		hash := xxhash.Sum64String(fmt.Sprint(f.salt, tenant, from, "/", n))
 		t += time.Duration(-math.Log((float64(hash>>40)+1)/(1<<24+1)) / rate * float64(time.Second))
 		if t >= to {
 			return times
--- a/internal/quota/holding.go
+++ b/internal/quota/holding.go
@@ -72,7 +72,15 @@
 	since         time.Duration // when this entry first ranked first
 	ledger        *Ledger       // nil until former holders have stopped
 
-	transferring bool
-	nextTransfer time.Duration
-	region       int // of the other regions, the one that is asked for tokens first
+	transfers map[Kind]*transfers
+}
+
+// transfers is the state of the messages of a kind to the holders of other regions.
+type transfers struct {
+	inFlight bool
+	region   int // of the other regions, the one that is asked first
+}
+
+func newHolding(shard, shards int, now time.Duration) *holding {
+	return &holding{shard: shard, shards: shards, since: now, transfers: map[Kind]*transfers{UrgentTransfer: {}, FillTransfer: {}}}
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -12,17 +14,25 @@
 	demandTime = 2 * time.Second
 	// reserveTime is how long the demand of the own region is covered by tokens that
 	// are not given to other regions, and how long the demand is covered by tokens
-	// that are asked of other regions.
+	// that are asked of other regions for requests without credit.
 	reserveTime = 300 * time.Millisecond
 	// emptyTransferInterval is the time between two requests for tokens of other
-	// regions for a tenant if the first one brought none.
+	// regions for a tenant if the first one brought none: one for requests that got no
+	// credit. emptyFillInterval is the same for a bucket that is low, and fillInterval
+	// the time between two messages for such buckets alone.
 	emptyTransferInterval = 250 * time.Millisecond
+	emptyFillInterval     = 2 * time.Second
+	fillInterval          = 500 * time.Millisecond
 	// idleTime is how long a full bucket is kept without a request.
 	idleTime = time.Minute
 	// advanceFloor is the share of its capacity that a bucket keeps for requests that
 	// wait. Credit in advance is given from the rest only, since what one owner holds
 	// in advance is missing to the others.
 	advanceFloor = 0.25
+	// lowShare is the share of its capacity below which a bucket is filled from those
+	// of other regions, if the region needs more than its rate. A bucket that is full
+	// gains nothing, so demand from one region would find less than the tenant's burst.
+	lowShare = 0.5
 	// unservedTime is how long a request without credit counts as waiting before
 	// others.
 	unservedTime = 200 * time.Millisecond
@@ -40,6 +50,8 @@
 	tenants map[uint32]*account
 	senders map[string]*sender
 	swept   time.Duration
+	filled  time.Duration       // when fillNeeds last looked
+	lacking map[uint32]*account // accounts with requests that got no credit
 }
 
 // account is the state of a tenant.
@@ -48,7 +60,8 @@
 	outside  map[string]claim // credit that may still be used, by sender
 	demand   demand           // tokens that this region has asked for, per second
 	unserved int              // requests that got no credit since the last transfer was asked for
-	noAsk    time.Duration    // no transfer is asked for before
+	noAsk    time.Duration    // no transfer for requests without credit is asked for before
+	noFill   time.Duration    // no other transfer is asked for before
 	lacking  time.Duration    // when a request last got no credit; 0: never
 	exceeded bool             // a change to this state was reported
 }
@@ -82,7 +95,7 @@
 
 // NewLedger returns the ledger of a holder that takes over now.
 func NewLedger(shard int, now time.Duration) *Ledger {
-	return &Ledger{shard: shard, since: now, swept: now, tenants: map[uint32]*account{}, senders: map[string]*sender{}}
+	return &Ledger{shard: shard, since: now, swept: now, tenants: map[uint32]*account{}, lacking: map[uint32]*account{}, senders: map[string]*sender{}}
 }
 
 // Exchange applies the message of a sender and returns what it gets. A message that
@@ -99,10 +112,13 @@
 		}
 		a := l.account(n.ID, *limit, now)
 		var g Grant
-		if r.Transfer {
+		if r.Kind != OwnerExchange {
 			g = a.transfer(senderName(r), n, now)
 		} else {
 			g = a.exchange(r.Sender, n, now)
+			if g.RetryAfter > 0 {
+				l.lacking[n.ID] = a
+			}
 		}
 		if g.ID = n.ID; g.Granted > 0 || g.RetryAfter > 0 {
 			grants = append(grants, g)
@@ -112,13 +128,13 @@
 	return grants
 }
 
-// senderName distinguishes the messages of an entry as an owner from those as a
-// holder, which are ordered separately.
+// senderName distinguishes the messages of an entry by their kind, since each kind is
+// ordered separately.
 func senderName(r ExchangeRequest) string {
-	if r.Transfer {
-		return r.Sender + "/transfer"
+	if r.Kind == OwnerExchange {
+		return r.Sender
 	}
-	return r.Sender
+	return fmt.Sprint(r.Sender, "/", r.Kind)
 }
 
 func (l *Ledger) isNext(r ExchangeRequest, now time.Duration) bool {
@@ -191,43 +207,86 @@
 
 // transfer gives tokens to the holder of another region, as far as the own region
 // does not need them soon. They count as outside while they are on their way, and
-// belong to the bucket of the other region afterwards.
+// belong to the bucket of the other region afterwards. That holder asks again only once
+// it has added, or given up, what it was given before.
 func (a *account) transfer(holder string, n Need, now time.Duration) Grant {
-	spare := int(a.bucket.Level() - a.demand.at(now)*reserveTime.Seconds())
+	delete(a.outside, holder)
+	reserve := a.demand.at(now) * reserveTime.Seconds()
+	if n.Waiting == 0 { // to fill a bucket
+		reserve = max(reserve, lowShare*a.bucket.capacity)
+	}
+	spare := int(a.bucket.Level() - reserve)
 	granted := a.bucket.Take(min(n.Wanted, max(spare, 0)))
 	if granted > 0 {
-		a.outside[holder] = claim{tokens: a.outside[holder].tokens + granted, until: now + transferLifetime}
+		a.outside[holder] = claim{tokens: granted, until: now + transferLifetime}
 	}
 	return Grant{Granted: granted}
 }
 
-// TransferNeeds returns what this region needs of others: for tenants whose requests
-// got no credit, or whose bucket runs low since they need more than the region's rate.
-func (l *Ledger) TransferNeeds(now time.Duration) []Need {
+// TransferNeeds returns what this region needs of others, for messages of the kind.
+func (l *Ledger) TransferNeeds(kind Kind, now time.Duration) []Need {
+	if kind == UrgentTransfer {
+		return l.urgentNeeds(now)
+	}
+	return l.fillNeeds(now)
+}
+
+// urgentNeeds returns the needs of requests that got no credit.
+func (l *Ledger) urgentNeeds(now time.Duration) []Need {
 	var needs []Need
-	for id, a := range l.tenants {
-		if wanted := a.transferNeed(now); wanted > 0 {
+	for id, a := range l.lacking {
+		if now < a.noAsk {
+			continue
+		}
+		delete(l.lacking, id)
+		if now-a.lacking > unservedTime {
+			continue
+		}
+		wanted := min(a.room(now), a.unserved+int(math.Ceil(a.demand.at(now)*reserveTime.Seconds())))
+		if wanted > 0 {
 			needs = append(needs, Need{ID: id, Wanted: wanted, Waiting: a.unserved})
 			a.unserved, a.noAsk = 0, now+emptyTransferInterval
 		}
 	}
-	slices.SortFunc(needs, func(a, b Need) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.SortFunc(needs, byID)
 	return needs
 }
 
-func (a *account) transferNeed(now time.Duration) int {
+// fillNeeds returns the needs of buckets that are low because the demand exceeds the
+// region's rate.
+func (l *Ledger) fillNeeds(now time.Duration) []Need {
+	if now-l.filled < fillInterval {
+		return nil
+	}
+	l.filled = now
+	var needs []Need
+	for id, a := range l.tenants {
+		if now >= a.noFill && a.isLow(now) {
+			needs = append(needs, Need{ID: id, Wanted: a.room(now)})
+			a.noFill = now + emptyFillInterval
+		}
+	}
+	slices.SortFunc(needs, byID)
+	return needs
+}
+
+// isLow reports whether the bucket is to be filled. A demand that only seems to exceed
+// the rate because of its irregularity does not count.
+func (a *account) isLow(now time.Duration) bool {
+	a.bucket.refill(now, a.outsideTokens(now))
+	share, demand := a.bucket.Level()/a.bucket.capacity, a.demand.at(now)
+	return share < lowShare && demand > a.bucket.rate+math.Sqrt(a.bucket.rate)/2 || share < lowShare/2 && demand > a.bucket.rate/2
+}
+
+// room returns how many tokens the bucket can take.
+func (a *account) room(now time.Duration) int {
 	outside := a.outsideTokens(now)
 	a.bucket.refill(now, outside)
-	demand := a.demand.at(now)
-	low := demand > a.bucket.rate && a.bucket.Level() < demand*reserveTime.Seconds()/2
-	if a.unserved == 0 && !low || now < a.noAsk {
-		return 0
-	}
-	wanted := math.Ceil(max(demand*reserveTime.Seconds(), float64(a.unserved)) - a.bucket.Level())
-	room := math.Floor(a.bucket.capacity - outside - a.bucket.Level())
-	return int(max(min(wanted, room), 0))
+	return int(max(a.bucket.capacity-outside-a.bucket.Level(), 0))
 }
 
+func byID(a, b Need) int { return cmp.Compare(a.ID, b.ID) }
+
 // AddTransfers adds tokens from another region to the buckets and returns how many.
 // asked is the time at which they were asked for.
 func (l *Ledger) AddTransfers(now, asked time.Duration, grants []Grant) int {
@@ -237,7 +296,7 @@
 	sum := 0
 	for _, g := range grants {
 		if a := l.tenants[g.ID]; a != nil && g.Granted > 0 {
-			a.noAsk = 0
+			a.noAsk, a.noFill = 0, 0
 			outside := a.outsideTokens(now)
 			a.bucket.refill(now, outside)
 			a.bucket.Give(g.Granted, outside)
@@ -276,6 +335,6 @@
 			changes = append(changes, Change{ID: id, Exceeded: exceeded})
 		}
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return int(int64(a.ID) - int64(b.ID)) })
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.ID, b.ID) })
 	return changes
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -299,7 +299,7 @@
 	if frozen {
 		l.dropHoldings("the process was paused", func(*holding) bool { return true })
 	}
-	if l.index == nil || len(l.index.byName) == 0 || l.draining || !l.options.Fresh() {
+	if l.index == nil || len(l.index.byID) == 0 || l.draining || !l.options.Fresh() {
 		l.dropHoldings("draining, or no contact with control", func(*holding) bool { return true })
 		return
 	}
@@ -307,7 +307,7 @@
 	l.dropHoldings("another entry ranks first", func(h *holding) bool { return !l.ranksFirst(v, h.shard) })
 	for shard := range l.index.shards {
 		if l.holdings[shard] == nil && v.Index >= l.yielded[shard] && l.ranksFirst(v, shard) {
-			h := &holding{shard: shard, shards: l.index.shards, since: now}
+			h := newHolding(shard, l.index.shards, now)
 			l.holdings[shard] = h
 			if l.ctx != nil {
 				go l.takeOver(l.ctx, h, formerHolders(v, l.options.LowBandwidth, shard, h.shards, l.options.Self, l.lostFor))
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -30,15 +30,16 @@
 	// holder of it. The holder counts it for as long after it was told.
 	creditLifetime = time.Second
 	// transferLifetime is how long tokens may be on their way between two regions.
-	transferLifetime = 300 * time.Millisecond
+	transferLifetime = 200 * time.Millisecond
 	// transitTime is the time from the use of credit to the arrival of the request at
 	// its target.
 	transitTime = 50 * time.Millisecond
-	// startShare is the share of the slack that is set aside for the levels at which
-	// new holders start, so that a tenant with little demand is served at once after
-	// a restart of all entries. A tenth of the slack remains for requests of a sender
-	// that was paused between the use of credit and the sending.
+	// startShare is the share of the allowed deviation that is set aside for the levels
+	// at which new holders start, so that a tenant is served at once after a restart of
+	// all entries. The rest makes the buckets larger.
 	startShare = 0.4
+	// pauseShare is the share of the slack that is left for requests of a sender that
+	// was paused between the use of credit and the sending.
 	pauseShare = 0.1
 
 	maxRetryAfter = 30 * time.Second
@@ -74,16 +75,16 @@
 	if w <= 0 {
 		return Limit{Rate: t.Rate * share, Capacity: max(t.Burst*share, 1)}
 	}
-	start, pauses := startShare*s.Slack, pauseShare*s.Slack
-	allowed := (t.Rate*w+t.Burst)*(1+s.Overshoot) + s.Slack - start - pauses
-	rate := min(t.Rate, allowed/(w+transitTime.Seconds()))
-	capacity := allowed - rate*(w+transitTime.Seconds())
+	allowed := (t.Rate*w+t.Burst)*(1+s.Overshoot) + (1-pauseShare)*s.Slack
+	w += transitTime.Seconds()
+	rate := min(t.Rate, allowed/w)
+	start := startShare * max(allowed-rate*w-t.Burst, 0)
+	capacity := allowed - rate*w - start
 	return Limit{Rate: rate * share, Capacity: max(capacity*share, 1), Start: start * share}
 }
 
 // Index holds the limited tenants of a routing document.
 type Index struct {
-	byName map[string]*Entry
 	byID   map[uint32]*Entry
 	shards int
 }
@@ -98,36 +99,46 @@
 
 // NewIndex indexes the tenants with a rate.
 func NewIndex(tenants []routing.Tenant, s Settings, regions int) *Index {
-	x := &Index{byName: map[string]*Entry{}, byID: map[uint32]*Entry{}, shards: 1}
+	x := &Index{byID: map[uint32]*Entry{}, shards: 1}
 	for i := range tenants {
 		t := &tenants[i]
 		if t.Rate <= 0 {
 			continue
 		}
-		e := &Entry{Name: t.Name, ID: x.freeID(t.Name), Limit: s.regionLimit(t, regions)}
-		x.byName[t.Name], x.byID[e.ID] = e, e
+		e := &Entry{Name: t.Name, Limit: s.regionLimit(t, regions)}
+		for n := 0; ; n++ {
+			if e.ID = idOf(t.Name, n); x.byID[e.ID] == nil {
+				break
+			}
+		}
+		x.byID[e.ID] = e
 	}
-	for x.shards < maxShards && x.shards*tenantsPerShard < len(x.byName) {
+	for x.shards < maxShards && x.shards*tenantsPerShard < len(x.byID) {
 		x.shards *= 2
 	}
-	for _, e := range x.byName {
+	for _, e := range x.byID {
 		e.Shard = int(xxhash.Sum64String(e.Name) >> 32 % uint64(x.shards))
 	}
 	return x
 }
 
-// freeID returns the hash of the name, or of the name with a suffix if another
-// tenant has that.
-func (x *Index) freeID(name string) uint32 {
-	id := uint32(xxhash.Sum64String(name))
-	for n := 1; x.byID[id] != nil; n++ {
-		id = uint32(xxhash.Sum64String(fmt.Sprint(name, "#", n)))
+// idOf returns the id of a tenant if n tenants before it had the ids that it would
+// have had: a hash of the name.
+func idOf(name string, n int) uint32 {
+	if n > 0 {
+		name = fmt.Sprint(name, "#", n)
 	}
-	return id
+	return uint32(xxhash.Sum64String(name))
 }
 
 // Tenant returns the limited tenant with the name, or nil.
-func (x *Index) Tenant(name string) *Entry { return x.byName[name] }
+func (x *Index) Tenant(name string) *Entry {
+	for n := 0; ; n++ {
+		if e := x.byID[idOf(name, n)]; e == nil || e.Name == name {
+			return e
+		}
+	}
+}
 
 // limit returns the limit of a tenant of the shard, or nil.
 func (x *Index) limit(shard int, id uint32) *Limit {
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -12,6 +12,17 @@
 	ReleasePath  = "/fleet/v1/quota/releases"
 )
 
+// Kind is the kind of an exchange. One message of each kind is in flight at a time
+// from a sender to a holder.
+type Kind int
+
+// The kinds of exchanges.
+const (
+	OwnerExchange  Kind = iota // of an owner of groups
+	UrgentTransfer             // of the holder of another region, for requests that wait
+	FillTransfer               // of the holder of another region, for a bucket that is low
+)
+
 // ExchangeRequest tells a holder what credit an owner has and how much it needs, or
 // asks the holder of another region for tokens.
 type ExchangeRequest struct {
@@ -19,9 +30,9 @@
 	Shards      int    `json:"shards" cbor:"2,keyasint"`
 	Sender      string `json:"sender" cbor:"3,keyasint"` // name of the entry
 	Incarnation uint64 `json:"incarnation" cbor:"4,keyasint"`
-	Sequence    uint64 `json:"sequence" cbor:"5,keyasint"`                     // increases with each message of the incarnation
-	Transfer    bool   `json:"transfer,omitempty" cbor:"6,keyasint,omitempty"` // the sender is the holder of another region
-	Needs       []byte `json:"needs" cbor:"7,keyasint"`                        // encoded by encodeNeeds
+	Sequence    uint64 `json:"sequence" cbor:"5,keyasint"` // increases with each message of the incarnation
+	Kind        Kind   `json:"kind,omitempty" cbor:"6,keyasint,omitempty"`
+	Needs       []byte `json:"needs" cbor:"7,keyasint"` // encoded by encodeNeeds
 }
 
 // ExchangeResponse holds the credit.
