Quotas: a planned change of holder keeps the levels of the buckets

A new holder started each bucket at its start level, so a rolling restart cost tenants part of their burst. The former holder now hands its levels over when it releases a shard. Credit is awaited for at least 100 ms: a request with little time left was rejected as over the limit before the holder was asked.

--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -35,6 +35,8 @@
 		{"no seeds", `["10.0.0.2:5"]`, `[]`, "seeds"},
 		{"grace", `"6s"`, `"6"`, "grace"},
 		{"ratio", `"ratio":0.2`, `"ratio":2`, "retries"},
+		{"quota", `"floor_share"`, `"quota":{"window":"5s","overshoot":-0.1,"slack":20},"floor_share"`, "quota"},
+		{"quota window", `"floor_share"`, `"quota":{"window":"5","overshoot":0.1,"slack":20},"floor_share"`, "quota.window"},
 		{"floor", `"floor_share":0.7`, `"floor_share":7`, "floor_share"},
 		{"the same key twice", `"name":"e"`, `"name":"e","name":"f"`, "name"},
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/sequoialane/sequoialane/internal/grants"
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetadvice"
@@ -370,3 +371,14 @@
 	assert.Equal(t, http.StatusOK, w.Code)
 	assert.Equal(t, []string{"t2"}, f.sent)
 }
+
+// Guards against a rejection over a tenant's limit that does not say when to retry, or
+// that leaves open whether the request ran.
+func TestTenantOverItsLimit(t *testing.T) {
+	f := &fakeFleet{acquireErr: &quota.ExceededError{RetryAfter: 1250 * time.Millisecond}}
+	g := newGateway(f)
+	w := call(t, g, http.MethodPost, "/once/x", "")
+	assert.Equal(t, http.StatusTooManyRequests, w.Code)
+	assert.Equal(t, "1.25", w.Header().Get("Retry-After"))
+	assert.Contains(t, w.Body.String(), `"not-run"`)
+}
--- a/internal/grants/credit.go
+++ b/internal/grants/credit.go
@@ -8,15 +8,20 @@
 	"github.com/sequoialane/sequoialane/internal/quota"
 )
 
-// minPoolWait is how long a request waits for a target if it has already spent its
-// time on waiting for credit.
-const minPoolWait = 5 * time.Millisecond
+const (
+	// minCreditWait is how long a request waits for credit at least. With less, it
+	// would be rejected as over the limit although the holder was not asked.
+	minCreditWait = 100 * time.Millisecond
+	// minPoolWait is how long a request waits for a target if it has already spent its
+	// time on waiting for credit.
+	minPoolWait = 5 * time.Millisecond
+)
 
 // acquireHere acquires a grant from this entry's pool. The request uses credit of its
 // tenant, once for all its attempts; credit is not used if it gets no grant.
 func (b *Broker) acquireHere(ctx context.Context, group Group, r pool.Request, wait time.Duration) (pool.Grant, error) {
 	started := b.options.Clock.Now()
-	permit, err := b.takeCredit(ctx, r, wait)
+	permit, err := b.takeCredit(ctx, r, max(wait, minCreditWait))
 	if err != nil {
 		return pool.Grant{}, err
 	}
--- a/internal/quota/calls.go
+++ b/internal/quota/calls.go
@@ -71,45 +71,52 @@
 	if !ok {
 		return
 	}
-	call.Respond(ReleaseResponse{Released: l.release(request)})
+	call.Respond(l.release(request))
 }
 
 // release ceases to hold a shard for an entry that takes over. It returns false if
 // this entry holds it by a newer view.
-func (l *Limiter) release(r ReleaseRequest) bool {
+func (l *Limiter) release(r ReleaseRequest) ReleaseResponse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.index == nil {
-		return true
+		return ReleaseResponse{Released: true}
 	}
 	l.look(l.options.Now())
 	v := l.options.View()
 	if r.Shards != l.index.shards {
 		if r.Index < v.Index {
-			return len(l.holdings) == 0
+			return ReleaseResponse{Released: len(l.holdings) == 0}
 		}
 		l.dropHoldings("another entry takes over with another number of shards", func(*holding) bool { return true })
 		for shard := range l.index.shards {
 			l.yielded[shard] = max(l.yielded[shard], r.Index)
 		}
-		return true
+		return ReleaseResponse{Released: true}
 	}
-	if l.holdings[r.Shard] != nil && r.Index < v.Index {
-		return false
+	h := l.holdings[r.Shard]
+	if h != nil && r.Index < v.Index {
+		return ReleaseResponse{}
+	}
+	response := ReleaseResponse{Released: true}
+	if h != nil && h.ledger != nil {
+		now := l.options.Now()
+		response.Held, response.Levels = now-h.ledger.since, encodeLevels(h.ledger.Levels(now))
 	}
 	l.dropHoldings("another entry takes over", func(h *holding) bool { return h.shard == r.Shard })
 	if r.Shard >= 0 && r.Shard < l.index.shards {
 		l.yielded[r.Shard] = max(l.yielded[r.Shard], r.Index)
 	}
-	return true
+	return response
 }
 
 // takeOver makes this entry the holder once all entries that may have been it before
 // have confirmed that they do not grant, have ended, or must have stopped.
 func (l *Limiter) takeOver(ctx context.Context, h *holding, former []fleetstate.Entry) {
 	var asking sync.WaitGroup
-	for _, e := range former {
-		asking.Go(func() { l.awaitRelease(ctx, h, e) })
+	responses := make([]ReleaseResponse, len(former))
+	for i, e := range former {
+		asking.Go(func() { responses[i] = l.awaitRelease(ctx, h, e) })
 	}
 	asking.Wait()
 	l.mu.Lock()
@@ -120,26 +127,32 @@
 	}
 	now := l.options.Now()
 	h.ledger = NewLedger(h.shard, now)
+	for _, r := range responses {
+		if levels, err := decodeLevels(r.Levels); r.Held > 0 && err == nil {
+			h.ledger.Continue(r.Held, levels)
+		}
+	}
 	l.options.Log.Info("quota shard held", zap.Int("shard", h.shard), zap.Int("shards", h.shards), zap.Duration("took", now-h.since), zap.Int("asked", len(former)))
 }
 
 // awaitRelease returns once the entry does not grant as holder of the shard, or this
-// entry does not want to hold it any more.
-func (l *Limiter) awaitRelease(ctx context.Context, h *holding, e fleetstate.Entry) {
+// entry does not want to hold it any more. It returns the response of the entry.
+func (l *Limiter) awaitRelease(ctx context.Context, h *holding, e fleetstate.Entry) ReleaseResponse {
 	for ctx.Err() == nil && l.wants(h) {
 		var response ReleaseResponse
 		err := l.askRelease(ctx, h, e, &response)
 		switch {
-		case err == nil && response.Released, errors.Is(err, syscall.ECONNREFUSED):
-			return // a refused connection shows that the process has ended
-		case isUnknownCall(err):
-			return // an entry of a release without quotas
+		case err == nil && response.Released:
+			return response
+		case errors.Is(err, syscall.ECONNREFUSED), isUnknownCall(err):
+			return ReleaseResponse{} // the process has ended, or is of a release without quotas
 		case err != nil && l.options.Now()-h.since >= takeoverWait:
 			l.options.Log.Warn("former holder of quota shard did not respond and counts as stopped", zap.Int("shard", h.shard), zap.String("entry", e.Name), zap.Error(err))
-			return
+			return ReleaseResponse{}
 		}
 		sleep(ctx, tickInterval)
 	}
+	return ReleaseResponse{}
 }
 
 func isUnknownCall(err error) bool {
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -46,9 +46,11 @@
 // safe for concurrent use.
 type Ledger struct {
 	shard   int
-	since   time.Duration // when this entry became the holder
+	since   time.Duration // when this entry, or former ones that handed their levels over, became the holder
+	began   time.Duration // when this entry became the holder
 	tenants map[uint32]*account
 	senders map[string]*sender
+	handed  map[uint32]int // levels that the former holder has stated, of tenants without an account here
 	swept   time.Duration
 	filled  time.Duration       // when fillNeeds last looked
 	lacking map[uint32]*account // accounts with requests that got no credit
@@ -95,7 +97,26 @@
 
 // NewLedger returns the ledger of a holder that takes over now.
 func NewLedger(shard int, now time.Duration) *Ledger {
-	return &Ledger{shard: shard, since: now, swept: now, tenants: map[uint32]*account{}, lacking: map[uint32]*account{}, senders: map[string]*sender{}}
+	return &Ledger{shard: shard, since: now, began: now, swept: now, tenants: map[uint32]*account{}, lacking: map[uint32]*account{}, senders: map[string]*sender{}}
+}
+
+// Continue makes the ledger continue that of a former holder, which held the shard for
+// some time and stated the levels of its buckets.
+func (l *Ledger) Continue(held time.Duration, levels map[uint32]int) {
+	l.since, l.handed = l.began-held, levels
+}
+
+// Levels returns the levels of the buckets.
+func (l *Ledger) Levels(now time.Duration) map[uint32]int {
+	levels := make(map[uint32]int, len(l.tenants)+len(l.handed))
+	for id, level := range l.handed {
+		levels[id] = level
+	}
+	for id, a := range l.tenants {
+		a.bucket.refill(now, a.outsideTokens(now))
+		levels[id] = int(a.bucket.Level())
+	}
+	return levels
 }
 
 // Exchange applies the message of a sender and returns what it gets. A message that
@@ -152,7 +173,12 @@
 func (l *Ledger) account(id uint32, limit Limit, now time.Duration) *account {
 	a := l.tenants[id]
 	if a == nil {
-		a = &account{bucket: NewBucket(limit.Rate, limit.Capacity, limit.Start+limit.Rate*(now-l.since).Seconds(), now), outside: map[string]claim{}}
+		level := limit.Start + limit.Rate*(now-l.since).Seconds()
+		if handed, ok := l.handed[id]; ok {
+			level = float64(handed) + limit.Rate*(now-l.began).Seconds()
+			delete(l.handed, id)
+		}
+		a = &account{bucket: NewBucket(limit.Rate, limit.Capacity, level, now), outside: map[string]claim{}}
 		l.tenants[id] = a
 	}
 	a.bucket.refill(now, a.outsideTokens(now))
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -110,6 +110,16 @@
 	require.Eventually(f.t, func() bool { return f.holds(name) }, 10*time.Second, 5*time.Millisecond)
 }
 
+// level takes one unit and returns the level of the bucket of tenant t at its holder.
+func (f *testFleet) level(name string) float64 {
+	f.take(name, "t", 1)
+	l := f.limiters[name]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ledger := l.ledger(0, 1)
+	return ledger.account(l.index.Tenant("t").ID, l.index.Tenant("t").Limit, l.options.Now()).bucket.Level()
+}
+
 // take takes and uses n units of credit at an entry at the same time, and returns how
 // many it got.
 func (f *testFleet) take(name, tenant string, n int) (taken int, last error) {
@@ -188,8 +198,10 @@
 	first, second := f.ranked()[0], f.ranked()[1]
 	f.awaitHolder(first)
 
+	left := f.level(first)
 	f.setState(first, fleetstate.Leaving, second)
 	f.awaitHolder(second)
+	assert.InDelta(t, left, f.level(second), 5, "the level of the bucket is lost")
 	assert.False(t, f.holds(first), "the former holder grants on")
 	f.setState(first, fleetstate.Serving, first, second)
 	f.awaitHolder(first)
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -51,7 +51,9 @@
 
 // ReleaseResponse confirms that the entry does not grant.
 type ReleaseResponse struct {
-	Released bool `json:"released" cbor:"1,keyasint"`
+	Released bool          `json:"released" cbor:"1,keyasint"`
+	Held     time.Duration `json:"held,omitempty" cbor:"2,keyasint,omitempty"` // for how long the entry held the shard until now; 0: it did not
+	Levels   []byte        `json:"levels,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Need is what an owner has and needs of one tenant.
@@ -117,6 +119,26 @@
 	return grants, r.err
 }
 
+// encodeLevels encodes the levels of buckets by tenant.
+func encodeLevels(levels map[uint32]int) []byte {
+	raw := make([]byte, 0, 6*len(levels))
+	for id, level := range levels {
+		raw = binary.LittleEndian.AppendUint32(raw, id)
+		raw = binary.AppendUvarint(raw, uint64(min(max(level, 0), maxCount)))
+	}
+	return raw
+}
+
+func decodeLevels(raw []byte) (map[uint32]int, error) {
+	r := reader{raw: raw}
+	levels := map[uint32]int{}
+	for r.more() {
+		id := r.id()
+		levels[id] = r.count()
+	}
+	return levels, r.err
+}
+
 // reader decodes numbers until the first error.
 type reader struct {
 	raw []byte
