--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -112,7 +112,7 @@
 	})
 	p.quota = quota.New(quota.Options{
 		Self: self, Settings: s.quotaSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
-		Fresh: p.follower.Fresh, Peers: peers, Now: sinceStart(clock), Log: log,
+		Fresh: func() bool { return p.follower.FreshWithin(quota.ContactLimit) }, Peers: peers, Now: sinceStart(clock), Log: log,
 	})
 	broker = grants.New(grants.Options{
 		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -76,9 +76,13 @@
 
 // Fresh reports whether a member in contact with a leader has confirmed the copy
 // within staleAfter.
-func (f *Follower) Fresh() bool {
+func (f *Follower) Fresh() bool { return f.FreshWithin(staleAfter) }
+
+// FreshWithin reports whether a member in contact with a leader has confirmed the copy
+// within the limit.
+func (f *Follower) FreshWithin(limit time.Duration) bool {
 	at := f.freshAt.Load()
-	return at != 0 && f.options.Clock.Now().Sub(f.start)-time.Duration(at) < staleAfter
+	return at != 0 && f.options.Clock.Now().Sub(f.start)-time.Duration(at) < limit
 }
 
 // SetState changes the state that the entry reports, and cancels the current poll
--- a/internal/quota/holding.go
+++ b/internal/quota/holding.go
@@ -12,11 +12,13 @@
 )
 
 const (
+	// ContactLimit is how long a holder grants without contact with control. It covers
+	// the election of a leader among the control members, with one that is repeated.
+	ContactLimit = 5 * time.Second
 	// takeoverWait is how long a new holder waits for a former one that does not
-	// respond. That one stops when its view has not been confirmed for 2.5 s; the rest
-	// allows for a control member that confirms views although it has just lost
-	// contact.
-	takeoverWait = 3 * time.Second
+	// respond: until that one has lost contact by ContactLimit, and one second more,
+	// for which a control member that has just lost contact still confirms views.
+	takeoverWait = ContactLimit + time.Second
 	// maxCandidates limits the entries that a new holder asks.
 	maxCandidates = 12
 )
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -26,7 +26,7 @@
 	// frozenAfter is the time between two looks after which the process counts as
 	// having been paused. It is shorter than the time after which another entry may
 	// have taken over, and longer than a busy machine delays a look.
-	frozenAfter = 2 * time.Second
+	frozenAfter = 3 * time.Second
 
 	minRetryAfter      = 50 * time.Millisecond
 	noHolderRetryAfter = 500 * time.Millisecond // no holder has responded
@@ -47,7 +47,7 @@
 	Regions      map[string]string // region by data centre
 	LowBandwidth bool              // only reserved owners are holders
 	View         func() *fleetview.View
-	Fresh        func() bool // control has confirmed the view within 2.5 s
+	Fresh        func() bool // control has confirmed the view within ContactLimit
 	Peers        *peerhttp.Client
 	Now          func() time.Duration // a clock that runs while the machine is suspended
 	Log          *zap.Logger
