--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -30,7 +30,8 @@
 	messages, bytes   map[bool]int // between regions or not
 	sequence          uint64
 	waited            int
-	salt              int // of the irregular times of requests
+	lossy             uint64 // one in so many messages of owners is lost, late or doubled, each; 0: none
+	salt              int    // of the irregular times of requests
 }
 
 type fakeHolder struct {
@@ -137,17 +138,30 @@
 	r := f.message(o.name, OwnerExchange)
 	f.count(o.region != h.region, needs)
 	d := delay(o.region, h.region)
+	unanswered := func(timeout time.Duration) {
+		f.after(timeout, func() {
+			o.unusable[h.region] = f.now + unusableTime
+			f.send(o, order[1:], needs)
+		})
+	}
+	if fate := xxhash.Sum64String(fmt.Sprint(r.Sequence)) % uint64(max(f.lossy, 1)); f.lossy > 0 && fate < 3 {
+		for range fate { // 0: lost, 1: late, 2: late and twice; the owner does not wait for the response
+			f.after(700*time.Millisecond, func() { h.ledger.Exchange(f.now, f.index, r, needs) })
+		}
+		unanswered(exchangeTimeout)
+		return
+	}
 	f.after(d, func() {
 		if h.ledger == nil || h.frozen || o.cut {
-			timeout := lo.Ternary(h.frozen || o.cut, exchangeTimeout, d)
-			f.after(timeout, func() {
-				o.unusable[h.region] = f.now + unusableTime
-				f.send(o, order[1:], needs)
-			})
+			unanswered(lo.Ternary(h.frozen || o.cut, exchangeTimeout, d))
 			return
 		}
 		grants := h.ledger.Exchange(f.now, f.index, r, needs)
 		f.bytes[o.region != h.region] += len(encodeGrants(grants))
+		if f.lossy > 0 && r.Sequence%f.lossy == 0 { // the response is lost
+			unanswered(exchangeTimeout)
+			return
+		}
 		f.after(d, func() { o.credit.Apply(f.now, sent, needs, grants) })
 	})
 }
--- a/internal/quota/scenario_test.go
+++ b/internal/quota/scenario_test.go
@@ -192,6 +192,23 @@
 	assert.Nil(t, key)
 }
 
+// Guards against a bound that is exceeded because messages are lost, late or doubled, or
+// because owners change between holders.
+func TestLostMessages(t *testing.T) {
+	for _, tenant := range []routing.Tenant{{Name: "t", Rate: 300, Burst: 0}, {Name: "t", Rate: 300, Burst: 600}, {Name: "t", Rate: 8, Burst: 8}} {
+		for _, oneIn := range []uint64{5, 20, 100} {
+			f := newFake(t, 4, tenant)
+			f.lossy = oneIn
+			for n := range 6 { // also after quiet times, in which buckets fill
+				f.demand(tenant.Name, 8*tenant.Rate, time.Duration(6*n+1)*second, time.Duration(6*n+5)*second)
+			}
+			f.run(37 * second)
+			f.checkWindows(tenant, 0)
+			assert.NotEmpty(t, f.admitted["t"])
+		}
+	}
+}
+
 // Guards against a lower limit that is not binding one window after it has arrived
 // everywhere, and a higher one that is not in effect soon.
 func TestLimitChanges(t *testing.T) {
