Quotas: a holder that has just changed is asked again after 100 ms

Owners went to other regions for 500 ms after each change of holder. Tests of the touched packages pass with -race, except the known red TestFloorAtEachLossOfPower of the pool.

--- a/internal/quota/calls.go
+++ b/internal/quota/calls.go
@@ -20,8 +20,9 @@
 	remoteTimeout   = 200 * time.Millisecond // to another region
 	releaseTimeout  = 300 * time.Millisecond
 	// unusableTime is how long the holder of a region is not asked after it did not
-	// respond or did not hold.
-	unusableTime = 500 * time.Millisecond
+	// respond, and notHoldingTime after it did not hold, as while the holder changes.
+	unusableTime   = 500 * time.Millisecond
+	notHoldingTime = 100 * time.Millisecond
 
 	logLinesPerSecond = 1
 	maxLogLines       = 20
@@ -259,7 +260,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures.Inc()
-	l.unusable[region] = l.options.Now() + unusableTime
+	duration := unusableTime
+	if errors.Is(err, errNotHolding) {
+		duration = notHoldingTime
+	}
+	l.unusable[region] = l.options.Now() + duration
 	l.options.Log.Debug("quota holder of a region did not grant", zap.String("region", region), zap.Error(err))
 }
 
