--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -113,7 +113,7 @@
 	})
 	p.quota = quota.New(quota.Options{
 		Self: self, Settings: s.quotaSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
-		Fresh: func() bool { return p.follower.FreshWithin(quota.ContactLimit) }, Peers: peers, Now: sinceStart(clock), Log: log,
+		Fresh: func() bool { return p.follower.FreshWithin(quota.ContactLimit) }, Peers: peers, Now: sys.RealBootClock{}.SinceBoot, Log: log,
 	})
 	broker = grants.New(grants.Options{
 		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
@@ -135,12 +135,6 @@
 	return p, p.listen([]string{s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress})
 }
 
-// sinceStart returns a clock that begins now.
-func sinceStart(clock sys.Clock) func() time.Duration {
-	start := clock.Now()
-	return func() time.Duration { return clock.Now().Sub(start) }
-}
-
 func peerHandler(broker *grants.Broker, limiter *quota.Limiter) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(quota.ExchangePath, limiter.Handler())
--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -36,7 +36,9 @@
 	Peers *peerhttp.Client
 	Clock sys.Clock
 	Log   *zap.Logger
-	Boot  sys.BootClock // used if RevocationLimit is set
+	// Boot measures the age of what control has confirmed, also while the VM was
+	// suspended. It must be set if RevocationLimit is; nil: Clock is used.
+	Boot sys.BootClock
 	// RevocationLimit is the age of a proof up to which ConfirmedWithin will be asked
 	// for; 0: polls request no proof.
 	RevocationLimit time.Duration
@@ -49,7 +51,7 @@
 type Follower struct {
 	options Options
 	view    atomic.Pointer[View]
-	freshAt atomic.Int64 // start of the poll with the last response of a member in contact with a leader, in nanoseconds since start; 0: none
+	freshAt atomic.Int64 // start of the poll with the last response of a member in contact with a leader, in nanoseconds of age; 0: none
 
 	proof proof
 
@@ -106,7 +108,15 @@
 // within the limit.
 func (f *Follower) FreshWithin(limit time.Duration) bool {
 	at := f.freshAt.Load()
-	return at != 0 && f.options.Clock.Now().Sub(f.start)-time.Duration(at) < limit
+	return at != 0 && f.age()-time.Duration(at) < limit
+}
+
+// age returns a time that grows while the process exists.
+func (f *Follower) age() time.Duration {
+	if f.options.Boot != nil {
+		return f.options.Boot.SinceBoot()
+	}
+	return f.options.Clock.Now().Sub(f.start)
 }
 
 // SetState changes the state that the entry reports, and cancels the current poll
@@ -236,7 +246,7 @@
 	}
 	f.mu.Unlock()
 	f.polls.Inc()
-	started, startedOnBootClock := f.options.Clock.Now(), f.proof.now()
+	started, startedOnBootClock := f.age(), f.proof.now()
 	var response fleetcontrol.PollResponse
 	err := f.options.Peers.Post(ctx, traffic.Poll, source, fleetcontrol.PollPath, request, &response)
 	if err != nil {
@@ -263,7 +273,7 @@
 		return false
 	}
 	// The lowest bit is set because 0 means none.
-	f.freshAt.Store(int64(started.Sub(f.start)) | 1)
+	f.freshAt.Store(int64(started) | 1)
 	return true
 }
 
