Quotas: a request that no holder has responded to is not over its limit

Change: Take returns ErrNoResponse unless a holder has said that the bucket is empty. Such a request is offered to other owners while it may wait, six tenths of its time in the first 5 s of an entry, and gets 503 after that.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -144,7 +144,7 @@
 	now := e.g.options.Clock.Now()
 	remaining := e.req.deadline.Sub(now)
 	limit := time.Duration(maxWaitShare * float64(remaining))
-	if e.req.route.Objective > 0 {
+	if e.req.route.Objective > 0 && !e.g.isStarting() {
 		objectiveLimit := e.req.started.Add(time.Duration(maxWaitShare * float64(e.req.route.Objective))).Sub(now)
 		limit = min(limit, max(objectiveLimit, minWait))
 	}
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -16,10 +16,10 @@
 // waits for routes and for a target of its service, within these bounds.
 const (
 	// maxStartupWait bounds each of the two waits.
-	maxStartupWait = 2 * time.Second
+	maxStartupWait = 2500 * time.Millisecond
 	// startupWaitShare is the share of the time that the caller states that a wait may
 	// take. The rest is left for running the request.
-	startupWaitShare = 0.3
+	startupWaitShare = 0.4
 	// startupPeriod is the time after the start of the process in which requests wait.
 	// If there is no copy by then, control is out of reach, and more requests are
 	// rejected at once.
@@ -43,7 +43,7 @@
 }
 
 func (g *Gateway) awaitView(r *http.Request, suffices func(*fleetview.View) bool) {
-	if suffices(g.options.View()) || g.options.ViewChanged == nil || g.options.Clock.Now().Sub(g.started) > startupPeriod {
+	if suffices(g.options.View()) || g.options.ViewChanged == nil || !g.isStarting() {
 		return
 	}
 	defer g.startupWaiters.Add(-1)
@@ -66,6 +66,9 @@
 	}
 }
 
+// isStarting reports whether the process has started lately.
+func (g *Gateway) isStarting() bool { return g.options.Clock.Now().Sub(g.started) <= startupPeriod }
+
 // startupWait returns how long a request may wait for a view.
 func (g *Gateway) startupWait(r *http.Request) time.Duration {
 	milliseconds, err := strconv.ParseInt(r.Header.Get(g.options.HeaderNames.Deadline), 10, 64)
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -78,6 +78,7 @@
 	"busy":      pool.ErrBusy,
 	"no_target": pool.ErrNoTarget,
 	"budget":    pool.ErrBudget,
+	"no_credit": quota.ErrNoResponse,
 }
 
 func rejectionOf(err error) string {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -215,7 +215,7 @@
 		if ctx.Err() != nil {
 			return nil, ErrCanceled
 		}
-		if !errors.Is(err, pool.ErrBusy) {
+		if !errors.Is(err, pool.ErrBusy) && !errors.Is(err, quota.ErrNoResponse) {
 			return nil, err
 		}
 	}
--- a/internal/quota/credit.go
+++ b/internal/quota/credit.go
@@ -129,12 +129,13 @@
 	return nil
 }
 
+// IsScarce reports whether a holder has lately said that there is no credit for the
+// tenant.
+func (c *Credit) IsScarce(id uint32, now time.Duration) bool { return c.balance(id).isScarce(now) }
+
 // RetryAfter returns when a request that got no credit may be repeated.
 func (c *Credit) RetryAfter(id uint32, now time.Duration) time.Duration {
 	b := c.balance(id)
-	if !b.isScarce(now) {
-		return noHolderRetryAfter
-	}
 	return max(b.retryAfter-(now-b.scarceAt), minRetryAfter)
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -28,13 +29,16 @@
 	// have taken over, and longer than a busy machine delays a look.
 	frozenAfter = 3 * time.Second
 
-	minRetryAfter      = 50 * time.Millisecond
-	noHolderRetryAfter = 500 * time.Millisecond // no holder has responded
+	minRetryAfter = 50 * time.Millisecond
 )
 
 // ExceededError is returned for a request that got no credit.
 type ExceededError struct{ RetryAfter time.Duration }
 
+// ErrNoResponse is returned for a request that got no credit because no holder has
+// responded in time, so that it is not known whether its tenant exceeds its limit.
+var ErrNoResponse = errors.New("quota: no holder of the tenant has responded")
+
 // Error implements error.
 func (e *ExceededError) Error() string {
 	return fmt.Sprintf("quota: the tenant exceeds its limit; retry after %v", e.RetryAfter)
@@ -74,6 +78,7 @@
 	logLines  Bucket // limits the lines on tenants
 
 	taken, waited, rejected, expired   *metrics.Counter
+	unanswered                         *metrics.Counter // requests that no holder has responded to in time
 	exchanges, failures, moved, limits *metrics.Counter
 }
 
@@ -93,15 +98,16 @@
 	return &Limiter{
 		options: o, regions: regions, owned: map[int]*ownedShard{}, holdings: map[int]*holding{}, yielded: map[int]uint64{},
 		lostSince: map[string]time.Duration{}, unusable: map[string]time.Duration{}, lastLook: o.Now(),
-		logLines:  NewBucket(logLinesPerSecond, maxLogLines, maxLogLines, o.Now()),
-		taken:     metrics.GetOrCreateCounter("sequoialane_quota_taken_total"),
-		waited:    metrics.GetOrCreateCounter("sequoialane_quota_waited_total"),
-		rejected:  metrics.GetOrCreateCounter("sequoialane_quota_rejected_total"),
-		expired:   metrics.GetOrCreateCounter("sequoialane_quota_expired_total"),
-		exchanges: metrics.GetOrCreateCounter("sequoialane_quota_exchanges_total"),
-		failures:  metrics.GetOrCreateCounter("sequoialane_quota_exchange_failures_total"),
-		moved:     metrics.GetOrCreateCounter("sequoialane_quota_transferred_total"),
-		limits:    metrics.GetOrCreateCounter("sequoialane_quota_tenants_exceeded_total"),
+		logLines:   NewBucket(logLinesPerSecond, maxLogLines, maxLogLines, o.Now()),
+		taken:      metrics.GetOrCreateCounter("sequoialane_quota_taken_total"),
+		waited:     metrics.GetOrCreateCounter("sequoialane_quota_waited_total"),
+		rejected:   metrics.GetOrCreateCounter("sequoialane_quota_rejected_total"),
+		unanswered: metrics.GetOrCreateCounter("sequoialane_quota_unanswered_total"),
+		expired:    metrics.GetOrCreateCounter("sequoialane_quota_expired_total"),
+		exchanges:  metrics.GetOrCreateCounter("sequoialane_quota_exchanges_total"),
+		failures:   metrics.GetOrCreateCounter("sequoialane_quota_exchange_failures_total"),
+		moved:      metrics.GetOrCreateCounter("sequoialane_quota_transferred_total"),
+		limits:     metrics.GetOrCreateCounter("sequoialane_quota_tenants_exceeded_total"),
 	}
 }
 
@@ -140,8 +146,9 @@
 }
 
 // Take takes credit for a request of the tenant, waiting for at most maxWait. The
-// permit must be used or returned. It returns an *ExceededError if there is none. The
-// permit of a tenant without a rate is nil.
+// permit must be used or returned. It returns an *ExceededError if a holder has said
+// that there is none, and otherwise ErrNoResponse. The permit of a tenant without a rate
+// is nil.
 func (l *Limiter) Take(ctx context.Context, tenant string, maxWait time.Duration) (*Permit, error) {
 	if tenant == "" {
 		return nil, nil
@@ -192,6 +199,10 @@
 
 // reject counts and returns a rejection. The caller holds mu.
 func (l *Limiter) reject(shard *ownedShard, id uint32) error {
+	if !shard.credit.IsScarce(id, l.options.Now()) {
+		l.unanswered.Inc()
+		return ErrNoResponse
+	}
 	l.rejected.Inc()
 	return &ExceededError{RetryAfter: shard.credit.RetryAfter(id, l.options.Now())}
 }
