Read barriers of the proof wait for the leader's regular heartbeat

Cause: each read barrier made the leader send a heartbeat of its own to all members.

Change: Group.ReadBarrierOnHeartbeat, whose read index the leader confirms with its next regular heartbeat. A leader of an earlier release ignores the field and sends a heartbeat at once.

--- a/internal/consensus/failure_test.go
+++ b/internal/consensus/failure_test.go
@@ -133,6 +133,24 @@
 	assert.Len(t, c.readStates, 1)
 }
 
+// Guards against a read on a heartbeat that costs one of its own, or that is confirmed by
+// a response to a heartbeat sent before the read started.
+func TestReadOnHeartbeatWaitsForRegularOne(t *testing.T) {
+	s := newAdmittedSim(t, 3, true)
+	c := s.leader().core
+	before := c.lastSentTime
+	require.True(t, c.readIndexOnHeartbeat(1, false))
+	response := message{Type: msgHeartbeatResp, From: s.others(s.leader())[0].core.id, To: c.id, Epoch: c.epoch, Term: c.term, Sent: before}
+	c.step(response)
+	c.tick(s.now)
+	assert.Equal(t, before, c.lastSentTime, "no heartbeat is sent for the read")
+	assert.Empty(t, c.readStates)
+	c.tick(c.heartbeatDue)
+	response.Sent = c.lastSentTime
+	c.step(response)
+	assert.Len(t, c.readStates, 1)
+}
+
 // Guards against a returning member that deposes the leader with a higher term.
 func TestReturningMemberKeepsLeader(t *testing.T) {
 	for _, fault := range []string{"cut", "frozen", "cannot receive"} {
--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -63,7 +63,8 @@
 }
 
 type readRequest struct {
-	Group string `cbor:"1,keyasint"`
+	Group       string `cbor:"1,keyasint"`
+	OnHeartbeat bool   `cbor:"2,keyasint,omitempty"` // an earlier release ignores it and sends a heartbeat at once
 }
 
 type readResponse struct {
@@ -155,13 +156,13 @@
 }
 
 // requestReadIndex requests a read index from the leader.
-func (t *transport) requestReadIndex(ctx context.Context, slot string) (readResponse, error) {
+func (t *transport) requestReadIndex(ctx context.Context, slot string, onHeartbeat bool) (readResponse, error) {
 	var response readResponse
 	link := t.linkTo(slot)
 	if link == nil {
 		return response, fmt.Errorf("%w: %w", ErrNotLeader, errNoLink)
 	}
-	err := t.post(ctx, link.url+pathRead, readRequest{Group: t.config.Group}, &response)
+	err := t.post(ctx, link.url+pathRead, readRequest{Group: t.config.Group, OnHeartbeat: onHeartbeat}, &response)
 	if err != nil {
 		return response, fmt.Errorf("%w: %w", ErrNotLeader, err)
 	}
--- a/internal/consensus/handler.go
+++ b/internal/consensus/handler.go
@@ -90,7 +90,7 @@
 	// limited even if the caller sets no deadline.
 	ctx, cancel := context.WithTimeout(r.Context(), 2*g.config.ElectionTimeout)
 	defer cancel()
-	result, err := g.submitRead(ctx, &readCall{indexOnly: true})
+	result, err := g.submitRead(ctx, &readCall{indexOnly: true, onHeartbeat: request.OnHeartbeat})
 	writeResponse(w, readResponse{Code: resultCodeOf(err), Epoch: result.epoch, Index: result.index})
 }
 
--- a/internal/consensus/linearizability_test.go
+++ b/internal/consensus/linearizability_test.go
@@ -74,7 +74,11 @@
 		callContext, cancel := context.WithTimeout(ctx, time.Second)
 		if group != nil && random.IntN(2) == 0 {
 			call := recorder.Invoke(name, "version", history.ReadVersion{})
-			if group.ReadBarrier(callContext) == nil {
+			barrier := group.ReadBarrier
+			if i%2 == 0 {
+				barrier = group.ReadBarrierOnHeartbeat
+			}
+			if barrier(callContext) == nil {
 				known = machine.version()
 				call.Complete(history.VersionOutput{Version: known})
 			} else {
--- a/internal/consensus/read_barrier.go
+++ b/internal/consensus/read_barrier.go
@@ -8,10 +8,11 @@
 
 // readCall is a read barrier that is waiting in the loop of a Group.
 type readCall struct {
-	epoch     uint64 // epoch of the entry at index
-	index     uint64 // entry to wait for; 0: obtain the read index first
-	indexOnly bool   // return the read index without waiting until it is applied
-	done      chan readResult
+	epoch       uint64 // epoch of the entry at index
+	index       uint64 // entry to wait for; 0: obtain the read index first
+	onHeartbeat bool   // confirm with the next regular heartbeat
+	indexOnly   bool   // return the read index without waiting until it is applied
+	done        chan readResult
 }
 
 type readResult struct {
@@ -27,9 +28,16 @@
 // ReadBarrier returns once the local state machine has applied everything that
 // was committed when it was called. It returns ErrNotLeader if no leader
 // confirms this, ErrStopped, or the error of ctx.
-func (g *Group) ReadBarrier(ctx context.Context) error {
+func (g *Group) ReadBarrier(ctx context.Context) error { return g.readBarrier(ctx, false) }
+
+// ReadBarrierOnHeartbeat is like ReadBarrier, but the leader confirms it with its next
+// regular heartbeat instead of one of its own. It takes up to HeartbeatInterval longer
+// and saves a message to each member and its response.
+func (g *Group) ReadBarrierOnHeartbeat(ctx context.Context) error { return g.readBarrier(ctx, true) }
+
+func (g *Group) readBarrier(ctx context.Context, onHeartbeat bool) error {
 	for range maxLeaderAttempts {
-		err := g.readBarrierOnce(ctx)
+		err := g.readBarrierOnce(ctx, onHeartbeat)
 		if !errors.Is(err, errNotLeading) {
 			return err
 		}
@@ -37,7 +45,7 @@
 	return ErrNotLeader
 }
 
-func (g *Group) readBarrierOnce(ctx context.Context) error {
+func (g *Group) readBarrierOnce(ctx context.Context, onHeartbeat bool) error {
 	if g.isStopped() {
 		return ErrStopped
 	}
@@ -46,10 +54,10 @@
 		return ErrNotLeader
 	}
 	if status.Leader == status.Self {
-		_, err := g.submitRead(ctx, &readCall{})
+		_, err := g.submitRead(ctx, &readCall{onHeartbeat: onHeartbeat})
 		return err
 	}
-	response, err := g.transport.requestReadIndex(ctx, status.Leader.Slot)
+	response, err := g.transport.requestReadIndex(ctx, status.Leader.Slot, onHeartbeat)
 	if err != nil {
 		return err
 	}
@@ -82,7 +90,11 @@
 		return
 	}
 	g.lastReadID++
-	if !g.core.readIndex(g.lastReadID, g.config.LeaseReads) {
+	read := g.core.readIndex
+	if r.onHeartbeat {
+		read = g.core.readIndexOnHeartbeat
+	}
+	if !read(g.lastReadID, g.config.LeaseReads) {
 		r.finish(errNotLeading)
 		return
 	}
--- a/internal/consensus/read_index.go
+++ b/internal/consensus/read_index.go
@@ -24,8 +24,21 @@
 
 // readIndex starts a linearizable read. It reports false if this member is not
 // the leader or has not yet committed an entry of its term. With allowLease, a
-// valid lease confirms the read without contact with other members.
+// valid lease confirms the read without contact with other members. Otherwise a
+// heartbeat is sent for it at once.
 func (c *core) readIndex(id uint64, allowLease bool) bool {
+	pending := len(c.pendingReads)
+	if !c.readIndexOnHeartbeat(id, allowLease) {
+		return false
+	}
+	if len(c.pendingReads) > pending {
+		c.heartbeatDue = c.now
+	}
+	return true
+}
+
+// readIndexOnHeartbeat is like readIndex, but waits for the next regular heartbeat.
+func (c *core) readIndexOnHeartbeat(id uint64, allowLease bool) bool {
 	if c.role != leader || !c.log.matches(c.log.commit, c.term) {
 		return false
 	}
@@ -34,7 +47,6 @@
 		return true
 	}
 	c.pendingReads = append(c.pendingReads, pendingRead{id: id, index: c.log.commit, minSent: c.lastSentTime + 1})
-	c.heartbeatDue = c.now
 	return true
 }
 
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -289,7 +289,11 @@
 	n.core.tick(s.now)
 	s.reads++
 	s.recordReadStart(n, s.reads)
-	n.core.readIndex(s.reads, s.reads%2 == 0 && !n.core.shortFirstElection)
+	read := n.core.readIndex
+	if s.reads%3 == 0 {
+		read = n.core.readIndexOnHeartbeat
+	}
+	read(s.reads, s.reads%2 == 0 && !n.core.shortFirstElection)
 	s.processReady(n)
 }
 
--- a/internal/fleetcontrol/barrier.go
+++ b/internal/fleetcontrol/barrier.go
@@ -123,7 +123,7 @@
 	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
 	defer cancel()
-	err := k.group.ReadBarrier(ctx)
+	err := k.group.ReadBarrierOnHeartbeat(ctx)
 	k.barriers.Inc()
 	if err != nil {
 		k.failures.Inc()
--- a/internal/fleetcontrol/barrier_test.go
+++ b/internal/fleetcontrol/barrier_test.go
@@ -23,11 +23,11 @@
 	during func()
 }
 
-func (g *pausingGroup) ReadBarrier(ctx context.Context) error {
+func (g *pausingGroup) ReadBarrierOnHeartbeat(ctx context.Context) error {
 	if g.during != nil {
 		g.during()
 	}
-	return g.stateGroup.ReadBarrier(ctx)
+	return g.stateGroup.ReadBarrierOnHeartbeat(ctx)
 }
 
 func newTestKeeper() (*barrierKeeper, *pausingGroup, *sys.ManualBootClock) {
--- a/internal/fleetcontrol/losses_test.go
+++ b/internal/fleetcontrol/losses_test.go
@@ -32,7 +32,9 @@
 	return g.stateMachine.Apply(g.index.Add(1), command), nil
 }
 
-func (g *stateGroup) ReadBarrier(context.Context) error {
+func (g *stateGroup) ReadBarrier(context.Context) error { return nil }
+
+func (g *stateGroup) ReadBarrierOnHeartbeat(context.Context) error {
 	g.barriers.Add(1)
 	if g.unavailable.Load() {
 		return errors.New("no majority")
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -48,6 +48,7 @@
 type Group interface {
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	ReadBarrier(ctx context.Context) error
+	ReadBarrierOnHeartbeat(ctx context.Context) error
 	Status() consensus.Status
 }
 
