Proof: failed barriers are repeated soon, and members without one say so

Cause: seen in the logs of TestWithdrawnKeys: a member whose first barrier failed, since it had no leader yet, tried again only after a second, longer than the hold of a poll. Entries that started meanwhile took it for a member of an earlier release and left it for a minute; three of four got their proof 0.5 s after the document.

Change: a failed barrier is repeated after 250 ms. A member without a confirmation returns the age NotConfirmed, so that only releases that return no age are left for a minute.

--- a/internal/fleetcontrol/barrier.go
+++ b/internal/fleetcontrol/barrier.go
@@ -14,17 +14,20 @@
 
 const (
 	// barrierInterval is the least time between the starts of two read barriers. Each
-	// of them makes the leader ask a majority of the members, most of which are in
-	// other regions.
+	// of them is a call to the leader, which is mostly in another region.
 	barrierInterval = time.Second
-	// barrierTimeout is far longer than the messages of a barrier take between regions
-	// (about 120 ms at 30 ms one way), and short enough for the next barrier to start
-	// on time.
+	// barrierRetryInterval is the same after a barrier that failed. It is shorter than
+	// the hold of a poll, so that an entry that starts together with this member, or
+	// waits for a new leader, gets its proof with its first poll.
+	barrierRetryInterval = 250 * time.Millisecond
+	// barrierTimeout is longer than a barrier takes: up to a heartbeat interval, and
+	// about 120 ms for its messages at 30 ms one way between regions. It is short enough
+	// for the next barrier to start on time.
 	barrierTimeout = 700 * time.Millisecond
 	// recentBarrier is the age up to which a confirmation is given to an entry that is
-	// in a hurry. While barriers succeed none is older, since the next one ends about
-	// 120 ms after its start.
-	recentBarrier = barrierInterval + 200*time.Millisecond
+	// in a hurry. While barriers succeed none is older, since the next one ends within
+	// 400 ms of its start.
+	recentBarrier = barrierInterval + 400*time.Millisecond
 )
 
 // barrierKeeper runs read barriers while polls request a confirmation, and keeps when
@@ -111,7 +114,11 @@
 	case !k.started:
 		return 0, true
 	default:
-		return max(k.lastStart+barrierInterval-k.boot.SinceBoot(), 0), true
+		interval := barrierInterval
+		if k.failing {
+			interval = barrierRetryInterval
+		}
+		return max(k.lastStart+interval-k.boot.SinceBoot(), 0), true
 	}
 }
 
@@ -151,14 +158,14 @@
 	return k.confirmation
 }
 
-// age returns the age of the confirmation for a state that was read after last. It
-// returns false if there is no confirmation, or if the state is older than the confirmed
+// age returns the age of the confirmation for a state that was read after last. It is
+// NotConfirmed if there is no confirmation, or if the state is older than the confirmed
 // one because the member has discarded its state since.
-func (k *barrierKeeper) age(c confirmation, index uint64) (time.Duration, bool) {
+func (k *barrierKeeper) age(c confirmation, index uint64) time.Duration {
 	if !c.valid || index < c.index {
-		return 0, false
+		return NotConfirmed
 	}
-	return k.boot.SinceBoot() - c.at, true
+	return k.boot.SinceBoot() - c.at
 }
 
 // awaitRecent waits until there is a recent confirmation, for at most the given time.
--- a/internal/fleetcontrol/barrier_test.go
+++ b/internal/fleetcontrol/barrier_test.go
@@ -59,6 +59,9 @@
 		boot.Advance(1)
 		next(0)
 	}
+	group.unavailable.Store(true)
+	k.runBarrier()
+	next(barrierRetryInterval)
 	boot.Advance(time.Minute)
 	next(0)
 	for range 300 {
@@ -67,7 +70,7 @@
 	_, ok := k.nextStart()
 	assert.False(t, ok)
 	assert.False(t, k.running, "the next poll starts the goroutine again")
-	assert.EqualValues(t, 3, group.barriers.Load())
+	assert.EqualValues(t, 4, group.barriers.Load())
 }
 
 // Guards against an age that is lower than the true one: after a pause of the process
@@ -75,31 +78,26 @@
 // was discarded after the barrier.
 func TestAgeOfConfirmation(t *testing.T) {
 	k, group, boot := newTestKeeper()
-	age := func() (time.Duration, bool) {
+	age := func() time.Duration {
 		c := k.last()
 		return k.age(c, k.state.EncodedSince(0).Index)
 	}
-	_, ok := age()
-	assert.False(t, ok, "no barrier yet")
+	assert.Equal(t, NotConfirmed, age(), "no barrier yet")
 	_, err := group.Propose(context.Background(), fleetstate.Command{Entries: []fleetstate.Entry{pollingEntry}}.Encode())
 	require.NoError(t, err)
 
 	group.during = func() { boot.Advance(7 * time.Second) }
 	k.runBarrier()
-	held, ok := age()
-	assert.True(t, ok)
-	assert.Equal(t, 7*time.Second, held, "a pause during the barrier")
+	assert.Equal(t, 7*time.Second, age(), "a pause during the barrier")
 
 	group.unavailable.Store(true)
 	group.during = nil
 	boot.Advance(time.Second)
 	k.runBarrier()
-	held, _ = age()
-	assert.Equal(t, 8*time.Second, held, "the barrier failed")
+	assert.Equal(t, 8*time.Second, age(), "the barrier failed")
 
 	require.NoError(t, group.stateMachine.Restore(nil))
-	_, ok = age()
-	assert.False(t, ok, "the confirmed state was discarded")
+	assert.Equal(t, NotConfirmed, age(), "the confirmed state was discarded")
 }
 
 // poll sends a poll to the member and returns the response with its duration.
@@ -123,18 +121,21 @@
 	_, index := m.stateMachine.Changed()
 	first := PollRequest{Entry: pollingEntry, After: 0, Confirm: true, ConfirmSoon: true}
 	response, _ := poll(t, m, first)
-	require.NotNil(t, response.ConfirmedAge, "the poll waits for the barrier")
+	require.NotNil(t, response.ConfirmedAge)
+	assert.Positive(t, *response.ConfirmedAge, "the poll waits for the barrier")
 	assert.Equal(t, index, response.Update.Index)
 
 	response, _ = poll(t, m, PollRequest{Entry: pollingEntry, After: index, Confirm: true})
-	assert.NotNil(t, response.ConfirmedAge)
+	require.NotNil(t, response.ConfirmedAge)
+	assert.Positive(t, *response.ConfirmedAge)
 	response, _ = poll(t, m, PollRequest{Entry: pollingEntry, After: 0})
 	assert.Nil(t, response.ConfirmedAge)
 
 	m, group := newLossTest(t)
 	group.unavailable.Store(true)
 	response, took := poll(t, m, first)
-	assert.Nil(t, response.ConfirmedAge)
+	require.NotNil(t, response.ConfirmedAge)
+	assert.Equal(t, NotConfirmed, *response.ConfirmedAge)
 	assert.Equal(t, index, response.Update.Index, "without a confirmation the entry gets the state all the same")
 	assert.GreaterOrEqual(t, took, PollHold)
 }
--- a/internal/fleetcontrol/poll.go
+++ b/internal/fleetcontrol/poll.go
@@ -33,6 +33,10 @@
 	maxCoalesceDelay     = 300 * time.Millisecond
 )
 
+// NotConfirmed is the ConfirmedAge of a member without a confirmation. It distinguishes
+// the member from one of an earlier release, which will have none for long.
+const NotConfirmed = time.Duration(-1)
+
 // PollRequest requests the changes after an index. It also tells the member
 // that the entry is alive.
 type PollRequest struct {
@@ -58,8 +62,9 @@
 	Redirect []fleetstate.Member `json:"nearer,omitempty" cbor:"2,keyasint,omitempty"`
 	Update   fleetstate.Update   `json:"update" cbor:"3,keyasint"`
 	// ConfirmedAge states, if it was requested, that the entry's copy after the update
-	// holds everything that was committed this long before the update was read. Nil:
-	// not known to this member, or it is of a release that does not confirm.
+	// holds everything that was committed this long before the update was read. It is
+	// NotConfirmed if the member has no confirmation, and nil if none was requested or
+	// the member is of an earlier release.
 	ConfirmedAge *time.Duration `json:"confirmed_age,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
@@ -118,7 +123,8 @@
 	confirmation := m.barriers.last() // before the update is read, which then is at least as new
 	update := m.stateMachine.EncodedSince(request.After)
 	prefix := `{"fresh":` + strconv.FormatBool(m.InContact())
-	if age, ok := m.barriers.age(confirmation, update.Index); ok && request.Confirm {
+	if request.Confirm {
+		age := m.barriers.age(confirmation, update.Index)
 		prefix += `,"confirmed_age":` + strconv.FormatInt(int64(age), 10)
 	}
 	prefix += `,"update":`
--- a/internal/fleetview/proof.go
+++ b/internal/fleetview/proof.go
@@ -16,10 +16,10 @@
 	// second, so a proof is often that old, and with a lower value an entry would poll
 	// without pause.
 	minDueAge = 2 * time.Second
-	// noProofDuration is how long a member that brought no proof at all is only chosen
-	// if all others bring none either. It is long, since such a member is mostly of an
-	// earlier release, and each change of the member is written to the log.
-	noProofDuration = time.Minute
+	// earlierReleaseDuration is how long a member of an earlier release, which returns
+	// no age, is only chosen if no other one brings a proof. It is long, since each change
+	// of the member is written to the log.
+	earlierReleaseDuration = time.Minute
 )
 
 // proof is the time for which it is proved that the view holds everything that was
@@ -87,21 +87,26 @@
 // the boot clock. The member's barrier started ConfirmedAge before the update was read,
 // which was after the start of the poll. So the start of the poll less that age is no
 // later than the start of the barrier. Without a recent proof, another member is polled
-// next.
+// next; a member that is not in contact with a leader is avoided in any case.
 func (f *Follower) recordProof(source string, started time.Duration, r fleetcontrol.PollResponse) {
-	if r.ConfirmedAge != nil && *r.ConfirmedAge >= 0 {
-		f.proof.record(started - *r.ConfirmedAge)
-		if *r.ConfirmedAge <= f.proof.dueAge() {
-			f.markProof(source, 0)
-			return
-		}
+	age := fleetcontrol.NotConfirmed
+	if r.ConfirmedAge != nil {
+		age = *r.ConfirmedAge
+	}
+	if age >= 0 {
+		f.proof.record(started - age)
+	}
+	if age >= 0 && age <= f.proof.dueAge() {
+		f.markProof(source, 0)
+		return
 	}
 	f.proof.unproved.Inc()
 	switch {
-	case r.ConfirmedAge != nil:
+	case !r.InContact:
+	case r.ConfirmedAge == nil:
+		f.markProof(source, earlierReleaseDuration)
+	default:
 		f.markProof(source, avoidDuration)
-	case r.InContact:
-		f.markProof(source, noProofDuration)
 	}
 }
 
--- a/internal/fleetview/proof_test.go
+++ b/internal/fleetview/proof_test.go
@@ -114,6 +114,7 @@
 	}{
 		{"earlier release", func(m *fakeMember) { m.response.ConfirmedAge = nil }},
 		{"older state", func(m *fakeMember) { m.response.Update.Index = 9 }},
+		{"no confirmation", func(m *fakeMember) { m.confirm(fleetcontrol.NotConfirmed) }},
 		{"age below zero", func(m *fakeMember) { m.confirm(-time.Hour) }},
 		{"age beyond the time since boot", func(m *fakeMember) { m.confirm(2 * time.Hour) }},
 	}
@@ -160,7 +161,8 @@
 		lasts   time.Duration // how long the member is not chosen
 	}{
 		{"cut off from its leader", func(m *fakeMember) { m.confirm(limit/2 + 1) }, avoidDuration},
-		{"earlier release", func(m *fakeMember) { m.response.ConfirmedAge = nil }, noProofDuration},
+		{"no confirmation", func(m *fakeMember) { m.confirm(fleetcontrol.NotConfirmed) }, avoidDuration},
+		{"earlier release", func(m *fakeMember) { m.response.ConfirmedAge = nil }, earlierReleaseDuration},
 	}
 	for _, tc := range cases {
 		t.Run(tc.desc, func(t *testing.T) {
