--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -17,6 +17,7 @@
 	"github.com/sequoialane/sequoialane/internal/grants"
 	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
@@ -168,11 +169,16 @@
 	case <-p.draining:
 		return false
 	default:
-		routes := p.follower.View().Routes
-		return routes != nil && (p.settings.RevocationLimit == 0 || len(routes.Document.Tenants) == 0 || p.follower.HasProof())
+		return canServe(p.follower.View().Routes, p.settings.RevocationLimit.Std(), p.follower.HasProof())
 	}
 }
 
+// canServe reports whether an entry with the routes can serve requests: it has a proof if
+// keys need one.
+func canServe(routes *routing.Table, limit time.Duration, hasProof bool) bool {
+	return routes != nil && (hasProof || limit == 0 || len(routes.Document.Tenants) == 0)
+}
+
 // SetSeeds replaces the seeds after a reload of the settings.
 func (p *Process) SetSeeds(s *Settings) {
 	p.follower.SetSeeds(s.seedPeers())
--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -12,6 +12,7 @@
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/pool"
+	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -100,3 +101,15 @@
 		assert.Positive(t, retries)
 	}
 }
+
+// Guards against an entry that is ready and rejects every request with a key, and against
+// one that waits for a proof that nobody gives it.
+func TestCanServe(t *testing.T) {
+	withTenants := routing.NewTable(&routing.Document{Tenants: []routing.Tenant{{Name: "t"}}})
+	without := routing.NewTable(&routing.Document{})
+	assert.False(t, canServe(nil, 0, true))
+	assert.True(t, canServe(withTenants, 0, false))
+	assert.False(t, canServe(withTenants, time.Second, false))
+	assert.True(t, canServe(withTenants, time.Second, true))
+	assert.True(t, canServe(without, time.Second, false))
+}
