Gateway: in its first seconds an entry holds requests without credit

Change: in the first 5 s of a process a request whose tenant has no credit waits for it, within the time that it may wait for a target.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -154,8 +154,12 @@
 // startNextAttempt acquires a grant and starts an attempt with it. It skips
 // grants for targets that this entry knows to be unusable.
 func (e *execution) startNextAttempt(wait time.Duration) *fault.Error {
+	limit := e.g.options.Clock.Now().Add(wait)
 	for e.grants < maxGrants {
-		l, err := e.g.options.Broker.Acquire(e.callerCtx, e.req.service, e.poolRequest(), wait)
+		l, err := e.g.options.Broker.Acquire(e.callerCtx, e.req.service, e.poolRequest(), limit.Sub(e.g.options.Clock.Now()))
+		if err != nil && e.awaitCredit(err, limit) {
+			continue
+		}
 		if err != nil {
 			return acquireError(err)
 		}
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/quota"
 )
 
 // An entry that has just started has no copy of the fleet state. After a loss of power
@@ -69,6 +71,20 @@
 // isStarting reports whether the process has started lately.
 func (g *Gateway) isStarting() bool { return g.options.Clock.Now().Sub(g.started) <= startupPeriod }
 
+// awaitCredit waits until the request may be repeated if its tenant has no credit and
+// the process has started lately. After a restart of all entries the buckets of tenants
+// are empty, and the requests that arrived meanwhile come all at once. It returns false
+// if the request should be rejected.
+func (e *execution) awaitCredit(err error, limit time.Time) bool {
+	var exceeded *quota.ExceededError
+	if !errors.As(err, &exceeded) || !e.g.isStarting() {
+		return false
+	}
+	clock := e.g.options.Clock
+	wait := max(exceeded.RetryAfter, minRetryAfter)
+	return clock.Now().Add(wait).Before(limit) && clock.Sleep(e.callerCtx, wait) == nil
+}
+
 // startupWait returns how long a request may wait for a view.
 func (g *Gateway) startupWait(r *http.Request) time.Duration {
 	milliseconds, err := strconv.ParseInt(r.Header.Get(g.options.HeaderNames.Deadline), 10, 64)
