Count the bytes of a response by what its route has returned

The cost of bytes between data centres and regions assumed 2,000 bytes for each response. A download of 90 KB was therefore sent to another region to save a risk of 0.1, and its 90 KB crossed a link that is billed by volume.

Outcome.Bytes now carries the length of the response body, for a streamed response the bytes that were read. Package workload keeps the mean of each route and of the service; an unknown route has the mean of its service, an unknown service 2,000 bytes. The price of bytes between regions is bounded by 0.3 (maxRegionCost): without a bound 90 KB would cost 3.5 failed requests, and a download would not leave a region in which it fails or is late. The bound also holds for uploads, which could leave their region only at the end of their wait before.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -238,18 +238,25 @@
 // reportOutcome releases the grant with the outcome of the attempt: at once, or
 // once the rest of a response has been read.
 func (e *execution) reportOutcome(l *grants.Lease, r targetconn.Result, started time.Time) {
-	release := func(kind pool.OutcomeKind) {
-		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load, Leaving: r.Leaving})
+	release := func(kind pool.OutcomeKind, bytes int64) {
+		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load, Leaving: r.Leaving, Bytes: bytes})
 	}
-	if r.Response == nil || r.Response.Rest == nil {
-		release(r.Outcome)
+	if r.Response == nil {
+		release(r.Outcome, 0)
 		return
 	}
+	buffered := max(int64(len(r.Response.Body)), 1) // 0 would mean that the length is not known
+	if r.Response.Rest == nil {
+		release(r.Outcome, buffered)
+		return
+	}
+	rest := &countingReader{source: r.Response.Rest}
+	r.Response.Rest = rest
 	r.Response.OnEnd(func(reading pool.OutcomeKind) {
 		if reading == pool.OK {
 			reading = r.Outcome
 		}
-		release(reading)
+		release(reading, buffered+rest.count)
 	})
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -79,3 +79,16 @@
 	w.WriteHeader(kind.Status)
 	_, _ = w.Write(body) // fails only if the caller has left
 }
+
+// countingReader counts the bytes that are read through it.
+type countingReader struct {
+	source io.Reader
+	count  int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.count += int64(n)
+	return n, err
+}
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -18,8 +18,11 @@
 	// Traffic between data centres and regions is billed by volume.
 	crossDataCentreByteCost = 0.015 / 1024
 	crossRegionByteCost     = 0.04 / 1024
-	maxDataCentreCost       = 0.1   // of all bytes of a request, however long: serving it is worth more
-	typicalResponseBytes    = 2_000 // size of a typical response with its headers
+	maxDataCentreCost       = 0.1 // of all bytes of a request, however long: serving it is worth more
+	// maxRegionCost is the same between regions. Without it a download would cost
+	// more than its failure, and would not leave a region in which it fails. It is
+	// less than maxLateCost, so that a full region does not make it late either.
+	maxRegionCost = 0.3
 )
 
 // cost returns the expected cost of sending the request to the target, and the
@@ -34,13 +37,13 @@
 	cost += occupancyCost * t.occupancy(now) / slots
 	cost += p.timeCost(t, r, now)
 	cost -= p.floorBonusFor(t, r, now)
-	bytes := float64(r.Bytes + typicalResponseBytes)
+	bytes := float64(r.Bytes) + p.responseBytes.Mean(r.Route)
 	switch {
 	case t.record.DataCentre == r.DataCentre:
 	case t.inOwnRegion:
 		cost += min(crossDataCentreByteCost*bytes, maxDataCentreCost)
 	default:
-		cost += crossRegionByteCost * bytes
+		cost += min(crossRegionByteCost*bytes, maxRegionCost)
 	}
 	return cost, risk
 }
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -49,6 +49,7 @@
 	switch o.Kind {
 	case OK:
 		p.learnDuration(t, r, o.Took, now)
+		p.responseBytes.Learn(r.Route, o.Bytes)
 	case Shed, Postponed:
 		t.backoffUntil = now.Add(shedBackoff)
 	case Failed, Reset, Timeout, InvalidResponse:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/sys"
+	"github.com/sequoialane/sequoialane/internal/workload"
 )
 
 // Config holds the settings and dependencies of a pool.
@@ -45,6 +46,7 @@
 	lookedAtAll   time.Time // when all waiters were last looked at
 	looks         uint64    // counts the looks at the waiters
 	durations     durations
+	responseBytes workload.Bytes
 	failingShare  failingShare
 	weights       decayWeights
 	budget        budget
