Choose targets by the expected work of requests

Requests of one route may cost a target very different work. The pool knew only the mean duration of a route, so a short request queued behind long ones as readily as behind short ones, a heavy tenant made its targets look slow, and a wait behind other requests counted as slowness of the target.

The factors of the keys and the speed of the target are estimated together: each is corrected by the others, and speeds by the median of the service. Of the time that an attempt took, the owner subtracts the wait for a slot, whose end it sees by the outcomes of the requests before. The wait for a full target follows from the expected remaining run times of its requests; a queued request also counts the delay that it causes to the next one. Setting request_cost (default true) turns this off. The run time of a streamed response no longer includes how fast the caller reads.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -130,7 +130,7 @@
 func peerHandler(broker *grants.Broker) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/fleet/v1/", broker.Handler())
-	mux.HandleFunc("GET /fleet/v1/pools", func(w http.ResponseWriter, _ *http.Request) { peerhttp.WriteJSON(w, broker.Status()) })
+	mux.HandleFunc("GET /fleet/v1/pools", func(w http.ResponseWriter, _ *http.Request) { peerhttp.WriteJSON(w, broker.Pools()) })
 	mux.Handle("GET /metrics", telemetry.MetricsHandler())
 	return mux
 }
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -33,6 +33,9 @@
 	LinkMbps         float64           `json:"link_mbps"`         // bandwidth of this VM's link; 0: unknown
 	Retries          Retries           `json:"retries"`
 	FloorShare       float64           `json:"floor_share"` // least share of the healthy targets of a service that get requests
+	// RequestCost makes owners choose targets by the expected work of each request. If
+	// it is false, they expect the same of all requests of a route.
+	RequestCost bool `json:"request_cost"`
 
 	Telemetry telemetry.Settings `json:"telemetry"`
 }
@@ -74,12 +77,13 @@
 // empty.
 func DefaultSettings() *Settings {
 	return &Settings{
-		Grace:      settings.Duration(30 * time.Second),
-		AddressTTL: settings.Duration(time.Second),
-		MemoryMB:   256,
-		Retries:    Retries{Ratio: 0.1, Slack: 10, Window: settings.Duration(10 * time.Second)},
-		FloorShare: 0.5,
-		Telemetry:  telemetry.DefaultSettings(),
+		Grace:       settings.Duration(30 * time.Second),
+		AddressTTL:  settings.Duration(time.Second),
+		MemoryMB:    256,
+		Retries:     Retries{Ratio: 0.1, Slack: 10, Window: settings.Duration(10 * time.Second)},
+		FloorShare:  0.5,
+		RequestCost: true,
+		Telemetry:   telemetry.DefaultSettings(),
 	}
 }
 
@@ -129,6 +133,7 @@
 		RetrySlack:  ownerSlackShare * s.Retries.Slack / float64(max(regions, 1)),
 		RetryWindow: s.Retries.Window.Std(),
 		FloorShare:  s.FloorShare,
+		UniformCost: !s.RequestCost,
 	}
 }
 
--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -70,6 +70,14 @@
 	assert.Len(t, addresses(v, "h", "r", "a", true), 3)
 }
 
+// Guards against a setting of the request cost that does not reach the pools.
+func TestRequestCostIsOnUnlessTurnedOff(t *testing.T) {
+	s := DefaultSettings()
+	assert.False(t, s.poolSettings().UniformCost)
+	s.RequestCost = false
+	assert.True(t, s.poolSettings().UniformCost)
+}
+
 // Guards against exceeding the allowed retries within a window when a second
 // owner takes over and starts with a new budget.
 func TestRetryBudgetWhenOwnersChange(t *testing.T) {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -199,20 +199,25 @@
 		ID: e.req.id, Route: route.Name, Retryable: route.Kind.IsIdempotent() && e.countedAttempts+e.inFlight+1 < route.MaxAttempts, Priority: route.Priority,
 		Bytes: len(e.req.outgoing.Body), Objective: max(e.req.started.Add(route.Objective).Sub(now), 0),
 		TimeLeft: e.req.deadline.Sub(now), DataCentre: e.g.options.DataCentre, Tried: e.tried, IsRetry: e.countedAttempts+e.inFlight > 0,
+		Path: e.req.pathHash,
 	}
 }
 
 // recordAttempt adds an attempt to the request's log line and returns its index.
 func (e *execution) recordAttempt(l *grants.Lease) int {
-	e.req.attempts = append(e.req.attempts, attempt{Target: l.Target, Owner: l.Owner, Risk: l.Risk, Outcome: pool.Unsent, StartMS: e.sinceArrival()})
+	e.req.attempts = append(e.req.attempts, attempt{
+		Target: l.Target, Owner: l.Owner, Risk: l.Risk, RunMS: milliseconds(l.RunTime), Outcome: pool.Unsent, StartMS: e.sinceArrival(),
+	})
 	return len(e.req.attempts) - 1
 }
 
 // sinceArrival returns the milliseconds since the request arrived.
 func (e *execution) sinceArrival() float64 {
-	return float64(e.g.options.Clock.Now().Sub(e.req.started).Microseconds()) / 1000
+	return milliseconds(e.g.options.Clock.Now().Sub(e.req.started))
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // startAttempt sends the request to the granted target in the background, and
 // schedules a hedge if the request is idempotent.
 func (e *execution) startAttempt(l *grants.Lease, record fleetstate.Target) {
@@ -238,8 +243,10 @@
 // reportOutcome releases the grant with the outcome of the attempt: at once, or
 // once the rest of a response has been read.
 func (e *execution) reportOutcome(l *grants.Lease, r targetconn.Result, started time.Time) {
+	// How fast the caller reads a streamed response says nothing about the target.
+	took := e.g.options.Clock.Now().Sub(started)
 	release := func(kind pool.OutcomeKind, bytes int64) {
-		l.Release(pool.Outcome{Kind: kind, Took: e.g.options.Clock.Now().Sub(started), Load: r.Load, Leaving: r.Leaving, Bytes: bytes})
+		l.Release(pool.Outcome{Kind: kind, Took: took, Load: r.Load, Leaving: r.Leaving, Bytes: bytes})
 	}
 	if r.Response == nil {
 		release(r.Outcome, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	host        string
 	route       *routing.Route
 	service     string
+	pathHash    uint32 // of the path segment after the prefix of the route; 0: none
 	version     uint64 // version of the routing document
 	started     time.Time
 	deadline    time.Time // when the final response is due
@@ -111,6 +112,7 @@
 	Target  string           `json:"target"`
 	Owner   string           `json:"owner"`
 	Risk    float64          `json:"risk"`
+	RunMS   float64          `json:"expected_run_ms"` // run time that the owner expected, in milliseconds
 	Outcome pool.OutcomeKind `json:"outcome"`
 	Sent    bool             `json:"sent"`
 	Reused  bool             `json:"reused"`
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -164,13 +164,22 @@
 
 // Status returns the estimates of this entry's pools by group.
 func (b *Broker) Status() map[string][]pool.TargetStatus {
+	return lo.MapValues(b.Pools(), func(s PoolStatus, _ string) []pool.TargetStatus { return s.Targets })
+}
+
+// PoolStatus is the state of a pool in the status output.
+type PoolStatus struct {
+	Targets []pool.TargetStatus `json:"targets"`
+	Routes  []pool.RouteCost    `json:"routes"` // of the most used routes
+}
+
+// Pools returns the state of this entry's pools by group.
+func (b *Broker) Pools() map[string]PoolStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	status := map[string][]pool.TargetStatus{}
-	for group, p := range b.pools {
-		status[group.key()] = p.Status()
-	}
-	return status
+	return lo.MapEntries(b.pools, func(group Group, p *pool.Pool) (string, PoolStatus) {
+		return group.key(), PoolStatus{Targets: p.Status(), Routes: p.Costs()}
+	})
 }
 
 // Lease is a grant together with the owner that made it.
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -33,6 +33,7 @@
 // fails requests immediately always has capacity, and would otherwise receive
 // all requests that exceed the capacity of the others.
 func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
+	expected := p.work.Predict(r.workRequest())
 	var best *target
 	bestCost, bestRisk := 0.0, 0.0
 	full := math.Inf(1) // lowest cost among full targets
@@ -40,7 +41,7 @@
 		if !t.isEligible(r, now) || now.Before(t.backoffUntil) {
 			continue
 		}
-		cost, risk := p.cost(t, r, now)
+		cost, risk := p.cost(t, r, expected, now)
 		switch {
 		case !t.hasCapacity(now):
 			full = min(full, cost)
@@ -54,20 +55,37 @@
 	}
 	p.countGrant(r, now)
 	p.lastLeaseID++
-	l := &lease{target: best, request: r, started: now, expires: now.Add(r.LeaseTime())}
+	l := &lease{
+		id: p.lastLeaseID, target: best, request: r, started: now, expires: now.Add(r.LeaseTime()),
+		cost: expected, slowness: best.slowness(now), wait: p.waitAt(best, now),
+	}
+	if best.hasFreeSlot(now) {
+		l.runsSince = now
+	}
 	p.leases[p.lastLeaseID] = l
 	best.leases[p.lastLeaseID] = l
 	best.inFlight++
 	best.lastGrantAt = now
 	p.granted.Inc()
-	best.risk.look = 0
+	best.risk.look, best.wait.look = 0, 0
 	p.updateLook(now)
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
-		HedgeDelay: p.durations.hedgeDelay(r.Route, p.budget.spentShare(now) < hedgeBudgetShare), Risk: bestRisk,
+		HedgeDelay: p.hedgeDelay(l, now), Risk: bestRisk, RunTime: scale(expected.RunTime, l.slowness),
 	}, true
 }
 
+// hedgeDelay returns the time after which a granted request should be hedged. The
+// expected wait for a slot of its target is no delay of the response.
+func (p *Pool) hedgeDelay(l *lease, now time.Time) time.Duration {
+	plentiful := p.budget.spentShare(now) < hedgeBudgetShare
+	delay := p.durations.hedgeDelayOf(l.request.Route, l.cost.Factor, plentiful)
+	if p.cfg.Settings.UniformCost {
+		return delay // the durations include the wait
+	}
+	return delay + time.Duration(l.wait)
+}
+
 // countGrant records a grant in the retry budget. A rejected request that asks
 // again is counted only once, when it is granted.
 func (p *Pool) countGrant(r Request, now time.Time) {
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/sequoialane/sequoialane/internal/workload"
+)
 
 // Costs are in units of one failed request that cannot be retried.
 const (
@@ -9,11 +13,14 @@
 	// failure of a retryable request costs minRetryableWeight. Beyond it the cost
 	// grows linearly, up to 1 when the budget is exhausted.
 	discountBudgetShare = 0.5
-	occupancyCost       = 0.01 // at full use of the slots
-	waitCost            = 0.05 // of a response expected exactly at the objective
-	lateCost            = 0.8  // for each multiple of the objective beyond lateThreshold
-	lateThreshold       = 0.6  // share of the objective from which a response risks being late
-	maxLateCost         = 0.4  // a late response is worth far more than none
+	// occupancyCost is the cost of full use of the slots. It counts requests, not their
+	// work: with work, a full target whose requests are about to end is preferred to one
+	// with a free slot, and the p99 of equal requests grows by up to 8%.
+	occupancyCost = 0.01
+	waitCost      = 0.05 // of a response expected exactly at the objective
+	lateCost      = 0.8  // for each multiple of the objective beyond lateThreshold
+	lateThreshold = 0.6  // share of the objective from which a response risks being late
+	maxLateCost   = 0.4  // a late response is worth far more than none
 
 	// Traffic between data centres and regions is billed by volume.
 	crossDataCentreByteCost = 0.015 / 1024
@@ -27,7 +34,7 @@
 
 // cost returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
-func (p *Pool) cost(t *target, r Request, now time.Time) (cost, risk float64) {
+func (p *Pool) cost(t *target, r Request, expected workload.Cost, now time.Time) (cost, risk float64) {
 	risk = p.currentRisk(t, now)
 	cost = risk
 	if r.Retryable {
@@ -35,9 +42,9 @@
 	}
 	slots := float64(max(t.record.Slots, 1))
 	cost += occupancyCost * t.occupancy(now) / slots
-	cost += p.timeCost(t, r, now)
+	cost += p.timeCost(t, r, expected, now)
 	cost -= p.floorBonusFor(t, r, now)
-	bytes := float64(r.Bytes) + p.responseBytes.Mean(r.Route)
+	bytes := float64(r.Bytes) + expected.Bytes
 	switch {
 	case t.record.DataCentre == r.DataCentre:
 	case t.inOwnRegion:
@@ -72,16 +79,40 @@
 }
 
 // timeCost returns the cost of the expected queueing and run time on the target.
-func (p *Pool) timeCost(t *target, r Request, now time.Time) float64 {
+func (p *Pool) timeCost(t *target, r Request, expected workload.Cost, now time.Time) float64 {
 	if r.Objective <= 0 {
 		return 0
 	}
-	runTime := float64(p.durations.mean(r.Route)) * t.slowness(now)
-	slots := float64(max(t.record.Slots, 1))
-	waiting := max(t.occupancy(now)+1-slots, 0) / slots
+	runTime := float64(expected.RunTime) * t.slowness(now)
+	time := runTime + p.expectedWait(t, runTime, now)
 	if !t.hasCapacity(now) {
-		waiting += float64(len(p.waiters)) / float64(max(t.record.Slots*len(p.targets)/2, 1))
+		time += p.meanRunTime(runTime) * float64(len(p.waiters)) / float64(max(t.record.Slots*len(p.targets)/2, 1))
 	}
-	objectiveShare := runTime * (1 + waiting) / float64(r.Objective)
+	objectiveShare := time / float64(r.Objective)
 	return waitCost*objectiveShare + min(lateCost*max(0, objectiveShare-lateThreshold), maxLateCost)
 }
+
+// expectedWait returns the nanoseconds that a request with the run time waits for a
+// slot of the target, and delays the next request there. Without the latter a long
+// request would queue wherever its own wait is short.
+func (p *Pool) expectedWait(t *target, runTime float64, now time.Time) float64 {
+	slots := float64(max(t.record.Slots, 1))
+	queued := max(t.occupancy(now)+1-slots, 0)
+	switch {
+	case p.cfg.Settings.UniformCost:
+		return runTime * queued / slots
+	case queued == 0:
+		return 0
+	default:
+		return p.waitAt(t, now) + runTime/slots*min(queued, 1)
+	}
+}
+
+// meanRunTime returns the mean run time of the queued requests, of which one has the
+// given run time, in nanoseconds.
+func (p *Pool) meanRunTime(runTime float64) float64 {
+	if p.cfg.Settings.UniformCost {
+		return runTime
+	}
+	return float64(p.work.Service().Mean())
+}
--- a/internal/pool/observe.go
+++ b/internal/pool/observe.go
@@ -26,8 +26,12 @@
 	if !ok {
 		return
 	}
+	ran := o.Took
+	if !p.cfg.Settings.UniformCost {
+		ran = l.runTimeOf(o.Took)
+	}
 	p.removeLease(id, l)
-	p.observe(l.target, l.request, o, now)
+	p.observe(l.target, l.request, o, ran, now)
 	p.dispatch(now)
 }
 
@@ -39,17 +43,17 @@
 	for _, t := range p.targets {
 		if t.record.ID == targetID {
 			o.Leaving = false // it may concern an earlier incarnation
-			p.observe(t, r, o, now)
+			p.observe(t, r, o, observedRunTime(t, o), now)
 			return
 		}
 	}
 }
 
-func (p *Pool) observe(t *target, r Request, o Outcome, now time.Time) {
+// observe records the outcome of an attempt on which the target worked for ran.
+func (p *Pool) observe(t *target, r Request, o Outcome, ran time.Duration, now time.Time) {
 	switch o.Kind {
 	case OK:
-		p.learnDuration(t, r, o.Took, now)
-		p.responseBytes.Learn(r.Route, o.Bytes)
+		p.learnCost(t, r, ran, o.Bytes, now)
 	case Shed, Postponed:
 		t.backoffUntil = now.Add(shedBackoff)
 	case Failed, Reset, Timeout, InvalidResponse:
@@ -84,21 +88,11 @@
 	return p.weights.mean(t.estimate.probabilitiesAt(now, p.failingShare.value))
 }
 
-// learnDuration learns how long a successful request took. The time comes from
-// another process and may be malformed.
-func (p *Pool) learnDuration(t *target, r Request, took time.Duration, now time.Time) {
-	took = min(max(took, 0), maxLeaseTime)
-	ratio := min(float64(took)/float64(p.durations.mean(r.Route)), maxDurationRatio)
-	previous := t.measuredSlowness(now)
-	t.durationRatio = previous + durationRatioWeight*(ratio-previous)
-	t.durationRatioAt = now
-	p.durations.learn(r.Route, took)
-}
-
 func (p *Pool) removeLease(id uint64, l *lease) {
 	delete(p.leases, id)
 	delete(l.target.leases, id)
 	l.target.inFlight--
+	l.target.startQueued(p.cfg.Clock.Now())
 }
 
 // expireLeases removes leases whose sender did not report an outcome in time.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -43,10 +43,10 @@
 	withdrawn     map[callKey]time.Time // calls that were withdrawn before they arrived, until when they are remembered
 	waiters       []*waiter             // by priority, then by arrival
 	wake          wake
-	lookedAtAll   time.Time // when all waiters were last looked at
-	looks         uint64    // counts the looks at the waiters
-	durations     durations
-	responseBytes workload.Bytes
+	lookedAtAll   time.Time       // when all waiters were last looked at
+	looks         uint64          // counts the looks at the waiters
+	work          *workload.Model // run times and response bytes of requests
+	durations     durations       // of work
 	failingShare  failingShare
 	weights       decayWeights
 	budget        budget
@@ -63,10 +63,15 @@
 
 // lease is a grant whose outcome has not been reported.
 type lease struct {
-	target  *target
-	request Request
-	started time.Time
-	expires time.Time
+	id        uint64
+	target    *target
+	request   Request
+	started   time.Time
+	expires   time.Time
+	cost      workload.Cost // expected when it was granted
+	slowness  float64       // of the target at that time
+	wait      float64       // expected then, in nanoseconds
+	runsSince time.Time     // zero: it waits for a slot of the target
 }
 
 type waiter struct {
@@ -82,13 +87,15 @@
 	if cfg.AfterFunc == nil {
 		cfg.AfterFunc = func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop }
 	}
+	work := workload.New(!s.UniformCost)
 	return &Pool{
 		cfg:          cfg,
+		work:         work,
 		leases:       map[uint64]*lease{},
 		lastLeaseID:  uint64(rand.Uint32()),
 		withdrawn:    map[callKey]time.Time{},
 		idleReports:  map[string]idleReport{},
-		durations:    durations{routes: map[string]*routeDurations{}},
+		durations:    durations{routes: work.Routes(), service: work.Service()},
 		failingShare: failingShare{value: initialFailingShare},
 		budget:       budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
 		granted:      metrics.GetOrCreateCounter("sequoialane_pool_granted_total" + labels),
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -16,10 +16,10 @@
 		return 1
 	}
 	slots := float64(max(t.record.Slots, 1))
-	pace := t.slowness(now) * max(t.occupancy(now)/slots, 1)
+	pace := t.slowness(now) * max(t.occupancy(now)/slots, 1) // others may run first
 	odds := 1.0
 	for _, l := range t.leases {
-		waited := time.Duration(float64(now.Sub(l.started)) / pace)
+		waited := scale(now.Sub(l.started), 1/(pace*l.cost.Factor))
 		responding := p.durations.shareLongerThan(l.request.Route, waited)
 		odds *= (silentWhenFailing + (1-silentWhenFailing)*responding) / (silentWhenHealthy + (1-silentWhenHealthy)*responding)
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -32,9 +32,10 @@
 	lastGrantAt      time.Time
 	lastFailureAt    time.Time
 	leases           map[uint64]*lease
-	durationRatio    float64   // moving average of duration to route mean; 0: unknown
+	durationRatio    float64   // moving average of run time to expected run time; 0: unknown
 	durationRatioAt  time.Time // time of the last change of durationRatio
 	risk             knownRisk
+	wait             knownWait
 	backoffUntil     time.Time
 	coldUntil        time.Time
 	leaving          bool      // it has said in a response that it is about to stop
@@ -66,7 +67,8 @@
 	return own + float64(t.otherRequests)*math.Exp(-now.Sub(t.otherRequestsAt).Seconds()/loadDecayTime.Seconds())
 }
 
-// slowness returns the expected ratio of the target's durations to the route means.
+// slowness returns the expected ratio of the target's run times to those expected
+// of a target of usual speed.
 func (t *target) slowness(now time.Time) float64 {
 	ratio := t.measuredSlowness(now)
 	if now.Before(t.coldUntil) {
@@ -75,8 +77,8 @@
 	return ratio
 }
 
-// measuredSlowness returns the moving average of the ratio of duration to route mean,
-// decayed towards 1 by its age if the target was slow.
+// measuredSlowness returns the moving average of the ratio of run times to expected
+// ones, decayed towards 1 by its age if the target was slow.
 func (t *target) measuredSlowness(now time.Time) float64 {
 	switch {
 	case t.durationRatio == 0:
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -43,6 +43,7 @@
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"` // an earlier attempt was sent, so the retry budget applies
 	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`   // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
 	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"` // empty: the request carries no key
+	Path       uint32        `json:"path,omitempty" cbor:"16,keyasint,omitempty"`   // hash of the path segment after the prefix of the route; 0: none
 	// SlackShare is the share of the retry slack that the request may draw on; 0: all
 	// of it. It is not sent to other processes.
 	SlackShare float64 `json:"-" cbor:"-"`
@@ -60,6 +61,8 @@
 	// should be hedged on another target.
 	HedgeDelay time.Duration `json:"hedge_after" cbor:"4,keyasint"`
 	Risk       float64       `json:"risk" cbor:"5,keyasint"` // estimated failure probability
+	// RunTime is the expected run time on the target; 0: not known.
+	RunTime time.Duration `json:"run_time,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // OutcomeKind classifies how an attempt ended.
@@ -105,6 +108,9 @@
 	// FloorShare is the minimum share of healthy targets that keep receiving
 	// requests, also while many targets fail.
 	FloorShare float64
+	// UniformCost makes the pool expect the same cost of all requests of a route,
+	// and compare targets by the number of their requests.
+	UniformCost bool
 }
 
 // DefaultSettings returns the settings of a pool that has no settings file.
--- /dev/null
+++ b/internal/pool/work.go
@@ -0,0 +1,161 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/sequoialane/sequoialane/internal/workload"
+)
+
+// minRemaining is the least remaining run time of a request that is expected, in
+// nanoseconds.
+const minRemaining = float64(time.Millisecond)
+
+// workRequest returns the properties of a request that its cost is predicted from.
+func (r Request) workRequest() workload.Request {
+	return workload.Request{Route: r.Route, Tenant: r.Tenant, Bytes: r.Bytes, Path: r.Path}
+}
+
+// knownWait is the expected wait at a target in a look at the waiting requests.
+type knownWait struct {
+	value float64 // nanoseconds
+	look  uint64  // number of the look; 0: not known
+}
+
+// waitAt returns the nanoseconds that a further request is expected to wait for a slot
+// of the target. It is computed once in a look, like the risk.
+func (p *Pool) waitAt(t *target, now time.Time) float64 {
+	if t.wait.look != p.looks {
+		t.wait = knownWait{value: p.currentWait(t, now), look: p.looks}
+	}
+	return t.wait.value
+}
+
+// currentWait derives the wait from the remaining work. Slots become free at the sum of
+// the rates at which the running requests end; a further request gets one after those
+// that queue before it. Requests of other pools are taken for ones of the service that
+// have just begun.
+func (p *Pool) currentWait(t *target, now time.Time) float64 {
+	slots := float64(max(t.record.Slots, 1))
+	queued := t.occupancy(now) + 1 - slots
+	if queued <= 0 {
+		return 0
+	}
+	slowness := t.slowness(now)
+	mean := p.meanWork(slowness)
+	running := t.occupancy(now) - float64(t.inFlight)
+	rate := running / mean
+	for _, l := range t.leases {
+		if !l.runsSince.IsZero() {
+			running++
+			rate += 1 / p.remaining(l, slowness, now)
+		}
+	}
+	if rate == 0 {
+		return queued * mean / slots
+	}
+	return queued / (rate * min(1, slots/running))
+}
+
+// remainingWork returns the nanoseconds of slot time that the requests at a target are
+// expected to take still.
+func (p *Pool) remainingWork(t *target, now time.Time) float64 {
+	slowness := t.slowness(now)
+	work := (t.occupancy(now) - float64(t.inFlight)) * p.meanWork(slowness)
+	for _, l := range t.leases {
+		work += p.remaining(l, slowness, now)
+	}
+	return work
+}
+
+// meanWork returns the mean run time of the requests of the service on a target, in
+// nanoseconds.
+func (p *Pool) meanWork(slowness float64) float64 {
+	return max(float64(p.work.Service().Mean())*slowness, minRemaining)
+}
+
+// remaining returns the expected remaining run time of a granted request in
+// nanoseconds.
+func (p *Pool) remaining(l *lease, slowness float64, now time.Time) float64 {
+	if l.runsSince.IsZero() {
+		return max(float64(l.cost.RunTime)*slowness, minRemaining)
+	}
+	pace := l.cost.Factor * slowness
+	left := p.durations.of(l.request.Route).Remaining(scale(now.Sub(l.runsSince), 1/pace))
+	return max(float64(left)*pace, minRemaining)
+}
+
+// hasFreeSlot reports whether a further request runs at once on the target.
+func (t *target) hasFreeSlot(now time.Time) bool {
+	return t.occupancy(now) < float64(max(t.record.Slots, 1))
+}
+
+// startQueued marks the requests of this pool as running that have got a slot of
+// the target because another one has ended. Targets run requests in their order.
+func (t *target) startQueued(now time.Time) {
+	running := t.occupancy(now) - float64(t.inFlight)
+	for _, l := range t.leases {
+		if !l.runsSince.IsZero() {
+			running++
+		}
+	}
+	for running < float64(max(t.record.Slots, 1)) {
+		var next *lease
+		for _, l := range t.leases {
+			if l.runsSince.IsZero() && (next == nil || l.id < next.id) {
+				next = l
+			}
+		}
+		if next == nil {
+			return
+		}
+		next.runsSince = now
+		running++
+	}
+}
+
+// runTimeOf returns for how long the target has worked on a request that took the
+// time in all: without its wait for a slot.
+func (l *lease) runTimeOf(took time.Duration) time.Duration {
+	if l.runsSince.IsZero() { // other pools held the slots, so the end of the wait was not seen
+		expected := float64(l.cost.RunTime) * l.slowness
+		return scale(took, expected/max(expected+l.wait, 1))
+	}
+	return max(took-l.runsSince.Sub(l.started), 0)
+}
+
+// observedRunTime returns the run time of a request that another pool granted. Of
+// its wait only the load that its target reported is known.
+func observedRunTime(t *target, o Outcome) time.Duration {
+	if o.Load == nil {
+		return o.Took
+	}
+	return scale(o.Took, 1/(1+max(float64(o.Load.Waiting), 0)/float64(max(t.record.Slots, 1))))
+}
+
+// usualSlowness returns the median slowness of the targets. Where all targets have
+// become slower, the requests have become longer.
+func (p *Pool) usualSlowness(now time.Time) float64 {
+	all := lo.Map(p.targets, func(t *target, _ int) float64 { return t.measuredSlowness(now) })
+	slices.Sort(all)
+	return max(all[len(all)/2], 1/maxDurationRatio)
+}
+
+// learnCost learns the run time and the response bytes of a successful request, and
+// the speed of its target. Each is corrected by what is known of the other. The
+// figures come from another process and may be malformed.
+func (p *Pool) learnCost(t *target, r Request, ran time.Duration, bytes int64, now time.Time) {
+	ran = min(max(ran, 0), maxLeaseTime)
+	slowness := 1.0
+	if !p.cfg.Settings.UniformCost {
+		slowness = t.slowness(now) / p.usualSlowness(now)
+	}
+	expected := p.work.Predict(r.workRequest()).RunTime
+	ratio := min(float64(ran)/float64(max(expected, 1)), maxDurationRatio)
+	previous := t.measuredSlowness(now)
+	t.durationRatio = previous + durationRatioWeight*(ratio-previous)
+	t.durationRatioAt = now
+	p.work.Learn(workload.Observation{Request: r.workRequest(), RunTime: ran, Slowness: slowness, Body: bytes})
+}
