Exchange the mean costs of routes, and measure the expectations

An owner in a region without requests for a route expected responses of 2,000 bytes and the mean run time of its service. The evidence that owners exchange now carries the mean run time and response bytes of the 16 most used routes, and a region takes them over for routes of which it has no observations; values are clamped.

Metrics sequoialane_workload_…: run times, the errors of the expectation by route and by request, keys and dropped keys. The log line of a request has expected_run_ms for each attempt.

--- a/internal/gateway/bytes_test.go
+++ b/internal/gateway/bytes_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/grants"
@@ -60,3 +61,43 @@
 		assert.EqualValues(t, max(length, 1), outcome.Bytes, "0 would mean that it is not known")
 	}
 }
+
+// Guards against paths of one kind that are told apart by their ids, and against ones
+// that are not told apart at all.
+func TestPathHash(t *testing.T) {
+	for _, c := range []struct {
+		desc, prefix, path, like string
+		wantSame                 bool
+	}{
+		{"ids below the segment", "/v1/", "/v1/orders/1", "/v1/orders/2", true},
+		{"prefix without a slash", "/v1", "/v1/orders/1", "/v1/orders", true},
+		{"other segment", "/v1/", "/v1/orders/1", "/v1/carts/1", false},
+	} {
+		assert.Equal(t, c.wantSame, pathHash(c.prefix, c.path) == pathHash(c.prefix, c.like), c.desc)
+		assert.NotZero(t, pathHash(c.prefix, c.path), c.desc)
+	}
+	assert.Zero(t, pathHash("/v1/", "/v1/"), "no segment")
+}
+
+// Guards against a log line that does not say what the owner expected of an attempt.
+func TestExpectedRunTimeIsLogged(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+	g := newGateway(f)
+	g.options.Log = zap.New(core)
+	g.options.Broker = fixedBroker{run: 120 * time.Millisecond}
+	call(t, g, "GET", "/reads/1", "")
+	require.Equal(t, 1, lines.Len())
+	attempts, ok := lines.All()[0].ContextMap()["attempts"].([]attempt)
+	require.True(t, ok)
+	require.Len(t, attempts, 1)
+	assert.InDelta(t, 120, attempts[0].RunMS, 0)
+}
+
+// fixedBroker grants the first target with an expected run time.
+type fixedBroker struct{ run time.Duration }
+
+func (b fixedBroker) Acquire(context.Context, string, pool.Request, time.Duration) (*grants.Lease, error) {
+	g := pool.Grant{Target: "t0", Address: "10.0.0.1:80", HedgeDelay: time.Hour, RunTime: b.run}
+	return grants.NewLease(g, "owner", func(pool.Outcome) {}), nil
+}
--- a/internal/pool/evidence.go
+++ b/internal/pool/evidence.go
@@ -30,6 +30,7 @@
 	MeanIdle float64          `json:"idle" cbor:"2,keyasint"` // mean number of healthy targets of the region without a request in flight
 	Targets  []TargetEstimate `json:"targets" cbor:"3,keyasint"`
 	Leaving  []LeavingTarget  `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
+	Costs    []RouteMean      `json:"costs,omitempty" cbor:"5,keyasint,omitempty"` // those that have changed
 }
 
 // LeavingTarget is an incarnation of a target that is about to stop.
@@ -54,7 +55,7 @@
 	now := p.cfg.Clock.Now()
 	idle := math.Round(p.idleMean.value*roundingFactor) / roundingFactor
 	p.idleReports[p.cfg.Region] = idleReport{idle: idle, at: now}
-	report := Report{Region: p.cfg.Region, MeanIdle: idle}
+	report := Report{Region: p.cfg.Region, MeanIdle: idle, Costs: p.reportCosts(now)}
 	for _, t := range p.targets {
 		if t.leaving {
 			report.Leaving = append(report.Leaving, LeavingTarget{Target: t.record.ID, StartedAtMS: t.record.StartedAtMS})
@@ -90,6 +91,7 @@
 			t.estimate.setRemote(min(max(e.FailingProbability, 0), 1), at)
 		}
 	}
+	p.mergeCosts(r.Costs)
 	for _, leaving := range r.Leaving {
 		if t := known[leaving.Target]; t != nil && t.record.StartedAtMS == leaving.StartedAtMS {
 			t.leaving = true
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -47,6 +47,7 @@
 	looks         uint64          // counts the looks at the waiters
 	work          *workload.Model // run times and response bytes of requests
 	durations     durations       // of work
+	reportedCosts map[string]reportedCost
 	failingShare  failingShare
 	weights       decayWeights
 	budget        budget
@@ -59,6 +60,7 @@
 
 	granted, busy, budgetSpent *metrics.Counter
 	waited                     *metrics.Histogram
+	workload                   workloadMetrics
 }
 
 // lease is a grant whose outcome has not been reported.
@@ -102,6 +104,7 @@
 		busy:         metrics.GetOrCreateCounter("sequoialane_pool_busy_total" + labels),
 		budgetSpent:  metrics.GetOrCreateCounter("sequoialane_pool_retry_budget_spent_total" + labels),
 		waited:       metrics.GetOrCreateHistogram("sequoialane_pool_wait_seconds" + labels),
+		workload:     newWorkloadMetrics(cfg.Service, cfg.Region),
 	}
 }
 
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -152,10 +152,12 @@
 	if !p.cfg.Settings.UniformCost {
 		slowness = t.slowness(now) / p.usualSlowness(now)
 	}
-	expected := p.work.Predict(r.workRequest()).RunTime
-	ratio := min(float64(ran)/float64(max(expected, 1)), maxDurationRatio)
+	expected := p.work.Predict(r.workRequest())
+	ratio := min(float64(ran)/float64(max(expected.RunTime, 1)), maxDurationRatio)
+	p.workload.observe(ran, expected, slowness)
 	previous := t.measuredSlowness(now)
 	t.durationRatio = previous + durationRatioWeight*(ratio-previous)
 	t.durationRatioAt = now
 	p.work.Learn(workload.Observation{Request: r.workRequest(), RunTime: ran, Slowness: slowness, Body: bytes})
+	p.workload.count(p.work)
 }
