Explain which target a request would get

The entry passes the question to the owner of the group. The decision is the one that grants: Pool.grant is split into choose, which reserves nothing, and the grant. The command needs no token, like the other pages of the peer port.

--- a/cmd/sequoialane-ctl/fleet.go
+++ b/cmd/sequoialane-ctl/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/urfave/cli/v3"
 
@@ -26,6 +27,40 @@
 	return &cli.Command{Name: "traffic", Usage: "add up what processes, given as peer addresses, sent and received for each cause", Action: showTraffic}
 }
 
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "explain",
+		Usage: "ask an entry of the platform, by its peer address, which target a request would get now, and why; nothing is sent or reserved",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service", Required: true},
+			&cli.StringFlag{Name: "route", Usage: "`NAME` of the route in the routing document", Required: true},
+			&cli.StringFlag{Name: "tenant", Usage: "`NAME` of the tenant"},
+			&cli.IntFlag{Name: "bytes", Usage: "length of the body in `BYTES`"},
+			&cli.StringFlag{Name: "path", Usage: "`PATH` of the request"},
+		},
+		Action: explain,
+	}
+}
+
+func explain(ctx context.Context, command *cli.Command) error {
+	s, err := newOpenSession(command, flagEntry)
+	if err != nil {
+		return err
+	}
+	e, err := s.client.Explain(ctx, ctl.ExplainQuery{
+		Service: command.String("service"), Route: command.String("route"), Tenant: command.String("tenant"),
+		Bytes: command.Int("bytes"), Path: command.String("path"),
+	})
+	if err != nil {
+		return err
+	}
+	if !s.json {
+		fmt.Fprintln(s.stdout, ctl.ExplanationText(e))
+	}
+	heading, rows := ctl.ExplanationTable(e)
+	return s.print(e, heading, rows)
+}
+
 func members(ctx context.Context, command *cli.Command) error {
 	s, err := newSession(command, flagEntry)
 	if err != nil {
--- a/cmd/sequoialane-ctl/main.go
+++ b/cmd/sequoialane-ctl/main.go
@@ -54,7 +54,7 @@
 		OnUsageError:          usageError,
 		Commands: []*cli.Command{
 			plansCommand(), entitlementsCommand(), diffCommand(), applyCommand(),
-			membersCommand(), upstreamsCommand(), trafficCommand(), statusCommand(),
+			membersCommand(), upstreamsCommand(), trafficCommand(), explainCommand(), statusCommand(),
 		},
 	}
 	inheritUsageError(root)
--- a/cmd/sequoialane-ctl/session.go
+++ b/cmd/sequoialane-ctl/session.go
@@ -23,7 +23,7 @@
 func globalFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringSliceFlag{Name: flagControl, Usage: "control members as `IP:PORT`, tried in order; comma-separated or repeated", Sources: cli.EnvVars("SEQUOIALANE_CONTROL")},
-		&cli.StringSliceFlag{Name: flagEntry, Usage: "entries as `IP:PORT`, for members and upstreams", Sources: cli.EnvVars("SEQUOIALANE_ENTRY")},
+		&cli.StringSliceFlag{Name: flagEntry, Usage: "entries as `IP:PORT`, for members and upstreams; peer addresses for traffic and explain", Sources: cli.EnvVars("SEQUOIALANE_ENTRY")},
 		&cli.StringFlag{Name: flagTokenFile, Usage: "`FILE` with the operators' token", Sources: cli.EnvVars("SEQUOIALANE_TOKEN_FILE")},
 		&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: outputTable, Usage: "table or json"},
 	}
@@ -40,6 +40,20 @@
 // newSession reads the global flags. The parameter addresses is the name of the
 // flag that lists the addresses to which the command sends requests.
 func newSession(command *cli.Command, addresses string) (*session, error) {
+	s, err := newOpenSession(command, addresses)
+	if err != nil {
+		return nil, err
+	}
+	file := command.String(flagTokenFile)
+	if file == "" {
+		return nil, usagef("--%s is required", flagTokenFile)
+	}
+	s.client.Token, err = settings.ReadToken(file)
+	return s, err
+}
+
+// newOpenSession is newSession for addresses that ask for no token.
+func newOpenSession(command *cli.Command, addresses string) (*session, error) {
 	list := command.StringSlice(addresses)
 	if len(list) == 0 {
 		return nil, usagef("--%s is required", addresses)
@@ -48,16 +62,8 @@
 	if output != outputTable && output != outputJSON {
 		return nil, usagef("--%s %q: want table or json", flagOutput, output)
 	}
-	file := command.String(flagTokenFile)
-	if file == "" {
-		return nil, usagef("--%s is required", flagTokenFile)
-	}
-	token, err := settings.ReadToken(file)
-	if err != nil {
-		return nil, err
-	}
 	root := command.Root()
-	return &session{client: ctl.NewClient(list, token), stdout: root.Writer, stderr: root.ErrWriter, json: output == outputJSON}, nil
+	return &session{client: ctl.NewClient(list, ""), stdout: root.Writer, stderr: root.ErrWriter, json: output == outputJSON}, nil
 }
 
 // print writes value as JSON, or the heading and rows as a table.
--- a/internal/gateway/bytes_test.go
+++ b/internal/gateway/bytes_test.go
@@ -73,10 +73,10 @@
 		{"prefix without a slash", "/v1", "/v1/orders/1", "/v1/orders", true},
 		{"other segment", "/v1/", "/v1/orders/1", "/v1/carts/1", false},
 	} {
-		assert.Equal(t, c.wantSame, pathHash(c.prefix, c.path) == pathHash(c.prefix, c.like), c.desc)
-		assert.NotZero(t, pathHash(c.prefix, c.path), c.desc)
+		assert.Equal(t, c.wantSame, pool.PathHash(c.prefix, c.path) == pool.PathHash(c.prefix, c.like), c.desc)
+		assert.NotZero(t, pool.PathHash(c.prefix, c.path), c.desc)
 	}
-	assert.Zero(t, pathHash("/v1/", "/v1/"), "no segment")
+	assert.Zero(t, pool.PathHash("/v1/", "/v1/"), "no segment")
 }
 
 // Guards against a log line that does not say what the owner expected of an attempt.
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -6,10 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoialane/sequoialane/internal/fault"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 )
 
@@ -50,7 +49,7 @@
 		return release, fault.Newf(fault.HeaderTooLarge, "the header is over the limit of %d bytes", limit)
 	}
 	g.chooseService(v, r.Host, req)
-	req.pathHash = pathHash(req.route.PathPrefix, r.URL.Path)
+	req.pathHash = pool.PathHash(req.route.PathPrefix, r.URL.Path)
 	body, rejection := g.readBody(w, r, req, v.Routes.Document.Limits.MaxBodyBytes)
 	if rejection != nil {
 		return release, rejection
@@ -61,16 +60,6 @@
 	return body.release, nil
 }
 
-// pathHash returns a hash of the path segment after the prefix of the route, by which
-// the cost of a request is predicted; 0 if there is none.
-func pathHash(prefix, path string) uint32 {
-	segment, _, _ := strings.Cut(strings.TrimLeft(strings.TrimPrefix(path, prefix), "/"), "/")
-	if segment == "" {
-		return 0
-	}
-	return max(uint32(xxhash.Sum64String(segment)), 1)
-}
-
 // headerBytes returns the size of the request line and the header fields.
 func headerBytes(r *http.Request) int64 {
 	total := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("Host: ") + len(r.Host)
--- a/internal/grants/calls.go
+++ b/internal/grants/calls.go
@@ -66,6 +66,8 @@
 	mux.HandleFunc("POST "+ReleasePath, b.serveRelease)
 	mux.HandleFunc("POST "+WithdrawPath, b.serveWithdraw)
 	mux.HandleFunc("POST "+EvidencePath, b.serveEvidence)
+	mux.HandleFunc("POST "+ExplanationPath, b.serveExplanation)
+	mux.HandleFunc("GET "+ExplainPath, b.serveExplain)
 	return mux
 }
 
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/sequoialane/sequoialane/internal/workload"
 )
 
 const (
@@ -28,36 +30,56 @@
 	p.retryableWeight = p.currentRetryableWeight(now)
 }
 
-// grant selects the target with the lowest cost. If that target is full, the
+// choice is the target that a request should get.
+type choice struct {
+	target   *target // nil: the request waits
+	risk     float64
+	expected workload.Cost
+}
+
+// choose selects the target with the lowest cost. If that target is full, the
 // request waits for it rather than use one that costs much more. A target that
 // fails requests immediately always has capacity, and would otherwise receive
-// all requests that exceed the capacity of the others.
-func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
-	expected := p.work.Predict(r.workRequest())
-	var best *target
-	bestCost, bestRisk := 0.0, 0.0
+// all requests that exceed the capacity of the others. It reserves nothing; see, if
+// set, is called with the costs of each target that is compared.
+func (p *Pool) choose(r Request, now time.Time, see func(*target, costs, float64)) choice {
+	c := choice{expected: p.work.Predict(r.workRequest())}
+	bestCost := 0.0
 	full := math.Inf(1) // lowest cost among full targets
 	for _, t := range p.targets {
 		if !t.isEligible(r, now) || now.Before(t.backoffUntil) {
 			continue
 		}
-		cost, risk := p.cost(t, r, expected, now)
-		switch {
+		parts, risk := p.costsAt(t, r, c.expected, now)
+		if see != nil {
+			see(t, parts, risk)
+		}
+		switch cost := parts.total(); {
 		case !t.hasCapacity(now):
 			full = min(full, cost)
-		case best == nil || cost < bestCost:
-			best, bestCost, bestRisk = t, cost, risk
+		case c.target == nil || cost < bestCost:
+			c.target, bestCost, c.risk = t, cost, risk
 		}
 	}
 	worthWaiting := !r.AcceptAny && bestCost > full+waitAdvantage
-	if best == nil || worthWaiting || r.IsRetry && !p.budget.allows(now, r.SlackShare) {
+	if worthWaiting || r.IsRetry && !p.budget.allows(now, r.SlackShare) {
+		c.target = nil
+	}
+	return c
+}
+
+// grant grants the request the chosen target, if there is one now.
+func (p *Pool) grant(r Request, now time.Time) (Grant, bool) {
+	chosen := p.choose(r, now, nil)
+	best := chosen.target
+	if best == nil {
 		return Grant{}, false
 	}
 	p.countGrant(r, now)
 	p.lastLeaseID++
 	l := &lease{
 		id: p.lastLeaseID, target: best, request: r, started: now, expires: now.Add(r.LeaseTime()),
-		cost: expected, slowness: best.slowness(now), wait: p.waitAt(best, now),
+		cost: chosen.expected, slowness: best.slowness(now), wait: p.waitAt(best, now),
 	}
 	if best.hasFreeSlot(now) {
 		l.runsSince = now
@@ -71,7 +93,7 @@
 	p.updateLook(now)
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
-		HedgeDelay: p.hedgeDelay(l, now), Risk: bestRisk, RunTime: scale(expected.RunTime, l.slowness),
+		HedgeDelay: p.hedgeDelay(l, now), Risk: chosen.risk, RunTime: scale(chosen.expected.RunTime, l.slowness),
 	}, true
 }
 
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -32,27 +32,38 @@
 	maxRegionCost = 0.3
 )
 
-// cost returns the expected cost of sending the request to the target, and the
+// costs are the parts of the expected cost of sending a request to a target.
+type costs struct {
+	failure   float64
+	occupancy float64
+	time      float64
+	bytes     float64
+	floor     float64 // negative: the floor asks for a request there
+}
+
+func (c costs) total() float64 { return c.failure + c.occupancy + c.time + c.bytes + c.floor }
+
+// costsAt returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
-func (p *Pool) cost(t *target, r Request, expected workload.Cost, now time.Time) (cost, risk float64) {
+func (p *Pool) costsAt(t *target, r Request, expected workload.Cost, now time.Time) (c costs, risk float64) {
 	risk = p.currentRisk(t, now)
-	cost = risk
+	c.failure = risk
 	if r.Retryable {
-		cost *= p.retryableWeight
+		c.failure *= p.retryableWeight
 	}
 	slots := float64(max(t.record.Slots, 1))
-	cost += occupancyCost * t.occupancy(now) / slots
-	cost += p.timeCost(t, r, expected, now)
-	cost -= p.floorBonusFor(t, r, now)
+	c.occupancy = occupancyCost * t.occupancy(now) / slots
+	c.time = p.timeCost(t, r, expected, now)
+	c.floor -= p.floorBonusFor(t, r, now)
 	bytes := float64(r.Bytes) + expected.Bytes
 	switch {
 	case t.record.DataCentre == r.DataCentre:
 	case t.inOwnRegion:
-		cost += min(crossDataCentreByteCost*bytes, maxDataCentreCost)
+		c.bytes = min(crossDataCentreByteCost*bytes, maxDataCentreCost)
 	default:
-		cost += min(crossRegionByteCost*bytes, maxRegionCost)
+		c.bytes = min(crossRegionByteCost*bytes, maxRegionCost)
 	}
-	return cost, risk
+	return c, risk
 }
 
 // knownRisk is the failure probability of a target in a look at the waiting
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -36,10 +36,9 @@
 	defer p.mu.Unlock()
 	now := p.cfg.Clock.Now()
 	return lo.Map(p.targets, func(t *target, _ int) TargetStatus {
-		slowness := t.slowness(now)
 		return TargetStatus{
 			ID: t.record.ID, Address: t.record.Address, FailingProbability: p.failingProbability(t, now),
-			InFlight: t.inFlight, Slowness: slowness, Speed: 1 / max(slowness, 1/maxDurationRatio),
+			InFlight: t.inFlight, Slowness: t.slowness(now), Speed: t.speed(now),
 			RemainingWorkMS: p.remainingWork(t, now) / float64(time.Millisecond),
 		}
 	})
@@ -52,7 +51,7 @@
 	costs := make([]RouteCost, 0, len(p.work.Routes()))
 	for name, r := range p.work.Routes() {
 		costs = append(costs, RouteCost{
-			Route: name, RunTimeMS: float64(r.Mean()) / float64(time.Millisecond), ResponseBytes: r.Bytes(), Observations: r.Observations(),
+			Route: name, RunTimeMS: inMilliseconds(r.Mean()), ResponseBytes: r.Bytes(), Observations: r.Observations(),
 		})
 	}
 	slices.SortFunc(costs, func(a, b RouteCost) int {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -77,6 +77,9 @@
 	return ratio
 }
 
+// speed returns the inverse of the slowness.
+func (t *target) speed(now time.Time) float64 { return 1 / max(t.slowness(now), 1/maxDurationRatio) }
+
 // measuredSlowness returns the moving average of the ratio of run times to expected
 // ones, decayed towards 1 by its age if the target was slow.
 func (t *target) measuredSlowness(now time.Time) float64 {
