Learn the scale of run times from the targets in use; complete explain

Trying explain on a fleet of three control members and four entries showed speeds of 2.5 to 3.3 for the targets in use: those of the other region, which get no requests, held the median speed at 1, and the mean run time stayed at more than twice its value. The median now counts targets measured within the last minute.

--- a/cmd/sequoialane-ctl/fleet.go
+++ b/cmd/sequoialane-ctl/fleet.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if command.Int("bytes") < 0 {
+		return usagef("--bytes %d: want 0 or more", command.Int("bytes"))
+	}
 	e, err := s.client.Explain(ctx, ctl.ExplainQuery{
 		Service: command.String("service"), Route: command.String("route"), Tenant: command.String("tenant"),
 		Bytes: command.Int("bytes"), Path: command.String("path"),
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -26,6 +26,9 @@
 // ErrUsage is wrapped by errors about command-line usage.
 var ErrUsage = errors.New("usage error")
 
+// ErrNotFound is wrapped by errors about a name that the fleet does not know.
+var ErrNotFound = errors.New("not found")
+
 // ErrUnreachable is returned if no address responded.
 var ErrUnreachable = errors.New("no address answered")
 
@@ -40,6 +43,8 @@
 		return exitCodeOf(apiErr.Kind)
 	case errors.Is(err, ErrUsage), errors.As(err, &settingsErr):
 		return ExitUsage
+	case errors.Is(err, ErrNotFound):
+		return ExitNotFound
 	case errors.Is(err, ErrUnreachable):
 		return ExitUnavailable
 	default:
--- a/internal/pool/costreport.go
+++ b/internal/pool/costreport.go
@@ -24,7 +24,7 @@
 type RouteMean struct {
 	Route     string `json:"r" cbor:"1,keyasint"`
 	RunTimeMS int64  `json:"t" cbor:"2,keyasint"`
-	Bytes     int64  `json:"b" cbor:"3,keyasint"` // of the response, with the head
+	Bytes     int64  `json:"b" cbor:"3,keyasint"` // of the response, with the heads
 }
 
 // reportedCost is the cost of a route as last reported.
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -26,7 +26,7 @@
 type RouteCost struct {
 	Route         string  `json:"route"`
 	RunTimeMS     float64 `json:"run_time_ms"`    // mean
-	ResponseBytes float64 `json:"response_bytes"` // mean, with the head
+	ResponseBytes float64 `json:"response_bytes"` // mean, with the heads of request and response
 	Observations  int     `json:"observations"`
 }
 
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -13,6 +13,10 @@
 // nanoseconds.
 const minRemaining = float64(time.Millisecond)
 
+// usualSlownessAge is how long the slowness of a target counts for what is usual in the
+// service.
+const usualSlownessAge = time.Minute
+
 // workRequest returns the properties of a request that its cost is predicted from.
 func (r Request) workRequest() workload.Request {
 	return workload.Request{Route: r.Route, Tenant: r.Tenant, Bytes: r.Bytes, Path: r.Path}
@@ -135,12 +139,19 @@
 	return scale(o.Took, 1/(1+max(float64(o.Load.Waiting), 0)/float64(max(t.record.Slots, 1))))
 }
 
-// usualSlowness returns the median slowness of the targets. Where all targets have
-// become slower, the requests have become longer.
+// usualSlowness returns the median slowness of the targets that were measured lately.
+// Where all of them have become slower, the requests have become longer. Targets that
+// get no requests, such as those of other regions, would hold the median at 1, and the
+// run times at what was assumed before the first response.
 func (p *Pool) usualSlowness(now time.Time) float64 {
-	all := lo.Map(p.targets, func(t *target, _ int) float64 { return t.measuredSlowness(now) })
-	slices.Sort(all)
-	return max(all[len(all)/2], 1/maxDurationRatio)
+	measured := lo.FilterMap(p.targets, func(t *target, _ int) (float64, bool) {
+		return t.measuredSlowness(now), t.durationRatio != 0 && now.Sub(t.durationRatioAt) < usualSlownessAge
+	})
+	if len(measured) == 0 {
+		return 1
+	}
+	slices.Sort(measured)
+	return max(measured[(len(measured)-1)/2], 1/maxDurationRatio)
 }
 
 // learnCost learns the run time and the response bytes of a successful request, and
--- a/internal/pool/work_test.go
+++ b/internal/pool/work_test.go
@@ -282,6 +282,22 @@
 	}
 }
 
+// Guards against run times that stay at what was assumed at first, and used targets that
+// look faster than the others, because most targets get no requests.
+func TestUnusedTargetsDoNotFixTheScale(t *testing.T) {
+	const work = 15 * time.Millisecond
+	r := newTestPool(12, 2)
+	for n := range 600 {
+		g := r.grantAt(t, fmt.Sprint("t", n%3))
+		r.clock.Advance(work)
+		r.Release(g.LeaseID, Outcome{Kind: OK, Took: work})
+	}
+	assert.InEpsilon(t, float64(work), float64(r.durations.mean("c")), 0.1)
+	for _, target := range r.targets {
+		assert.InDelta(t, 1, target.slowness(r.clock.Now()), 0.1, target.record.ID)
+	}
+}
+
 // Guards against a long request that queues ahead of others at a full target beside one
 // with a free slot.
 func TestLongRequestGoesToFreeSlot(t *testing.T) {
