Let keys learn only once their route is known

Keys now learn once their route has 30 observations, and a request without a body has no key of its size.

--- a/internal/workload/model.go
+++ b/internal/workload/model.go
@@ -32,9 +32,12 @@
 	// assumption that it does not differ from its route, and maxKey how many count.
 	keyPrior = 8
 	maxKey   = 200
+	// minRouteCount is the number of observations of a route from which its keys learn.
+	// Before, they would learn by what the first mean is wrong.
+	minRouteCount = 30
 	// usualPrior and maxUsual are the same for the mean factors of the requests.
-	usualPrior = 10
-	maxUsual   = 100
+	usualPrior = 2
+	maxUsual   = 200
 	// maxFactor bounds by how much a key differs from its route.
 	maxFactor = 64.0
 	// maxOutlier bounds an observation compared with the expectation of its key, so
@@ -66,7 +69,7 @@
 type Request struct {
 	Route  string
 	Tenant string // empty: none
-	Bytes  int    // of the body
+	Bytes  int    // of the body; 0: none
 	Path   uint32 // hash of the path segment after the prefix of the route; 0: none
 }
 
@@ -87,8 +90,7 @@
 	bytes  mean
 	slopes [quantities][keyKinds]slope
 	// usual holds the mean factors of the requests by kind of key. Factors are divided
-	// by them; otherwise keys would keep a part of what the mean of the route was wrong
-	// by when they were new.
+	// by them; otherwise keys would keep a part of a change of the whole route.
 	usual [quantities][keyKinds]mean
 	used  uint64 // number of the last observation of the model with this route
 }
@@ -173,8 +175,10 @@
 
 // keysOf returns the keys of a request by kind, and which kinds there are.
 func keysOf(r Request) (keys [keyKinds]key, present [keyKinds]bool) {
-	keys[bySize] = key{r.Route, uint64(bits.Len(uint(max(r.Bytes, 0))))}
-	present[bySize] = true
+	if r.Bytes > 0 {
+		keys[bySize] = key{r.Route, uint64(bits.Len(uint(r.Bytes)))}
+		present[bySize] = true
+	}
 	if r.Tenant != "" {
 		keys[byTenant] = key{r.Route, xxhash.Sum64String(r.Tenant)}
 		present[byTenant] = true
@@ -247,7 +251,7 @@
 	m.learned++
 	route := m.touchRoute(o.Request.Route)
 	var known [keyKinds]*effects
-	if m.refine {
+	if m.refine && route.total >= minRouteCount {
 		known = m.touchKeys(o.Request)
 	}
 	slowness := min(max(o.Slowness, 1/maxFactor), maxFactor)
--- a/internal/workload/model_test.go
+++ b/internal/workload/model_test.go
@@ -46,6 +46,24 @@
 	assert.InEpsilon(t, 6000+headBytes, heavy.Bytes, 0.2)
 }
 
+// Guards against keys that are new together with their route, and keep a part of what the
+// first mean was wrong by.
+func TestKeysAsNewAsTheirRoute(t *testing.T) {
+	m := New(true)
+	r := Request{Route: "c", Tenant: "a", Bytes: 100, Path: 1}
+	learn := func(count int) {
+		for range count {
+			m.Learn(Observation{Request: r, RunTime: InitialRunTime / 10, Slowness: 1, Body: 20 * InitialBytes})
+		}
+	}
+	learn(100)
+	assert.InEpsilon(t, float64(InitialRunTime/10), float64(m.Predict(r).RunTime), 0.15)
+	assert.InEpsilon(t, 20*InitialBytes, m.Predict(r).Bytes, 0.15)
+	learn(2900)
+	assert.InEpsilon(t, float64(InitialRunTime/10), float64(m.RouteOf("c").Mean()), 0.15)
+	assert.InEpsilon(t, 20*InitialBytes, m.RouteOf("c").Bytes(), 0.15)
+}
+
 // Guards against keys with few observations, or without meaning, that are believed.
 func TestFewObservationsShrinkToRoute(t *testing.T) {
 	m := New(true)
