Compute what depends on the target once in a look

Occupancy, slowness, capacity and wait of a target are now computed once in a look, like its failure probability.

Also: the learning uses the measured slowness of a target and not the one that is assumed while it is cold, a run time is at least a quarter of what was expected after the wait (an outcome may arrive late), and a lease keeps its route.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -55,7 +55,7 @@
 			see(t, parts, risk)
 		}
 		switch cost := parts.total(); {
-		case !t.hasCapacity(now):
+		case !t.glance.hasCapacity:
 			full = min(full, cost)
 		case c.target == nil || cost < bestCost:
 			c.target, bestCost, c.risk = t, cost, risk
@@ -75,13 +75,14 @@
 	if best == nil {
 		return Grant{}, false
 	}
+	seen := *p.glanceAt(best, now)
 	p.countGrant(r, now)
 	p.lastLeaseID++
 	l := &lease{
 		id: p.lastLeaseID, target: best, request: r, started: now, expires: now.Add(r.LeaseTime()),
-		cost: chosen.expected, slowness: best.slowness(now), wait: p.waitAt(best, now),
+		cost: chosen.expected, route: p.work.KeepRoute(r.Route), slowness: seen.slowness, wait: seen.wait,
 	}
-	if best.hasFreeSlot(now) {
+	if seen.occupancy < seen.slots {
 		l.runsSince = now
 	}
 	p.leases[p.lastLeaseID] = l
@@ -89,7 +90,7 @@
 	best.inFlight++
 	best.lastGrantAt = now
 	p.granted.Inc()
-	best.risk.look, best.wait.look = 0, 0
+	best.glance.look = 0
 	p.updateLook(now)
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -46,14 +46,13 @@
 // costsAt returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
 func (p *Pool) costsAt(t *target, r Request, expected workload.Cost, now time.Time) (c costs, risk float64) {
-	risk = p.currentRisk(t, now)
-	c.failure = risk
+	g := p.glanceAt(t, now)
+	c.failure = g.risk
 	if r.Retryable {
 		c.failure *= p.retryableWeight
 	}
-	slots := float64(max(t.record.Slots, 1))
-	c.occupancy = occupancyCost * t.occupancy(now) / slots
-	c.time = p.timeCost(t, r, expected, now)
+	c.occupancy = occupancyCost * g.occupancy / g.slots
+	c.time = p.timeCost(g, r, expected)
 	c.floor -= p.floorBonusFor(t, r, now)
 	bytes := float64(r.Bytes) + expected.Bytes
 	switch {
@@ -63,23 +62,32 @@
 	default:
 		c.bytes = min(crossRegionByteCost*bytes, maxRegionCost)
 	}
-	return c, risk
+	return c, g.risk
 }
 
-// knownRisk is the failure probability of a target in a look at the waiting
-// requests.
-type knownRisk struct {
-	value float64
-	look  uint64 // number of the look; 0: not known
+// glance holds what the costs of a target depend on in a look at the waiting requests,
+// whichever of them is looked at. It is computed once in a look, since it is costly.
+type glance struct {
+	look        uint64  // number of the look; 0: not known
+	risk        float64 // probability that the next request fails
+	slots       float64
+	occupancy   float64
+	slowness    float64
+	hasCapacity bool
+	wait        float64 // nanoseconds that a further request is expected to wait for a slot
 }
 
-// currentRisk returns the probability that the next request fails on the target.
-// It is computed once in a look at the waiting requests, since it is costly.
-func (p *Pool) currentRisk(t *target, now time.Time) float64 {
-	if t.risk.look != p.looks {
-		t.risk = knownRisk{value: failureProbability(p.currentFailingProbability(t, now)), look: p.looks}
+func (p *Pool) glanceAt(t *target, now time.Time) *glance {
+	if t.glance.look != p.looks {
+		t.glance = glance{
+			look: p.looks, risk: failureProbability(p.currentFailingProbability(t, now)), slots: float64(max(t.record.Slots, 1)),
+			occupancy: t.occupancy(now), slowness: t.slowness(now), hasCapacity: t.hasCapacity(now),
+		}
+		if !p.cfg.Settings.UniformCost {
+			t.glance.wait = p.waitAt(t, now)
+		}
 	}
-	return t.risk.value
+	return &t.glance
 }
 
 // currentRetryableWeight returns the cost of a failure of a retryable request,
@@ -90,14 +98,14 @@
 }
 
 // timeCost returns the cost of the expected queueing and run time on the target.
-func (p *Pool) timeCost(t *target, r Request, expected workload.Cost, now time.Time) float64 {
+func (p *Pool) timeCost(g *glance, r Request, expected workload.Cost) float64 {
 	if r.Objective <= 0 {
 		return 0
 	}
-	runTime := float64(expected.RunTime) * t.slowness(now)
-	time := runTime + p.expectedWait(t, runTime, now)
-	if !t.hasCapacity(now) {
-		time += p.meanRunTime(runTime) * float64(len(p.waiters)) / float64(max(t.record.Slots*len(p.targets)/2, 1))
+	runTime := float64(expected.RunTime) * g.slowness
+	time := runTime + p.expectedWait(g, runTime)
+	if !g.hasCapacity {
+		time += p.meanRunTime(runTime) * float64(len(p.waiters)) / max(g.slots*float64(len(p.targets))/2, 1)
 	}
 	objectiveShare := time / float64(r.Objective)
 	return waitCost*objectiveShare + min(lateCost*max(0, objectiveShare-lateThreshold), maxLateCost)
@@ -106,16 +114,15 @@
 // expectedWait returns the nanoseconds that a request with the run time waits for a
 // slot of the target, and delays the next request there. Without the latter a long
 // request would queue wherever its own wait is short.
-func (p *Pool) expectedWait(t *target, runTime float64, now time.Time) float64 {
-	slots := float64(max(t.record.Slots, 1))
-	queued := max(t.occupancy(now)+1-slots, 0)
+func (p *Pool) expectedWait(g *glance, runTime float64) float64 {
+	queued := max(g.occupancy+1-g.slots, 0)
 	switch {
 	case p.cfg.Settings.UniformCost:
-		return runTime * queued / slots
+		return runTime * queued / g.slots
 	case queued == 0:
 		return 0
 	default:
-		return p.waitAt(t, now) + runTime/slots*min(queued, 1)
+		return g.wait + runTime/g.slots*min(queued, 1)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,9 +71,10 @@
 	started   time.Time
 	expires   time.Time
 	cost      workload.Cost // expected when it was granted
-	slowness  float64       // of the target at that time
-	wait      float64       // expected then, in nanoseconds
-	runsSince time.Time     // zero: it waits for a slot of the target
+	route     *workload.Route
+	slowness  float64   // of the target at that time
+	wait      float64   // expected then, in nanoseconds
+	runsSince time.Time // zero: it waits for a slot of the target
 }
 
 type waiter struct {
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -20,7 +20,7 @@
 	odds := 1.0
 	for _, l := range t.leases {
 		waited := scale(now.Sub(l.started), 1/(pace*l.cost.Factor))
-		responding := p.durations.shareLongerThan(l.request.Route, waited)
+		responding := l.route.ShareLongerThan(waited)
 		odds *= (silentWhenFailing + (1-silentWhenFailing)*responding) / (silentWhenHealthy + (1-silentWhenHealthy)*responding)
 	}
 	return odds
--- a/internal/pool/work.go
+++ b/internal/pool/work.go
@@ -13,6 +13,10 @@
 // nanoseconds.
 const minRemaining = float64(time.Millisecond)
 
+// minRunShare bounds the run time that is left of an attempt after its wait, as a share
+// of what was expected. The outcome that ended the wait may have been reported late.
+const minRunShare = 0.25
+
 // usualSlownessAge is how long the slowness of a target counts for what is usual in the
 // service.
 const usualSlownessAge = time.Minute
@@ -22,26 +26,12 @@
 	return workload.Request{Route: r.Route, Tenant: r.Tenant, Bytes: r.Bytes, Path: r.Path}
 }
 
-// knownWait is the expected wait at a target in a look at the waiting requests.
-type knownWait struct {
-	value float64 // nanoseconds
-	look  uint64  // number of the look; 0: not known
-}
-
-// waitAt returns the nanoseconds that a further request is expected to wait for a slot
-// of the target. It is computed once in a look, like the risk.
-func (p *Pool) waitAt(t *target, now time.Time) float64 {
-	if t.wait.look != p.looks {
-		t.wait = knownWait{value: p.currentWait(t, now), look: p.looks}
-	}
-	return t.wait.value
-}
-
-// currentWait derives the wait from the remaining work. Slots become free at the sum of
-// the rates at which the running requests end; a further request gets one after those
+// waitAt returns the nanoseconds that a further request is expected to wait for a slot of
+// the target, given the remaining work there. Slots become free at the sum of the rates at
+// which the running requests end; a further request gets one after those
 // that queue before it. Requests of other pools are taken for ones of the service that
 // have just begun.
-func (p *Pool) currentWait(t *target, now time.Time) float64 {
+func (p *Pool) waitAt(t *target, now time.Time) float64 {
 	slots := float64(max(t.record.Slots, 1))
 	queued := t.occupancy(now) + 1 - slots
 	if queued <= 0 {
@@ -54,7 +44,7 @@
 	for _, l := range t.leases {
 		if !l.runsSince.IsZero() {
 			running++
-			rate += 1 / p.remaining(l, slowness, now)
+			rate += 1 / l.remaining(slowness, now)
 		}
 	}
 	if rate == 0 {
@@ -69,7 +59,7 @@
 	slowness := t.slowness(now)
 	work := (t.occupancy(now) - float64(t.inFlight)) * p.meanWork(slowness)
 	for _, l := range t.leases {
-		work += p.remaining(l, slowness, now)
+		work += l.remaining(slowness, now)
 	}
 	return work
 }
@@ -82,20 +72,15 @@
 
 // remaining returns the expected remaining run time of a granted request in
 // nanoseconds.
-func (p *Pool) remaining(l *lease, slowness float64, now time.Time) float64 {
+func (l *lease) remaining(slowness float64, now time.Time) float64 {
 	if l.runsSince.IsZero() {
 		return max(float64(l.cost.RunTime)*slowness, minRemaining)
 	}
 	pace := l.cost.Factor * slowness
-	left := p.durations.of(l.request.Route).Remaining(scale(now.Sub(l.runsSince), 1/pace))
+	left := l.route.Remaining(scale(now.Sub(l.runsSince), 1/pace))
 	return max(float64(left)*pace, minRemaining)
 }
 
-// hasFreeSlot reports whether a further request runs at once on the target.
-func (t *target) hasFreeSlot(now time.Time) bool {
-	return t.occupancy(now) < float64(max(t.record.Slots, 1))
-}
-
 // startQueued marks the requests of this pool as running that have got a slot of
 // the target because another one has ended. Targets run requests in their order.
 func (t *target) startQueued(now time.Time) {
@@ -123,11 +108,12 @@
 // runTimeOf returns for how long the target has worked on a request that took the
 // time in all: without its wait for a slot.
 func (l *lease) runTimeOf(took time.Duration) time.Duration {
+	expected := float64(l.cost.RunTime) * l.slowness
+	usual := scale(took, expected/max(expected+l.wait, 1))
 	if l.runsSince.IsZero() { // other pools held the slots, so the end of the wait was not seen
-		expected := float64(l.cost.RunTime) * l.slowness
-		return scale(took, expected/max(expected+l.wait, 1))
+		return usual
 	}
-	return max(took-l.runsSince.Sub(l.started), 0)
+	return max(took-l.runsSince.Sub(l.started), scale(usual, minRunShare))
 }
 
 // observedRunTime returns the run time of a request that another pool granted. Of
@@ -161,7 +147,7 @@
 	ran = min(max(ran, 0), maxLeaseTime)
 	slowness := 1.0
 	if !p.cfg.Settings.UniformCost {
-		slowness = t.slowness(now) / p.usualSlowness(now)
+		slowness = t.measuredSlowness(now) / p.usualSlowness(now) // that of a cold target is assumed
 	}
 	expected := p.work.Predict(r.workRequest())
 	ratio := min(float64(ran)/float64(max(expected.RunTime, 1)), maxDurationRatio)
--- a/internal/workload/model.go
+++ b/internal/workload/model.go
@@ -249,7 +249,8 @@
 // Learn adds an observation.
 func (m *Model) Learn(o Observation) {
 	m.learned++
-	route := m.touchRoute(o.Request.Route)
+	route := m.KeepRoute(o.Request.Route)
+	route.used = m.learned
 	var known [keyKinds]*effects
 	if m.refine && route.total >= minRouteCount {
 		known = m.touchKeys(o.Request)
@@ -287,14 +288,12 @@
 	return f.total
 }
 
-// touchRoute returns the route and marks it as used.
-func (m *Model) touchRoute(name string) *Route {
-	r := m.routes[name]
-	if r == nil {
-		r = m.addRoute(name, m.service.Mean(), m.service.Bytes())
+// KeepRoute returns a route, and adds it if it is not known.
+func (m *Model) KeepRoute(name string) *Route {
+	if r := m.routes[name]; r != nil {
+		return r
 	}
-	r.used = m.learned
-	return r
+	return m.addRoute(name, m.service.Mean(), m.service.Bytes())
 }
 
 func (m *Model) addRoute(name string, runTime time.Duration, bytes float64) *Route {
