--- a/internal/gateway/bytes_test.go
+++ b/internal/gateway/bytes_test.go
@@ -85,19 +85,25 @@
 	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
 	g := newGateway(f)
 	g.options.Log = zap.New(core)
-	g.options.Broker = fixedBroker{run: 120 * time.Millisecond}
+	broker := &fixedBroker{run: 120 * time.Millisecond}
+	g.options.Broker = broker
 	call(t, g, "GET", "/reads/1", "")
 	require.Equal(t, 1, lines.Len())
 	attempts, ok := lines.All()[0].ContextMap()["attempts"].([]attempt)
 	require.True(t, ok)
 	require.Len(t, attempts, 1)
 	assert.InDelta(t, 120, attempts[0].RunMS, 0)
+	assert.Equal(t, pool.PathHash("/", "/1"), broker.asked.Path, "the owner expects it by the path")
 }
 
 // fixedBroker grants the first target with an expected run time.
-type fixedBroker struct{ run time.Duration }
+type fixedBroker struct {
+	run   time.Duration
+	asked pool.Request
+}
 
-func (b fixedBroker) Acquire(context.Context, string, pool.Request, time.Duration) (*grants.Lease, error) {
+func (b *fixedBroker) Acquire(_ context.Context, _ string, r pool.Request, _ time.Duration) (*grants.Lease, error) {
+	b.asked = r
 	g := pool.Grant{Target: "t0", Address: "10.0.0.1:80", HedgeDelay: time.Hour, RunTime: b.run}
 	return grants.NewLease(g, "owner", func(pool.Outcome) {}), nil
 }
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -54,7 +54,7 @@
 	c.occupancy = occupancyCost * g.occupancy / g.slots
 	c.time = p.timeCost(g, r, expected)
 	c.floor -= p.floorBonusFor(t, r, now)
-	bytes := float64(r.Bytes) + expected.Bytes
+	bytes := float64(max(r.Bytes, 0)) + expected.Bytes
 	switch {
 	case t.record.DataCentre == r.DataCentre:
 	case t.inOwnRegion:
