Gateway: Retry-After is extended at random by up to half

Cause: all requests rejected for want of capacity were told 250 ms, so that the crowd returned together. Change: each Retry-After is extended by a random part of half of it, never shortened.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	inFlight      atomic.Int64
 	draining      atomic.Bool
 
+	spread         func(time.Duration) time.Duration // extends a Retry-After
 	started        time.Time
 	startupWaiters atomic.Int64 // requests that wait for the first view
 	startupWaits   *metrics.Counter
@@ -95,6 +96,7 @@
 		duration:    metrics.GetOrCreateHistogram("sequoialane_gateway_request_seconds"),
 		keys:        newKeyCounters(),
 
+		spread:       spreadRetryAfter,
 		started:      o.Clock.Now(),
 		startupWaits: metrics.GetOrCreateCounter("sequoialane_gateway_startup_waits_total"),
 	}
@@ -175,6 +177,9 @@
 
 // reject logs the request and writes the error as its response.
 func (g *Gateway) reject(w http.ResponseWriter, req *request, e *fault.Error) {
+	if e.RetryAfter > 0 {
+		e = e.WithRetryAfter(g.spread(e.RetryAfter))
+	}
 	g.log(req, fault.ResponseOf(e.Kind).Status, "refused", e)
 	writeError(w, req.id, e)
 }
