Entry: limit what the connections of callers take

Change: callerconn.Guard limits connections by memory and descriptors, counts heads as they are read, requests in flight, bytes read ahead, bodies and buffered responses in one budget, and closes what has been without progress for the longest time when one of them is short. A body that loses its memory gets 408 and did not run. The callers' port, the directory and the readiness check of an entry use it.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,8 +23,43 @@
 	lingerTime = time.Second
 	// maxLingerBytes limits what is drained.
 	maxLingerBytes = 1 << 20
+	// progressBytes is the number of bytes of a body that count as progress of its
+	// sender, or the start of a head. A sender of single bytes makes none.
+	progressBytes = 4 << 10
+	// headProgressBytes is the same for heads.
+	headProgressBytes = 512
+	// writeChunk is the number of bytes that a caller must read within the write
+	// timeout.
+	writeChunk = 16 << 10
 )
 
+// phase of a connection.
+type phase int32
+
+const (
+	phaseNew    phase = iota // no byte of a request has arrived
+	phaseHead                // part of a head has arrived
+	phaseActive              // a request is handled
+	phaseIdle                // between requests
+	phaseLinger              // closed for the server, but drained
+)
+
+// account of the memory of a connection.
+type account int
+
+const (
+	forBody account = iota
+	forRequest
+	accounts
+)
+
+// stalledConn is a connection that may be closed for others.
+type stalledConn struct {
+	conn   *conn
+	reason reason
+	over   time.Duration // beyond the time that it may be without progress
+}
+
 // pastDeadline ends a read at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -41,6 +77,65 @@
 	stopping     bool          // the goroutine that reads ahead should end
 	hasUnread    bool          // further requests may be unread
 	onClose      func()        // called when the caller has closed the connection; may be nil
+	aheadHeld    int64         // bytes of the guard's memory for ahead
+	requestHeld  int64         // bytes of the guard's memory for the request
+	closed       bool          // no memory may be taken any more
+
+	guard      *Guard // nil: no limits
+	listener   *Listener
+	head       headCounter // used by the server's goroutine only
+	unreadBody atomic.Bool // the rest of a body may be unread
+	evicted    atomic.Bool // reads fail, so that the request ends
+	held       [accounts]atomic.Int64
+	phase      atomic.Int32
+	receiving  atomic.Bool  // the server waits for bytes
+	sending    atomic.Bool  // the server waits for the caller to read
+	progress   atomic.Int64 // time of the last progress, on the guard's clock
+	readEnd    atomic.Int64 // time at which the last read ended
+	fresh      int          // bytes since the last progress; used by the server's goroutine only
+	writeLimit atomic.Int64 // deadline set by the server, in Unix nanoseconds; 0: none
+}
+
+// setPhase changes the phase, which is progress.
+func (c *conn) setPhase(p phase) {
+	c.phase.Store(int32(p))
+	c.fresh = 0
+	now := c.guard.clock()
+	c.progress.Store(now)
+	c.readEnd.Store(now)
+}
+
+// stalled reports whether the connection may be closed for others, and why.
+func (c *conn) stalled(now time.Time) (stalledConn, bool) {
+	s := stalledConn{conn: c}
+	var allowed time.Duration
+	switch p := phase(c.phase.Load()); {
+	case p == phaseNew || p == phaseHead:
+		s.reason, allowed = stalledHead, c.guard.settings.StallTime.Std()
+	case p == phaseIdle:
+		s.reason, allowed = idleTooLong, c.listener.idleTime()
+	case p == phaseLinger:
+		s.reason = stalledBody
+	case c.sending.Load():
+		s.reason, allowed = stalledReader, writeStallTime
+	case c.receiving.Load():
+		s.reason, allowed = stalledBody, c.guard.settings.StallTime.Std()
+	default:
+		return s, false // the request is being worked on
+	}
+	s.over = time.Duration(c.guard.at(now)-c.progress.Load()) - allowed
+	return s, s.over >= 0
+}
+
+// evict ends the request of the connection: a body that does not arrive with an
+// error, so that the handler can respond, and anything else by closing it.
+func (c *conn) evict() {
+	c.evicted.Store(true)
+	if phase(c.phase.Load()) == phaseActive && !c.sending.Load() {
+		_ = c.Conn.SetReadDeadline(pastDeadline) // fails if the connection is closed
+		return
+	}
+	_ = c.Conn.Close()
 }
 
 func (c *conn) setOnClose(f func()) {
@@ -53,9 +148,15 @@
 // runs; if there is one, the caller has sent a further request.
 func (c *conn) Read(p []byte) (int, error) {
 	c.stopReadingAhead()
+	if c.evicted.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err, ok := c.takeAhead(p)
 	if !ok {
-		n, err = c.Conn.Read(p)
+		n, err = c.readSocket(p)
+	}
+	if n > 0 && c.guard != nil && !c.received(p[:n], len(p)) {
+		return 0, os.ErrDeadlineExceeded // net/http writes no response after this error
 	}
 	if n == 1 && len(p) == 1 && err == nil {
 		c.pipelined.Inc()
@@ -64,6 +165,81 @@
 	return n, err
 }
 
+// readSocket reads from the caller. The time in which the server does not read does
+// not count as a stall of the sender. A read of one byte only notices a close.
+func (c *conn) readSocket(p []byte) (int, error) {
+	if c.guard == nil || len(p) == 1 {
+		return c.Conn.Read(p)
+	}
+	c.progress.Add(c.guard.clock() - c.readEnd.Load())
+	c.receiving.Store(true)
+	n, err := c.Conn.Read(p)
+	c.receiving.Store(false)
+	c.readEnd.Store(c.guard.clock())
+	if c.evicted.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// received counts bytes from the caller. It reports false if they are part of a head
+// that was rejected.
+func (c *conn) received(p []byte, bufferSize int) bool {
+	switch phase(c.phase.Load()) {
+	case phaseActive:
+		c.head.addBody(p, bufferSize)
+		c.countProgress(len(p), progressBytes)
+		return true
+	case phaseNew, phaseIdle:
+		c.setPhase(phaseHead)
+	}
+	c.countProgress(len(p), headProgressBytes)
+	return c.countHead(p)
+}
+
+// countProgress notes progress each time step bytes have arrived.
+func (c *conn) countProgress(n, step int) {
+	if c.fresh += n; c.fresh >= step {
+		c.fresh = 0
+		c.progress.Store(c.guard.clock())
+	}
+}
+
+// Write implements net.Conn. The caller must read each writeChunk bytes within the
+// write timeout.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.guard == nil {
+		return c.Conn.Write(p)
+	}
+	c.sending.Store(true)
+	defer c.sending.Store(false)
+	written := 0
+	for {
+		now := time.Now()
+		c.progress.Store(c.guard.clock())
+		deadline := now.Add(c.guard.settings.WriteTimeout.Std())
+		if limit := c.writeLimit.Load(); limit != 0 && limit < deadline.UnixNano() {
+			deadline = time.Unix(0, limit)
+		}
+		_ = c.Conn.SetWriteDeadline(deadline) // fails if the connection is closed, which ends the write as well
+		n, err := c.Conn.Write(p[written:min(written+writeChunk, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.writeLimit.Store(0)
+	} else {
+		c.writeLimit.Store(t.UnixNano())
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // takeAhead returns bytes that were read ahead, or the error after them. It
 // returns false if there are none.
 func (c *conn) takeAhead(p []byte) (int, error, bool) {
@@ -75,6 +251,7 @@
 		return n, nil, true
 	}
 	c.ahead = nil
+	c.giveAhead()
 	c.hasUnread = false
 	return 0, c.aheadErr, c.aheadErr != nil
 }
@@ -100,7 +277,7 @@
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
 		c.ahead = append(c.ahead, buffer[:n]...)
-		full := len(c.ahead) >= maxReadAhead || c.stopping
+		full := len(c.ahead) >= maxReadAhead || c.stopping || !c.holdAhead()
 		var onClose func()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.aheadErr, onClose = err, c.onClose
@@ -115,6 +292,28 @@
 	}
 }
 
+// holdAhead reserves memory for what was read ahead. It reports false if there is too
+// little; then no more is read. c.mu is held.
+func (c *conn) holdAhead() bool {
+	missing := int64(cap(c.ahead)) - c.aheadHeld
+	if c.guard == nil || missing <= 0 {
+		return true
+	}
+	if c.closed || !c.guard.Requests.Take(missing) {
+		return false
+	}
+	c.aheadHeld += missing
+	return true
+}
+
+// giveAhead returns the memory for what was read ahead. c.mu is held.
+func (c *conn) giveAhead() {
+	if c.aheadHeld > 0 {
+		c.guard.Requests.Give(c.aheadHeld)
+		c.aheadHeld = 0
+	}
+}
+
 // stopReadingAhead ends the goroutine that reads ahead, if there is one, and
 // waits for it.
 func (c *conn) stopReadingAhead() {
@@ -154,17 +353,33 @@
 func (c *conn) Close() error {
 	c.stopReadingAhead()
 	c.mu.Lock()
-	linger := c.hasUnread && c.aheadErr == nil
+	linger := (c.hasUnread || c.unreadBody.Load()) && c.aheadErr == nil && !c.evicted.Load()
 	c.hasUnread = false
+	c.unreadBody.Store(false)
+	c.closed = true
+	c.ahead = nil
+	c.giveAhead()
 	c.mu.Unlock()
+	if c.guard != nil {
+		c.endRequest()
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !linger || !ok || half.CloseWrite() != nil {
-		return c.Conn.Close()
+		return c.closeSocket()
 	}
+	c.phase.Store(int32(phaseLinger))
 	go func() {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes)) // ends with the caller's close or the deadline
-		_ = c.Conn.Close()
+		_ = c.closeSocket()
 	}()
 	return nil
 }
+
+func (c *conn) closeSocket() error {
+	err := c.Conn.Close()
+	if c.guard != nil {
+		c.guard.remove(c)
+	}
+	return err
+}
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -19,6 +20,24 @@
 type Listener struct {
 	net.Listener
 	pipelined *metrics.Counter
+
+	guard    *Guard // nil: no limits
+	options  Options
+	limit    int            // of open connections
+	gauge    *metrics.Gauge // open connections
+	logs     logLimits
+	open     int       // guarded by guard.mu
+	lastScan time.Time // guarded by guard.mu
+}
+
+// idleTime returns how long an idle connection is kept for its caller.
+func (l *Listener) idleTime() time.Duration {
+	if l.options.IdleTime != nil {
+		if d := l.options.IdleTime(); d > 0 {
+			return d
+		}
+	}
+	return defaultIdleTime
 }
 
 // New returns a listener on top of inner. ConnContext must be set in the server
@@ -29,11 +48,22 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw, pipelined: l.pipelined, guard: l.guard, listener: l}
+		if l.guard == nil {
+			return c, nil
+		}
+		c.progress.Store(l.guard.clock())
+		c.readEnd.Store(l.guard.clock())
+		if l.guard.admit(c) {
+			return c, nil
+		}
+		_ = raw.Close()
 	}
-	return &conn{Conn: raw, pipelined: l.pipelined}, nil
 }
 
 // ConnContext is the function of that name of an http.Server: it ends the context
@@ -45,7 +75,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	own.setOnClose(cancel)
-	return ctx
+	return context.WithValue(ctx, contextKey{}, own)
 }
 
 // Serve sets ConnContext in the server and runs it on the listener.
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -15,8 +15,8 @@
 	"github.com/sequoialane/sequoialane/internal/fleetview"
 	"github.com/sequoialane/sequoialane/internal/gateway"
 	"github.com/sequoialane/sequoialane/internal/grants"
-	"github.com/sequoialane/sequoialane/internal/membudget"
 	"github.com/sequoialane/sequoialane/internal/peerhttp"
+	"github.com/sequoialane/sequoialane/internal/routing"
 	"github.com/sequoialane/sequoialane/internal/sys"
 	"github.com/sequoialane/sequoialane/internal/targetadvice"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
@@ -34,6 +34,7 @@
 	// bodies have the deadline of their request.
 	readTimeout    = 10 * time.Second
 	maxHeaderBytes = 256 << 10
+	headMargin     = 4 << 10
 	// acceptShare is the share of the grace period after which the listener for
 	// callers closes. Callers cache responses of the directory for a while, so
 	// new connections still arrive after SIGTERM.
@@ -66,6 +67,7 @@
 	locations *traffic.Locations
 	servers   []*server
 	callers   *server
+	guard     *callerconn.Guard
 	draining  chan struct{}
 }
 
@@ -74,14 +76,36 @@
 	listener net.Listener
 	http     *http.Server
 	callers  bool // serves callers' requests
+	peers    bool // serves other processes of the fleet only
 }
 
-// serve runs the server until it is closed. Callers may pipeline requests.
-func (s *server) serve() error {
-	if s.callers {
-		return callerconn.Serve(s.http, s.listener)
+// serve runs the server until it is closed. What clients other than the processes of
+// the fleet may take is limited.
+func (p *Process) serve(s *server) error {
+	if s.peers {
+		return s.http.Serve(s.listener)
 	}
-	return s.http.Serve(s.listener)
+	return p.guard.Serve(s.http, s.listener, callerconn.Options{
+		Name: s.name, Side: !s.callers, HeadBytes: p.headBytes, IdleTime: func() time.Duration { return p.limits().IdleTimeout },
+	})
+}
+
+// limits returns the limits of the routing document.
+func (p *Process) limits() routing.Limits {
+	if v := p.follower.View(); v.Routes != nil {
+		return v.Routes.Document.Limits
+	}
+	return routing.Limits{}
+}
+
+// headBytes returns the size of a head from which on it is not read further. Heads
+// that are little over the limit of the document get their response from the
+// gateway.
+func (p *Process) headBytes() int64 {
+	if limit := p.limits().MaxHeaderBytes; limit > 0 {
+		return min(limit+headMargin, maxHeaderBytes)
+	}
+	return maxHeaderBytes
 }
 
 // New builds the entry and opens its listeners.
@@ -92,9 +116,10 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 		Incarnation: uint64(clock.Now().UnixMilli()), State: fleetstate.Serving,
 	}
+	p.guard = callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log)
 	p.locations = traffic.NewLocations(s.DataCentre, s.DataCentres)
 	peers := peerhttp.New(p.locations)
-	p.client = targetconn.New(clock, h.HeaderNames, membudget.New(s.responseMemory()), p.locations)
+	p.client = targetconn.New(clock, h.HeaderNames, p.guard.Responses, p.locations)
 	p.advice = targetadvice.New(clock, log)
 	p.client.OnAdvice(p.advice.Record)
 	var broker *grants.Broker
@@ -114,7 +139,7 @@
 	p.broker = broker
 	p.gateway = gateway.New(gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre, HeaderNames: h.HeaderNames, View: p.follower.View, Broker: broker,
-		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: membudget.New(s.bodyMemory()),
+		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: p.guard.Bodies,
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
 	p.callers = &server{name: "callers", callers: true, http: &http.Server{Handler: p.gateway}}
@@ -122,7 +147,7 @@
 		p.callers,
 		{name: "ready", http: &http.Server{Handler: h.Ready(p.Ready)}},
 		{name: "directory", http: &http.Server{Handler: h.Directory(directory)}},
-		{name: "peers", http: &http.Server{Handler: peerHandler(broker)}},
+		{name: "peers", peers: true, http: &http.Server{Handler: peerHandler(broker)}},
 	}
 	return p, p.listen([]string{s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress})
 }
@@ -186,7 +211,7 @@
 	failed := make(chan error, len(p.servers))
 	for _, s := range p.servers {
 		go func() {
-			if err := s.serve(); !errors.Is(err, http.ErrServerClosed) {
+			if err := p.serve(s); !errors.Is(err, http.ErrServerClosed) {
 				failed <- trace.Wrap(err, "server for %s", s.name)
 			}
 		}()
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
@@ -33,6 +34,8 @@
 	LinkMbps         float64           `json:"link_mbps"`         // bandwidth of this VM's link; 0: unknown
 	Retries          Retries           `json:"retries"`
 	FloorShare       float64           `json:"floor_share"` // least share of the healthy targets of a service that get requests
+	// Callers limits what the connections of callers take.
+	Callers callerconn.Settings `json:"callers"`
 
 	Telemetry telemetry.Settings `json:"telemetry"`
 }
@@ -59,9 +62,6 @@
 	// 1/responseMemoryDivisor of the memory.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
-	// heapShare is the share of the memory that the heap may take. The rest is for
-	// stacks, buffers of the kernel and the program itself.
-	heapShare = 0.8
 	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
 	// and ratio that one owner uses. An owner that takes over starts with its
 	// full slack, so two owners in a row within a window use up the allowed
@@ -79,6 +79,7 @@
 		MemoryMB:   256,
 		Retries:    Retries{Ratio: 0.1, Slack: 10, Window: settings.Duration(10 * time.Second)},
 		FloorShare: 0.5,
+		Callers:    callerconn.DefaultSettings(),
 		Telemetry:  telemetry.DefaultSettings(),
 	}
 }
@@ -114,6 +115,7 @@
 	if s.FloorShare < 0 || s.FloorShare > 1 {
 		report("floor_share", s.FloorShare, "want a number from 0 to 1")
 	}
+	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
 }
 
@@ -137,10 +139,4 @@
 func (s *Settings) lowBandwidth() bool { return s.LinkMbps > 0 && s.LinkMbps < lowBandwidthMbps }
 
 // HeapLimit returns the bytes that the heap of the process may take.
-func (s *Settings) HeapLimit() int64 { return int64(heapShare * float64(int64(s.MemoryMB)<<20)) }
-
-// bodyMemory returns the bytes that buffered request bodies may take.
-func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyMemoryDivisor }
-
-// responseMemory returns the bytes that buffered response bodies may take.
-func (s *Settings) responseMemory() int64 { return int64(s.MemoryMB) << 20 / responseMemoryDivisor }
+func (s *Settings) HeapLimit() int64 { return callerconn.HeapLimit(s.MemoryMB) }
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -53,9 +53,9 @@
 		return release, rejection
 	}
 	req.outgoing = targetconn.Request{
-		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body.bytes,
+		ID: req.id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: g.forwardedHeader(r.Header), Body: body.Bytes(),
 	}
-	return body.release, nil
+	return body.Release, nil
 }
 
 // headerBytes returns the size of the request line and the header fields.
