Control member: limit what the connections of operators and targets take

Cause: documents of up to 16 MiB were read with no limit on their number, and connections with no limit at all (706828 kB of 286720, 600 descriptors of 540). A body over the limit gets 413 instead of 400; without memory 503, stalled 408.

--- a/cmd/sequoialane-platform/wire.go
+++ b/cmd/sequoialane-platform/wire.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	return serve(ctx, file, s.Telemetry, controlName, s.Name, func(i do.Injector) (*fleetcontrol.Process, error) {
+		debug.SetMemoryLimit(s.HeapLimit())
 		log := do.MustInvoke[*zap.Logger](i)
 		return fleetcontrol.NewProcess(s, platform.ControlHandler(s.DataCentres, log), do.MustInvoke[sys.Clock](i), log)
 	}, func(p *fleetcontrol.Process) error {
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/disk"
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
@@ -28,6 +29,11 @@
 	leaveTimeout   = 5 * ElectionTimeout // for an election and the removal of a lost member, on which the group may depend
 	drainShare     = 0.8                 // share of the grace period after which open calls are aborted
 	maxHeaderBytes = 64 << 10
+	// bodyMemoryDivisor is the part of the memory for documents that are being
+	// received; responseMemoryDivisor that for responses, which are small copies of
+	// the state.
+	bodyMemoryDivisor     = 4
+	responseMemoryDivisor = 16
 )
 
 // Process runs a control member with its servers.
@@ -38,7 +44,8 @@
 	member    *Member
 	peers     *http.Server
 	control   *http.Server
-	listeners []net.Listener // of the servers peers and control, in this order
+	guard     *callerconn.Guard // of the server control
+	listeners []net.Listener    // of the servers peers and control, in this order
 }
 
 // NewProcess opens the data folder and the listeners. Api makes the handler for
@@ -75,6 +82,7 @@
 	p := &Process{
 		settings: s, log: log, group: group, member: member,
 		peers: newServer(mux, log), control: newServer(api(member), log),
+		guard: callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log),
 	}
 	for _, address := range []string{s.PeerAddress, s.ControlAddress} {
 		listener, err := net.Listen("tcp", address)
@@ -98,9 +106,14 @@
 // the consensus member fails.
 func (p *Process) Run(ctx context.Context) error {
 	failed := make(chan error, 2)
-	for i, s := range []*http.Server{p.peers, p.control} {
+	control := func(l net.Listener) error {
+		return p.guard.Serve(p.control, l, callerconn.Options{
+			Name: "control", HeadBytes: func() int64 { return maxHeaderBytes }, IdleTime: func() time.Duration { return idleTimeout },
+		})
+	}
+	for i, serve := range []func(net.Listener) error{p.peers.Serve, control} {
 		go func() {
-			if err := s.Serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
 				failed <- trace.Wrap(err)
 			}
 		}()
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -22,13 +23,27 @@
 	Bootstrap      bool              `json:"bootstrap"` // the fleet starts for the first time
 	Grace          settings.Duration `json:"grace"`     // time from SIGTERM to the end of the process
 
+	MemoryMB int                 `json:"memory_mb"` // memory that the process may use
+	Callers  callerconn.Settings `json:"callers"`   // limits what the connections of operators and targets take
+
 	Telemetry telemetry.Settings `json:"telemetry"`
 }
 
+const (
+	minMemory = 32 // MB
+	maxMemory = 1 << 20
+)
+
+// HeapLimit returns the bytes that the heap of the process may take.
+func (s *Settings) HeapLimit() int64 { return callerconn.HeapLimit(s.MemoryMB) }
+
 // DefaultSettings returns the default settings, with names, addresses and the
 // data folder left empty.
 func DefaultSettings() *Settings {
-	return &Settings{Grace: settings.Duration(30 * time.Second), Telemetry: telemetry.DefaultSettings()}
+	return &Settings{
+		Grace: settings.Duration(30 * time.Second), MemoryMB: 256, Callers: callerconn.DefaultSettings(),
+		Telemetry: telemetry.DefaultSettings(),
+	}
 }
 
 // Check implements settings.Checker.
@@ -47,6 +62,8 @@
 	}
 	settings.RequireIntRange(report, "seed_port", s.SeedPort, 0, 65_535)
 	settings.RequireDurationRange(report, "grace", s.Grace, time.Second, time.Hour)
+	settings.RequireIntRange(report, "memory_mb", s.MemoryMB, minMemory, maxMemory)
+	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
 }
 
