sequoialane-entry, sequoialane-control: limit what callers take

Cause: a body with a key was buffered up to 1 MiB, of which a declared length alone reserved all, with no limit on their number; connections and heads had no limit. Change: the callers' port and the administration API use callerconn.Guard, with the settings memory_mb (default 256) and callers. Bodies count as they arrive.

--- a/cmd/sequoialane-control/wire.go
+++ b/cmd/sequoialane-control/wire.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/samber/do/v2"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/control"
 	"github.com/sequoialane/sequoialane/internal/disk"
@@ -35,6 +37,7 @@
 		return err
 	}
 	defer lock.Release()
+	debug.SetMemoryLimit(callerconn.HeapLimit(cfg.settings.MemoryMB))
 	injector := newInjector(cfg)
 	group, err := do.Invoke[*consensus.Group](injector)
 	if err != nil {
--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -14,6 +15,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/catalogfeed"
 	"github.com/sequoialane/sequoialane/internal/claims"
 	"github.com/sequoialane/sequoialane/internal/configsync"
@@ -42,6 +44,7 @@
 		return trace.Wrap(err)
 	}
 	defer flushTraces(flush)
+	debug.SetMemoryLimit(callerconn.HeapLimit(cfg.settings.MemoryMB))
 	process, err := do.Invoke[*entry.Process](newInjector(cfg))
 	if err != nil {
 		return trace.Wrap(err)
@@ -201,7 +204,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	callers, err := httpserver.Listen(cfg.settings.CallerAddress, e.CallerHandler())
+	callers, err := httpserver.ListenCallers(cfg.settings.CallerAddress, e.CallerHandler(), cfg.settings.NewGuard(do.MustInvoke[*zap.Logger](i)))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/httpserver"
 	"github.com/sequoialane/sequoialane/internal/sys"
 )
@@ -82,7 +83,8 @@
 	if p.peer, err = httpserver.Listen(self.PeerAddress, options.GroupHandler); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if p.api, err = httpserver.Listen(self.APIAddress, handler); err != nil {
+	guard := callerconn.NewGuard(options.Settings.Callers, int64(options.Settings.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, options.Log)
+	if p.api, err = httpserver.ListenCallers(self.APIAddress, callerconn.CountBodies(handler), guard); err != nil {
 		_ = p.peer.Close()
 		return nil, trace.Wrap(err)
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/plan"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
@@ -15,17 +16,25 @@
 	maxMembers      = 7
 	minDrainTimeout = 0
 	maxDrainTimeout = time.Minute
+	minMemory       = 64 // MB
+	maxMemory       = 1 << 20
+	// Request bodies and responses may take 1/bodyMemoryDivisor and
+	// 1/responseMemoryDivisor of the memory.
+	bodyMemoryDivisor     = 4
+	responseMemoryDivisor = 16
 )
 
 // Settings are the settings of a control process.
 type Settings struct {
-	Name              string             `json:"name"`        // name of this member, one of Members
-	DataFolder        string             `json:"data_folder"` // holds the log and snapshots
-	Members           []MemberSettings   `json:"members"`     // all control members; the same list on each member
-	OperatorTokenFile string             `json:"operator_token_file"`
-	FleetTokenFile    string             `json:"fleet_token_file"`
-	DrainTimeout      settings.Duration  `json:"drain_timeout"` // time for requests in flight at shutdown
-	Telemetry         telemetry.Settings `json:"telemetry"`
+	Name              string              `json:"name"`        // name of this member, one of Members
+	DataFolder        string              `json:"data_folder"` // holds the log and snapshots
+	Members           []MemberSettings    `json:"members"`     // all control members; the same list on each member
+	OperatorTokenFile string              `json:"operator_token_file"`
+	FleetTokenFile    string              `json:"fleet_token_file"`
+	DrainTimeout      settings.Duration   `json:"drain_timeout"` // time for requests in flight at shutdown
+	MemoryMB          int                 `json:"memory_mb"`     // memory that the process may use
+	Callers           callerconn.Settings `json:"callers"`       // limits what the connections to the API take
+	Telemetry         telemetry.Settings  `json:"telemetry"`
 }
 
 // MemberSettings describes a control member.
@@ -42,6 +51,8 @@
 	return &Settings{
 		Members:      []MemberSettings{},
 		DrainTimeout: settings.Duration(10 * time.Second),
+		MemoryMB:     256,
+		Callers:      callerconn.DefaultSettings(),
 		Telemetry:    telemetry.DefaultSettings(),
 	}
 }
@@ -52,6 +63,8 @@
 	settings.RequireNonEmpty(report, "operator_token_file", s.OperatorTokenFile)
 	settings.RequireNonEmpty(report, "fleet_token_file", s.FleetTokenFile)
 	settings.RequireDurationRange(report, "drain_timeout", s.DrainTimeout, minDrainTimeout, maxDrainTimeout)
+	settings.RequireIntRange(report, "memory_mb", s.MemoryMB, minMemory, maxMemory)
+	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	if len(s.Members)%2 == 0 || len(s.Members) > maxMembers {
 		report("members", len(s.Members), "want 1, 3, 5 or 7 members; an even number survives no more failures")
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/fault"
 )
 
@@ -18,6 +20,8 @@
 	maxStreamBody   = 256 << 20 // bytes
 	maxBufferedBody = 64 << 10  // bytes buffered if the request has no key
 	readTimeout     = 5 * time.Second
+	firstBuffer     = 64 << 10 // bytes allocated at most before any byte has arrived
+	growthOfBuffer  = 2
 )
 
 // body is the body of a request. It is fully buffered, so that it can be sent
@@ -28,6 +32,40 @@
 	length        int64     // bytes; -1 if unknown
 	streamStarted atomic.Bool
 	readErr       atomic.Pointer[fault.Error] // error that ended the stream early
+	release       func()                      // gives back the memory of the buffer; may be nil
+}
+
+// close gives back the memory of the buffer.
+func (b *body) close() {
+	if b != nil && b.release != nil {
+		b.release()
+	}
+}
+
+// heldReader reads from a source and reserves memory for the buffer that takes the
+// bytes, which grows to twice their number.
+type heldReader struct {
+	source io.Reader
+	ctx    context.Context // of the request
+	taken  int64
+}
+
+// Read implements io.Reader.
+func (h *heldReader) Read(p []byte) (int, error) {
+	n, err := h.source.Read(p)
+	if n > 0 {
+		more := growthOfBuffer * int64(n)
+		if !callerconn.TakeBody(h.ctx, callerconn.BodyMemory(h.ctx), more) {
+			return 0, fault.New(fault.Overloaded, "too many bodies are held").WithRetryAfter(time.Second)
+		}
+		h.taken += more
+	}
+	return n, err
+}
+
+func (h *heldReader) release() {
+	callerconn.GiveBody(h.ctx, callerconn.BodyMemory(h.ctx), h.taken)
+	h.taken = 0
 }
 
 func bufferLimit(keyed bool) int64 {
@@ -49,13 +87,15 @@
 	source := &timeoutReader{source: http.MaxBytesReader(w, r.Body, maxStreamBody), control: http.NewResponseController(w)}
 	var first bytes.Buffer
 	if r.ContentLength > 0 {
-		first.Grow(int(min(r.ContentLength, limit)) + bytes.MinRead)
+		first.Grow(int(min(r.ContentLength, limit, firstBuffer)) + bytes.MinRead)
 	}
-	n, err := io.Copy(&first, io.LimitReader(source, limit+1))
+	held := &heldReader{source: io.LimitReader(source, limit+1), ctx: r.Context()}
+	n, err := io.Copy(&first, held)
 	if err != nil {
+		held.release()
 		return nil, bodyError(err)
 	}
-	b := &body{buffered: first.Bytes(), length: r.ContentLength}
+	b := &body{buffered: first.Bytes(), length: r.ContentLength, release: held.release}
 	if n > limit {
 		b.stream = source
 		enableFullDuplex(source.control)
--- a/internal/entry/callerapi.go
+++ b/internal/entry/callerapi.go
@@ -67,6 +67,7 @@
 	ctx, span := telemetry.StartSpan(telemetry.Extract(r.Context(), r.Header), "entry.request")
 	defer span.End()
 	q, errResp := e.acceptCaller(w, r)
+	defer func() { q.body.close() }()
 	span.SetAttributes(attribute.String("request_id", q.id), attribute.String("service", q.service))
 	var resp *Response
 	if errResp == nil {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,7 +5,10 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sequoialane/sequoialane/internal/address"
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/claims"
 	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/plan"
@@ -24,6 +27,12 @@
 	maxKeyRetention = 24 * time.Hour
 	minDrainLimit   = time.Second
 	maxDrainLimit   = time.Hour
+	minMemory       = 64 // MB
+	maxMemory       = 1 << 20
+	// Request bodies and responses may take 1/bodyMemoryDivisor and
+	// 1/responseMemoryDivisor of the memory.
+	bodyMemoryDivisor     = 4
+	responseMemoryDivisor = 16
 )
 
 // Settings are the settings of an entry process.
@@ -48,9 +57,16 @@
 	TimeToLive        settings.Duration          `json:"time_to_live"`     // of address responses
 	DrainLimit        settings.Duration          `json:"drain_limit"`      // longest wait for requests in flight at shutdown
 	FloorPercent      int                        `json:"floor_percent"`    // percentage of the healthy capacity that ejection must leave
+	MemoryMB          int                        `json:"memory_mb"`        // memory that the process may use
+	Callers           callerconn.Settings        `json:"callers"`          // limits what the connections of callers take
 	Telemetry         telemetry.Settings         `json:"telemetry"`
 }
 
+// NewGuard returns the guard of the callers' connections.
+func (s *Settings) NewGuard(log *zap.Logger) *callerconn.Guard {
+	return callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log)
+}
+
 // DefaultSettings returns the default settings, which the values of a settings
 // file override.
 func DefaultSettings() *Settings {
@@ -65,6 +81,8 @@
 		TimeToLive:     settings.Duration(address.DefaultTimeToLive),
 		DrainLimit:     settings.Duration(10*time.Minute + address.DefaultTimeToLive),
 		FloorPercent:   50,
+		MemoryMB:       256,
+		Callers:        callerconn.DefaultSettings(),
 		Telemetry:      telemetry.DefaultSettings(),
 	}
 }
@@ -90,6 +108,8 @@
 	settings.RequireDurationRange(report, "time_to_live", s.TimeToLive, minTimeToLive, address.MaxTimeToLive)
 	settings.RequireDurationRange(report, "drain_limit", s.DrainLimit, minDrainLimit, maxDrainLimit)
 	settings.RequireIntRange(report, "floor_percent", s.FloorPercent, minFloorPercent, maxFloorPercent)
+	settings.RequireIntRange(report, "memory_mb", s.MemoryMB, minMemory, maxMemory)
+	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -36,6 +36,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	serveErr chan error
+	guard    *callerconn.Guard // nil: only processes of the fleet connect
 }
 
 // Listen listens on a TCP address and returns a server that does not accept
@@ -55,13 +56,31 @@
 	return s, nil
 }
 
+// ListenCallers is Listen for connections that the guard limits.
+func ListenCallers(address string, handler http.Handler, guard *callerconn.Guard) (*Server, error) {
+	s, err := Listen(address, handler)
+	if err == nil {
+		s.guard = guard
+	}
+	return s, err
+}
+
+func (s *Server) serve() error {
+	if s.guard == nil {
+		return callerconn.Serve(s.server, s.listener)
+	}
+	return s.guard.Serve(s.server, s.listener, callerconn.Options{
+		Name: "callers", HeadBytes: func() int64 { return maxReadHeaderBytes }, IdleTime: func() time.Duration { return IdleTimeout },
+	})
+}
+
 // Address returns the IP address and port of the listener.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Start accepts connections in the background.
 func (s *Server) Start() {
 	go func() {
-		err := callerconn.Serve(s.server, s.listener)
+		err := s.serve()
 		if !errors.Is(err, http.ErrServerClosed) {
 			s.serveErr <- err
 		}
