--- a/internal/callerconn/settings.go
+++ b/internal/callerconn/settings.go
@@ -42,10 +42,13 @@
 	// sideDivisor: a listener that serves a few short responses, such as the
 	// directory, may take this part of the connections of the callers' listener.
 	sideDivisor = 8
-	// heapShare is the share of the memory that the heap may take at most. The rest is
-	// for buffers of the kernel and the program itself, which takes programBytes.
-	heapShare    = 0.8
-	programBytes = 16 << 20
+	// The heap may take heapShare of the memory at most, and leaves programBytes for the
+	// program, of which 16 MiB are resident, and 1/kernelDivisor for buffers of the
+	// kernel, but gets minHeapShare in any case.
+	heapShare     = 0.8
+	minHeapShare  = 0.5
+	programBytes  = 20 << 20
+	kernelDivisor = 8
 	// minConnections keeps the smallest deployments usable.
 	minConnections = 16
 )
@@ -70,7 +73,8 @@
 // take, its stacks included.
 func HeapLimit(memoryMB int) int64 {
 	memory := int64(memoryMB) << 20
-	return min(int64(heapShare*float64(memory)), memory-programBytes)
+	limit := min(int64(heapShare*float64(memory)), memory-programBytes-memory/kernelDivisor)
+	return max(limit, int64(minHeapShare*float64(memory)))
 }
 
 // connections returns the limit of open connections of the callers' listener in a
