callerconn: only the reading of bodies is paused by the handler

Cause: TestSilentConnectionsMakeRoom failed in 2 of 25 runs: the time until the server first reads a connection was not counted. Two tests also moved the clock before the server had noted the state of a connection that they rely on. Change: the time without progress is shifted in the body phase only; the tests wait for the state.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -165,13 +165,15 @@
 	return n, err
 }
 
-// readSocket reads from the caller. The time in which the server does not read does
-// not count as a stall of the sender. A read of one byte only notices a close.
+// readSocket reads from the caller. The time in which a handler does not read a body
+// does not count as a stall of the sender. A read of one byte only notices a close.
 func (c *conn) readSocket(p []byte) (int, error) {
 	if c.guard == nil || len(p) == 1 {
 		return c.Conn.Read(p)
 	}
-	c.progress.Add(c.guard.clock() - c.readEnd.Load())
+	if phase(c.phase.Load()) == phaseActive {
+		c.progress.Add(c.guard.clock() - c.readEnd.Load())
+	}
 	c.receiving.Store(true)
 	n, err := c.Conn.Read(p)
 	c.receiving.Store(false)
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -58,6 +59,13 @@
 	return len(g.conns)
 }
 
+// inPhase returns the number of open connections in the phase.
+func (g *guarded) inPhase(p phase) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return lo.CountBy(lo.Keys(g.conns), func(c *conn) bool { return phase(c.phase.Load()) == p })
+}
+
 // exchange sends text and returns the status of the response; 0: none.
 func exchange(c net.Conn, text string) int {
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
@@ -86,11 +94,14 @@
 	for _, c := range []net.Conn{first, second} {
 		require.Equal(t, http.StatusOK, exchange(c, get("/")))
 	}
+	idle := func() bool { return g.inPhase(phaseIdle) == 2 }
+	require.Eventually(t, idle, 10*time.Second, time.Millisecond)
 	g.advance(testIdleTime * 4 / 5)
 	assert.Zero(t, exchange(dial(t, g.address), get("/")), "a third connection")
 	for _, c := range []net.Conn{first, second} {
 		assert.Equal(t, http.StatusOK, exchange(c, get("/")), "a connection idle for four fifths of the time")
 	}
+	require.Eventually(t, idle, 10*time.Second, time.Millisecond)
 	g.advance(testIdleTime + time.Second)
 	assert.Equal(t, http.StatusOK, exchange(dial(t, g.address), get("/")), "a connection instead of idle ones")
 }
@@ -114,7 +125,7 @@
 	silent, partial := dial(t, g.address), dial(t, g.address)
 	_, err := io.WriteString(partial, "GET / HT")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return g.open() == 3 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return g.open() == 3 && g.inPhase(phaseHead) == 1 }, 10*time.Second, time.Millisecond)
 	g.advance(defaultHeadTime + time.Hour)
 	assert.Equal(t, http.StatusOK, exchange(dial(t, g.address), get("/")))
 	for _, c := range []net.Conn{silent, partial} {
