Streamed bodies that stop get 502; large buffers are allocated one at a time

Several large buffers passed the look at the heap at the same time. Change: the kind is outcome_unknown, status 502. A buffer of 1 MiB or more is allocated under a lock, after the look at the heap.

--- a/internal/bodybuffer/buffer.go
+++ b/internal/bodybuffer/buffer.go
@@ -125,9 +125,7 @@
 	if !b.takeUpTo(size - endOfBody) {
 		return false
 	}
-	collectBefore(size)
-	larger := make([]byte, len(b.bytes), size)
-	copy(larger, b.bytes)
-	b.bytes = larger
+	larger := allocate(size)
+	b.bytes = larger[:copy(larger, b.bytes)]
 	return true
 }
--- a/internal/bodybuffer/heap.go
+++ b/internal/bodybuffer/heap.go
@@ -14,21 +14,23 @@
 // take the heap over its limit.
 const largeBuffer = 1 << 20
 
-// collecting is held during a collection that a large buffer needs.
-var collecting sync.Mutex
+// allocating is held while a large buffer is allocated, so that each one sees those
+// before it.
+var allocating sync.Mutex
 
-// collectBefore collects garbage if a buffer of n bytes would otherwise take the heap
-// over its limit.
-func collectBefore(n int) {
+// allocate returns a buffer of n bytes, all of them used. It collects garbage first if
+// a large buffer would otherwise take the heap over its limit.
+func allocate(n int) []byte {
 	limit := debug.SetMemoryLimit(-1)
-	if n < largeBuffer || limit == math.MaxInt64 || heapInUse()+int64(n) <= limit {
-		return
+	if n < largeBuffer || limit == math.MaxInt64 {
+		return make([]byte, n)
 	}
-	collecting.Lock()
-	defer collecting.Unlock()
+	allocating.Lock()
+	defer allocating.Unlock()
 	if heapInUse()+int64(n) > limit {
 		runtime.GC()
 	}
+	return make([]byte, n)
 }
 
 // heapInUse returns the bytes that count towards the heap limit and that are not free
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -139,8 +139,9 @@
 	s.body.streamStarted.Store(true)
 	n, err := s.source.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		// Part of the body may have reached the upstream.
-		s.body.readErr.Store(bodyError(err).WithEffect(fault.Unknown))
+		// Part of the body may have reached the upstream, so the status must not be one
+		// that says that the request did not run.
+		s.body.readErr.Store(fault.New(fault.OutcomeUnknown, bodyError(err).Detail))
 	}
 	return n, err
 }
--- a/internal/entry/callerapi_test.go
+++ b/internal/entry/callerapi_test.go
@@ -127,6 +127,25 @@
 	assert.Equal(t, http.StatusOK, c.nodes[0].call(t, "GET", "/s/consents/x", "", nil).status)
 }
 
+// Guards against a status that says that the request did not run, if its sender
+// stalls after part of the body has reached the target.
+func TestSlowSenderOfStreamedBody(t *testing.T) {
+	c := newCluster(t, "north")
+	c.addTarget(t, "north", echo)
+	conn, err := net.Dial("tcp", c.nodes[0].callers.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "PUT /s/consents/uploads HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		testToken, 4*maxBufferedBody, strings.Repeat("x", 2*maxBufferedBody))
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(3*readTimeout)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	raw, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+	assert.Equal(t, fault.Unknown, fault.Decode(raw).Effect)
+}
+
 // Guards against an isolated entry, whose plans may be outdated, serving requests.
 func TestIsolatedEntryRejectsRequests(t *testing.T) {
 	c := newCluster(t, "north")
