--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # Runs the packages with shared tables under the race detector.
 race:
-	$(GO) test -race -count=1 -timeout=5m $(SKIP) $(addprefix ./internal/,owner health schedule claims dispatch entry upstreamclient membership configsync httpserver callerconn targetconn gateway grants pool traffic membudget peerhttp)
+	$(GO) test -race -count=1 -timeout=5m $(SKIP) $(addprefix ./internal/,owner health schedule claims dispatch entry upstreamclient membership configsync httpserver callerconn bodybuffer targetconn gateway grants pool traffic membudget peerhttp)
 
 lint:
 	gofmt -l .
--- a/internal/callerconn/head.go
+++ b/internal/callerconn/head.go
@@ -13,8 +13,9 @@
 	// of its handler and of its attempts, and their buffers.
 	requestBytes = 16 << 10
 	// fieldBytes is what a header field takes besides its bytes: its places in the
-	// maps of the request and of the copy that is forwarded, measured with heads of
-	// short fields.
+	// maps of the request and of the copy that is forwarded. Heads of 500 to 3,400
+	// short fields take 78 to 117 bytes for each field in each of them; the rest is for
+	// the smaller maps that these replace as they grow.
 	fieldBytes = 320
 	// headCopies: the bytes of a head are held as received and as forwarded.
 	headCopies = 2
