Buffers of responses count in the memory of requests

Cause: the rest of a response was passed on through 32 KiB (platform) or 64 KiB behind 64 KiB of buffered response (sequoialane-entry) for each slow reader, and none of it was counted: 1,638 connections would hold 200 MiB of 256. Change: 8 KiB and 16 KiB. A request counts 96 KiB in sequoialane-entry, within a quarter of the memory.

--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	callers, err := httpserver.ListenCallers(cfg.settings.CallerAddress, e.CallerHandler(), cfg.settings.NewGuard(do.MustInvoke[*zap.Logger](i)))
+	callers, err := httpserver.ListenCallers(cfg.settings.CallerAddress, e.CallerHandler(), cfg.settings.NewGuard(do.MustInvoke[*zap.Logger](i)), entry.RequestBytes)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -74,12 +74,12 @@
 	lastScan [accounts]time.Time
 }
 
-// Shares are the parts of the memory for bodies, as divisors.
-type Shares struct{ Bodies, Responses int64 }
+// Shares are the parts of the memory for each purpose, as divisors.
+type Shares struct{ Bodies, Responses, Requests int64 }
 
 // NewGuard returns a guard of a process that may use memoryBytes.
 func NewGuard(s Settings, memoryBytes int64, shares Shares, log *zap.Logger) *Guard {
-	bodies, responses, requests := memoryBytes/shares.Bodies, memoryBytes/shares.Responses, memoryBytes/requestMemoryDivisor
+	bodies, responses, requests := memoryBytes/shares.Bodies, memoryBytes/shares.Responses, memoryBytes/shares.Requests
 	whole := membudget.New(bodies + responses + requests)
 	g := &Guard{
 		settings: s, connections: s.connections(memoryBytes), log: log, now: time.Now, started: time.Now(),
@@ -106,6 +106,9 @@
 	Side bool
 	// HeadBytes returns the largest head in bytes.
 	HeadBytes func() int64
+	// RequestBytes is what a request takes besides its head and its body: the stacks
+	// of its handler and of its attempts, and their buffers. 0: defaultRequestBytes.
+	RequestBytes int64
 	// HeadTime returns how long a caller may take to send a head; 0: defaultHeadTime.
 	// May be nil.
 	HeadTime func() time.Duration
--- a/internal/callerconn/head.go
+++ b/internal/callerconn/head.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// requestBytes is what a request takes besides its head and its body: the stacks
-	// of its handler and of its attempts, and their buffers.
-	requestBytes = 16 << 10
+	// defaultRequestBytes is the memory of a request without its head and its body.
+	defaultRequestBytes = 16 << 10
 	// fieldBytes is what a header field takes besides its bytes: its places in the
 	// maps of the request and of the copy that is forwarded. Heads of 500 to 3,400
 	// short fields take 78 to 117 bytes for each field in each of them; the rest is for
@@ -84,7 +83,7 @@
 		return c.rejectHead(headTooLong, http.StatusRequestHeaderFieldsTooLarge, "")
 	case h.lines-1 > c.guard.settings.HeaderFields: // the first line is that of the request
 		return c.rejectHead(tooManyFields, http.StatusRequestHeaderFieldsTooLarge, "")
-	case !c.holdRequest(requestBytes + headCost(h.size, h.lines+h.rest)):
+	case !c.holdRequest(c.listener.requestBytes() + headCost(h.size, h.lines+h.rest)):
 		return c.rejectHead("", http.StatusServiceUnavailable, "Retry-After: "+strconv.Itoa(int(retryAfterMemory/time.Second))+"\r\n")
 	}
 	return true
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -37,6 +37,14 @@
 // idleTime returns how long an idle connection is kept for its caller.
 func (l *Listener) idleTime() time.Duration { return timeOf(l.options.IdleTime, defaultIdleTime) }
 
+// requestBytes returns the memory of a request without its head and its body.
+func (l *Listener) requestBytes() int64 {
+	if l.options.RequestBytes > 0 {
+		return l.options.RequestBytes
+	}
+	return defaultRequestBytes
+}
+
 func timeOf(f func() time.Duration, otherwise time.Duration) time.Duration {
 	if f != nil {
 		if d := f(); d > 0 {
--- a/internal/callerconn/settings.go
+++ b/internal/callerconn/settings.go
@@ -37,9 +37,6 @@
 	// connectionMemoryDivisor: the connections of the callers' listener may take this
 	// part of the memory.
 	connectionMemoryDivisor = 8
-	// requestMemoryDivisor: the heads of requests, what their handlers hold and what
-	// is read ahead may together take this part of the memory.
-	requestMemoryDivisor = 16
 	// descriptorDivisor: the callers' listener may take this part of the descriptors;
 	// the rest is for connections to targets and other processes.
 	descriptorDivisor = 2
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -83,8 +83,8 @@
 	if p.peer, err = httpserver.Listen(self.PeerAddress, options.GroupHandler); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	guard := callerconn.NewGuard(options.Settings.Callers, int64(options.Settings.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, options.Log)
-	if p.api, err = httpserver.ListenCallers(self.APIAddress, callerconn.CountBodies(handler), guard); err != nil {
+	guard := callerconn.NewGuard(options.Settings.Callers, int64(options.Settings.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, options.Log)
+	if p.api, err = httpserver.ListenCallers(self.APIAddress, callerconn.CountBodies(handler), guard, 0); err != nil {
 		_ = p.peer.Close()
 		return nil, trace.Wrap(err)
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -18,10 +18,11 @@
 	maxDrainTimeout = time.Minute
 	minMemory       = 64 // MB
 	maxMemory       = 1 << 20
-	// Request bodies and responses may take 1/bodyMemoryDivisor and
-	// 1/responseMemoryDivisor of the memory.
+	// Request bodies, responses and the rest of requests in flight may take these
+	// parts of the memory.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
+	requestMemoryDivisor  = 16
 )
 
 // Settings are the settings of a control process.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -14,7 +14,7 @@
 const (
 	maxBufferedResponse = 64 << 10 // bytes read before the first byte is forwarded
 	maxErrorBody        = 64 << 10 // bytes
-	maxCopyBuffer       = 64 << 10 // bytes
+	maxCopyBuffer       = 16 << 10 // bytes; held while a caller reads slowly
 	writeTimeout        = 30 * time.Second
 )
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -29,10 +29,15 @@
 	maxDrainLimit   = time.Hour
 	minMemory       = 64 // MB
 	maxMemory       = 1 << 20
-	// Request bodies and responses may take 1/bodyMemoryDivisor and
-	// 1/responseMemoryDivisor of the memory.
+	// Request bodies and requests in flight, each with requestBytes, may take these
+	// parts of the memory. Responses are buffered within requestBytes.
 	bodyMemoryDivisor     = 4
-	responseMemoryDivisor = 16
+	responseMemoryDivisor = 1024
+	requestMemoryDivisor  = 4
+	// RequestBytes is what a request takes besides its head and its body: stacks, the
+	// part of the response that is buffered, and the buffer through which the rest is
+	// passed on.
+	RequestBytes = 16<<10 + maxBufferedResponse + maxCopyBuffer
 )
 
 // Settings are the settings of an entry process.
@@ -64,7 +69,7 @@
 
 // NewGuard returns the guard of the callers' connections.
 func (s *Settings) NewGuard(log *zap.Logger) *callerconn.Guard {
-	return callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log)
+	return callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, log)
 }
 
 // DefaultSettings returns the default settings, which the values of a settings
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -34,6 +34,7 @@
 	// the state.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
+	requestMemoryDivisor  = 16 // for the heads and handlers of requests
 )
 
 // Process runs a control member with its servers.
@@ -82,7 +83,7 @@
 	p := &Process{
 		settings: s, log: log, group: group, member: member,
 		peers: newServer(mux, log), control: newServer(api(member), log),
-		guard: callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log),
+		guard: callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, log),
 	}
 	for _, address := range []string{s.PeerAddress, s.ControlAddress} {
 		listener, err := net.Listen("tcp", address)
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -118,7 +118,7 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 		Incarnation: uint64(clock.Now().UnixMilli()), State: fleetstate.Serving,
 	}
-	p.guard = callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor}, log)
+	p.guard = callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, log)
 	p.locations = traffic.NewLocations(s.DataCentre, s.DataCentres)
 	peers := peerhttp.New(p.locations)
 	p.client = targetconn.New(clock, h.HeaderNames, p.guard.Responses, p.locations)
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -58,10 +58,11 @@
 	// lowBandwidthMbps is the bandwidth in Mbit/s below which callers are
 	// spread over all entries except those reserved as owners.
 	lowBandwidthMbps = 50.0
-	// Request and response bodies may take 1/bodyMemoryDivisor and
-	// 1/responseMemoryDivisor of the memory.
+	// Request bodies, response bodies and the rest of requests in flight may take
+	// these parts of the memory.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
+	requestMemoryDivisor  = 16
 	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
 	// and ratio that one owner uses. An owner that takes over starts with its
 	// full slack, so two owners in a row within a window use up the allowed
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -16,6 +16,10 @@
 // callerReadTime is how long a caller may take to read a response.
 const callerReadTime = 30 * time.Second
 
+// restBuffer is the size in bytes of the buffer through which the rest of a response
+// is passed on. It is part of what callerconn counts for each request.
+const restBuffer = 8 << 10
+
 // writeResponse writes the response of a target to the caller. If a streamed body
 // ends early, the connection is aborted, so that the caller cannot take the
 // response for a complete one.
@@ -43,7 +47,8 @@
 	w.WriteHeader(resp.Status)
 	_, err := w.Write(resp.Body)
 	if err == nil && resp.Rest != nil {
-		_, err = io.Copy(w, resp.Rest)
+		// The writer hides ReadFrom of net/http, whose buffer is four times as large.
+		_, err = io.CopyBuffer(struct{ io.Writer }{w}, resp.Rest, make([]byte, restBuffer))
 	}
 	if err != nil {
 		g.options.Log.Info("response to the caller truncated", zap.String("request_id", req.id), zap.Error(err))
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -37,6 +37,8 @@
 	draining atomic.Bool
 	serveErr chan error
 	guard    *callerconn.Guard // nil: only processes of the fleet connect
+
+	requestBytes int64 // memory of a request without its head and its body; 0: the default of the guard
 }
 
 // Listen listens on a TCP address and returns a server that does not accept
@@ -56,11 +58,12 @@
 	return s, nil
 }
 
-// ListenCallers is Listen for connections that the guard limits.
-func ListenCallers(address string, handler http.Handler, guard *callerconn.Guard) (*Server, error) {
+// ListenCallers is Listen for connections that the guard limits. A request takes
+// requestBytes besides its head and its body; 0: the default of the guard.
+func ListenCallers(address string, handler http.Handler, guard *callerconn.Guard, requestBytes int64) (*Server, error) {
 	s, err := Listen(address, handler)
 	if err == nil {
-		s.guard = guard
+		s.guard, s.requestBytes = guard, requestBytes
 	}
 	return s, err
 }
@@ -70,7 +73,7 @@
 		return callerconn.Serve(s.server, s.listener)
 	}
 	return s.guard.Serve(s.server, s.listener, callerconn.Options{
-		Name: "callers", HeadBytes: func() int64 { return maxReadHeaderBytes }, IdleTime: func() time.Duration { return IdleTimeout },
+		Name: "callers", RequestBytes: s.requestBytes, HeadBytes: func() int64 { return maxReadHeaderBytes }, IdleTime: func() time.Duration { return IdleTimeout },
 	})
 }
 
