--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -19,6 +20,38 @@
 type Listener struct {
 	net.Listener
 	pipelined *metrics.Counter
+
+	guard    *Guard // nil: no limits
+	options  Options
+	limit    int            // of open connections
+	gauge    *metrics.Gauge // open connections
+	logs     logLimits
+	open     int       // guarded by guard.mu
+	lastScan time.Time // guarded by guard.mu
+}
+
+// headTime returns how long a caller may take to send a head, also the first one of
+// a connection: clients open connections for requests that are sent on others.
+func (l *Listener) headTime() time.Duration { return timeOf(l.options.HeadTime, defaultHeadTime) }
+
+// idleTime returns how long an idle connection is kept for its caller.
+func (l *Listener) idleTime() time.Duration { return timeOf(l.options.IdleTime, defaultIdleTime) }
+
+// requestBytes returns the memory of a request without its head and its body.
+func (l *Listener) requestBytes() int64 {
+	if l.options.RequestBytes > 0 {
+		return l.options.RequestBytes
+	}
+	return defaultRequestBytes
+}
+
+func timeOf(f func() time.Duration, otherwise time.Duration) time.Duration {
+	if f != nil {
+		if d := f(); d > 0 {
+			return d
+		}
+	}
+	return otherwise
 }
 
 // New returns a listener on top of inner. ConnContext must be set in the server
@@ -29,11 +62,37 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: raw, pipelined: l.pipelined, guard: l.guard, listener: l}
+		if l.guard == nil {
+			return c, nil
+		}
+		c.progress.Store(l.guard.clock())
+		c.readEnd.Store(l.guard.clock())
+		limitSocketBuffers(raw, l.guard.settings.SocketBufferKB<<10)
+		if l.guard.admit(c) {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// limitSocketBuffers keeps the kernel from enlarging the buffers of a connection to
+// several MiB, which a caller that stops reading or is not read could fill.
+func limitSocketBuffers(c net.Conn, size int) {
+	tcp, ok := c.(interface {
+		SetReadBuffer(int) error
+		SetWriteBuffer(int) error
+	})
+	if !ok || size <= 0 {
+		return
 	}
-	return &conn{Conn: raw, pipelined: l.pipelined}, nil
+	_ = tcp.SetReadBuffer(size) // fail if the connection is closed
+	_ = tcp.SetWriteBuffer(size)
 }
 
 // ConnContext is the function of that name of an http.Server: it ends the context
@@ -45,7 +104,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	own.setOnClose(cancel)
-	return ctx
+	return context.WithValue(ctx, contextKey{}, own)
 }
 
 // Serve sets ConnContext in the server and runs it on the listener.
--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/quota"
 	"github.com/sequoialane/sequoialane/internal/settings"
@@ -41,6 +42,8 @@
 	// RequestCost makes owners choose targets by the expected work of each request. If
 	// it is false, they expect the same of all requests of a route.
 	RequestCost bool `json:"request_cost"`
+	// Callers limits what the connections of callers take.
+	Callers callerconn.Settings `json:"callers"`
 
 	Telemetry telemetry.Settings `json:"telemetry"`
 }
@@ -73,13 +76,11 @@
 	// lowBandwidthMbps is the bandwidth in Mbit/s below which callers are
 	// spread over all entries except those reserved as owners.
 	lowBandwidthMbps = 50.0
-	// Request and response bodies may take 1/bodyMemoryDivisor and
-	// 1/responseMemoryDivisor of the memory.
+	// Request bodies, response bodies and the rest of requests in flight may take
+	// these parts of the memory.
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
-	// heapShare is the share of the memory that the heap may take. The rest is for
-	// stacks, buffers of the kernel and the program itself.
-	heapShare = 0.8
+	requestMemoryDivisor  = 16
 	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
 	// and ratio that one owner uses. An owner that takes over starts with its
 	// full slack, so two owners in a row within a window use up the allowed
@@ -98,6 +99,7 @@
 		Retries:     Retries{Ratio: 0.1, Slack: 10, Window: settings.Duration(10 * time.Second)},
 		FloorShare:  0.5,
 		RequestCost: true,
+		Callers:     callerconn.DefaultSettings(),
 		Telemetry:   telemetry.DefaultSettings(),
 	}
 }
@@ -138,6 +140,7 @@
 	if s.FloorShare < 0 || s.FloorShare > 1 {
 		report("floor_share", s.FloorShare, "want a number from 0 to 1")
 	}
+	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
 }
 
@@ -166,10 +169,4 @@
 func (s *Settings) lowBandwidth() bool { return s.LinkMbps > 0 && s.LinkMbps < lowBandwidthMbps }
 
 // HeapLimit returns the bytes that the heap of the process may take.
-func (s *Settings) HeapLimit() int64 { return int64(heapShare * float64(int64(s.MemoryMB)<<20)) }
-
-// bodyMemory returns the bytes that buffered request bodies may take.
-func (s *Settings) bodyMemory() int64 { return int64(s.MemoryMB) << 20 / bodyMemoryDivisor }
-
-// responseMemory returns the bytes that buffered response bodies may take.
-func (s *Settings) responseMemory() int64 { return int64(s.MemoryMB) << 20 / responseMemoryDivisor }
+func (s *Settings) HeapLimit() int64 { return callerconn.HeapLimit(s.MemoryMB) }
