Clients of targets: the abort of an unread response is no fault of the target

Cause: a target aborts a response that remains unread for some seconds, and the outcome counted as a truncated response, evidence against the target, although its caller read slowly. Change: if nothing was read for a second or more before the abort, the outcome is canceled.

--- a/internal/targetconn/response.go
+++ b/internal/targetconn/response.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/sequoialane/sequoialane/internal/httphead"
 	"github.com/sequoialane/sequoialane/internal/membudget"
@@ -79,17 +80,25 @@
 // restBody reads the rest of a body from its connection, which is not reused.
 type restBody struct {
 	io.Reader
-	conn *conn
-	err  error // of the last read
+	conn   *conn
+	now    func() time.Time
+	err    error         // of the last read
+	readAt time.Time     // end of the last read
+	unread time.Duration // longest time between two reads, in which the caller was written to
 }
 
+// slowCaller is the time without a read after which a target may have aborted the
+// response because it remained unread. Targets allow some seconds for it.
+const slowCaller = time.Second
+
 // Read implements io.Reader.
 func (b *restBody) Read(p []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
 	}
+	b.unread = max(b.unread, b.now().Sub(b.readAt))
 	n, err := b.Reader.Read(p)
-	b.err = err
+	b.err, b.readAt = err, b.now()
 	return n, err
 }
 
@@ -125,6 +134,8 @@
 		return pool.OK
 	case errors.Is(b.err, os.ErrDeadlineExceeded):
 		return pool.Timeout
+	case b.err != nil && b.unread >= slowCaller:
+		return pool.Canceled // no fault of the target
 	case b.err != nil:
 		return pool.InvalidResponse
 	default:
@@ -272,7 +283,7 @@
 	r := &Response{Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength, memory: c.memory}
 	for {
 		if len(r.Body) == cap(r.Body) && !r.grow() {
-			r.rest = &restBody{Reader: raw.Body, conn: cn}
+			r.rest = &restBody{Reader: raw.Body, conn: cn, now: c.clock.Now, readAt: c.clock.Now()}
 			r.Rest = r.rest
 			return r, nil
 		}
--- a/internal/upstreamclient/receive.go
+++ b/internal/upstreamclient/receive.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/sequoialane/sequoialane/internal/owner"
 )
@@ -30,12 +31,9 @@
 		}
 		return resp, e.completeOutcome(resp), nil
 	}
-	resp.Body = &responseStream{
-		head:   bytes.NewReader(head),
-		rest:   resp.Body,
-		cancel: cancel,
-		onEnd:  func(err error) { e.finishStream(ctx, resp, err) },
-	}
+	stream := &responseStream{head: bytes.NewReader(head), rest: resp.Body, cancel: cancel, now: e.client.clock.Now, readAt: e.client.clock.Now()}
+	stream.onEnd = func(err error) { e.finishStream(ctx, resp, err, stream.unread >= slowCaller) }
+	resp.Body = stream
 	return resp, owner.Outcome{BytesSent: true}, nil
 }
 
@@ -48,13 +46,18 @@
 	}
 }
 
-// finishStream reports the outcome of a streamed response to Options.Finished.
-func (e *exchange) finishStream(ctx context.Context, resp *http.Response, err error) {
+// slowCaller is the time without a read after which a target may have aborted the
+// response because it remained unread. Targets allow some seconds for it.
+const slowCaller = time.Second
+
+// finishStream reports the outcome of a streamed response to Options.Finished. A target
+// that aborted a response which the caller has left unread is not at fault.
+func (e *exchange) finishStream(ctx context.Context, resp *http.Response, err error, unread bool) {
 	var o owner.Outcome
 	switch {
 	case errors.Is(err, io.EOF):
 		o = e.completeOutcome(resp)
-	case errors.Is(err, errClosed):
+	case errors.Is(err, errClosed), unread:
 		o = owner.Outcome{Kind: owner.Canceled, BytesSent: true, ServiceTime: e.serviceTime()}
 	default:
 		o = e.failureOutcome(ctx, err)
@@ -73,6 +76,9 @@
 	cancel context.CancelCauseFunc
 	onEnd  func(error)
 	once   sync.Once
+	now    func() time.Time
+	readAt time.Time     // end of the last read
+	unread time.Duration // longest time between two reads, in which the caller was written to
 }
 
 // Read returns io.EOF only at the verified end of the response.
@@ -80,7 +86,9 @@
 	if s.head.Len() > 0 {
 		return s.head.Read(p)
 	}
+	s.unread = max(s.unread, s.now().Sub(s.readAt))
 	n, err := s.rest.Read(p)
+	s.readAt = s.now()
 	if err != nil {
 		s.finish(err)
 	}
