Quotas: credit of late responses is used, that of lost ones goes back

Cause: the response to a message that took longer than 100 ms was dropped, its credit counted as used, and the region was not asked for 500 ms. An owner whose messages take 90 ms more each way got no credit at all.

Change: an owner adds the credit of a late response, for up to 450 ms, unless it has sent another message to that region. Messages state the last one whose response has arrived, and the holder takes back what was in a later one. The time after which another region is asked follows the last response (100 to 300 ms), and that message has the needs of the requests that have come since. An owner with slow responses obtains credit for more demand and earlier, and requests wait there for up to 150 ms more.

--- a/internal/quota/calls.go
+++ b/internal/quota/calls.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	exchangeTimeout = 100 * time.Millisecond // within a region
+	exchangeTimeout = 100 * time.Millisecond // within a region, until another one is asked
 	remoteTimeout   = 200 * time.Millisecond // to another region
-	releaseTimeout  = 300 * time.Millisecond
+	// maxPatience limits these times if the last response was late, and lateTimeout is the
+	// time in which a response counts. A packet that is lost takes 200 ms more.
+	maxPatience    = 300 * time.Millisecond
+	lateTimeout    = 450 * time.Millisecond
+	releaseTimeout = 300 * time.Millisecond
 	// unusableTime is how long the holder of a region is not asked after it did not
 	// respond, and notHoldingTime after it did not hold, as while the holder changes.
 	unusableTime   = 500 * time.Millisecond
@@ -30,7 +34,7 @@
 	// minQuiet and maxQuiet are the times without a grant between which a new holder
 	// asks all entries whether they have credit of former holders. That adds tokens of
 	// creditLifetime at most; beyond maxQuiet the buckets are about full without it.
-	minQuiet = remoteTimeout
+	minQuiet = lateTimeout
 	maxQuiet = 10 * time.Second
 	// ageTime is the time for these calls, agesAtATime how many run at a time, and
 	// maxAgesAsked the number of entries beyond which there are none. A call has 84 bytes
@@ -242,9 +246,9 @@
 
 // isOwnCredit reports whether the first credit that an entry has got of this region, and
 // all other, is known to be of this process. Credit of the former process of this entry
-// arrives at most remoteTimeout after that has ended.
+// arrives at most lateTimeout after that has ended.
 func (l *Limiter) isOwnCredit(first time.Duration, holder string) bool {
-	return holder == l.options.Self.Name && first >= l.started+remoteTimeout
+	return holder == l.options.Self.Name && first >= l.started+lateTimeout
 }
 
 // awaitAge returns a time at which the process of the entry had started, or an error if
@@ -349,38 +353,118 @@
 // region if that one does not grant.
 func (l *Limiter) exchange(ctx context.Context, n int, s *ownedShard) {
 	l.mu.Lock()
-	now := l.options.Now()
-	needs := s.credit.Needs(now, l.index)
-	request := ExchangeRequest{Shard: n, Shards: l.index.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Needs: encodeNeeds(needs)}
-	usable := l.usableRegions(now)
-	l.mu.Unlock()
-	if len(needs) == 0 {
-		l.finish(s, now, nil, nil, true)
-		return
+	usable := l.usableRegions(l.options.Now())
+	if len(usable) == 0 {
+		s.credit.Needs(l.options.Now(), l.index) // so that the next message is due later
 	}
+	l.mu.Unlock()
 	for _, region := range usable {
-		sent := l.options.Now()
-		grants, holder, err := l.send(ctx, region, request, needs)
-		if err == nil && l.options.Now()-sent > remoteTimeout {
-			err = errLate // the process was paused; isOwnCredit relies on this limit
-		}
+		err := l.exchangeWith(ctx, region, n, s)
 		if err == nil {
-			l.noteCredit(region, holder, grants)
-			l.finish(s, sent, needs, grants, true)
 			return
 		}
 		l.markUnusable(region, err)
 	}
-	l.finish(s, now, nil, nil, false)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.credit.Failed(l.options.Now())
+}
+
+// exchangeWith sends a message to the holder of a region. If the response is late, an
+// error is returned, and its credit is added when it arrives.
+func (l *Limiter) exchangeWith(ctx context.Context, region string, n int, s *ownedShard) error {
+	l.mu.Lock()
+	// No response may be applied between the calculation of the needs and the numbering:
+	// its credit would be confirmed as received, but not be named.
+	now := l.options.Now()
+	needs := s.credit.Needs(now, l.index)
+	if len(needs) == 0 {
+		s.credit.Apply(now, now, nil, nil)
+		l.mu.Unlock()
+		return nil
+	}
+	r := ExchangeRequest{Shard: n, Shards: l.index.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Needs: encodeNeeds(needs)}
+	m, patience := l.number(region, &r), l.patienceWith(region)
+	l.mu.Unlock()
+	responses := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, lateTimeout)
+		defer cancel()
+		var err error
+		m.grants, m.holder, err = l.send(ctx, region, r, needs)
+		responses <- err
+	}()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case err := <-responses:
+		return l.apply(s, m, needs, err, false)
+	case <-timer.C:
+	}
+	go func() { _ = l.apply(s, m, needs, <-responses, true) }()
+	return errLate
+}
+
+// sentMessage is a message to the holder of a region, and its response.
+type sentMessage struct {
+	key      messageKey
+	sequence uint64
+	at       time.Duration
+
+	grants []Grant
+	holder string
+}
+
+// number gives a message its numbers. The caller holds mu.
+func (l *Limiter) number(region string, r *ExchangeRequest) *sentMessage {
+	key := messageKey{r.Shard, region, r.Kind}
+	l.lastSequence++
+	r.Sequence, r.Received = l.lastSequence, l.received[key]
+	l.sent[key] = r.Sequence
+	return &sentMessage{key: key, sequence: r.Sequence, at: l.options.Now()}
+}
+
+// patienceWith returns how long to wait for the holder of a region before another one is
+// asked. The caller holds mu.
+func (l *Limiter) patienceWith(region string) time.Duration {
+	least := exchangeTimeout
+	if region != l.options.Self.Region {
+		least = remoteTimeout
+	}
+	return min(max(least, l.patience[region]), maxPatience)
+}
+
+// apply adds the credit of the response to a message. A later message to the region has
+// not named that credit, so that its holder counts it as used or gives it to others. The
+// same holds for a response that was late because this process was paused.
+func (l *Limiter) apply(s *ownedShard, m *sentMessage, needs []Need, err error, late bool) error {
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	if now-m.at > lateTimeout || l.sent[m.key] != m.sequence {
+		return errLate
+	}
+	l.received[m.key] = m.sequence
+	l.patience[m.key.region] = (now - m.at) * 3 / 2
+	l.noteCredit(m.key.region, m.holder, m.grants)
+	if late {
+		l.unusable[m.key.region] = 0
+		s.credit.ApplyLate(now, m.at, m.grants)
+	} else {
+		s.credit.Apply(now, m.at, needs, m.grants)
+	}
+	return nil
 }
 
-// noteCredit notes the first credit that this process gets of a region.
+// noteCredit notes the first credit that this process gets of a region. The caller holds
+// mu.
 func (l *Limiter) noteCredit(region, holder string, grants []Grant) {
 	if len(grants) == 0 {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	first, any := l.credited[region]
 	switch {
 	case !any:
@@ -390,17 +474,6 @@
 	}
 }
 
-// finish ends a message of this entry as an owner.
-func (l *Limiter) finish(s *ownedShard, sent time.Duration, needs []Need, grants []Grant, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if ok {
-		s.credit.Apply(l.options.Now(), sent, needs, grants)
-		return
-	}
-	s.credit.Failed(l.options.Now())
-}
-
 // usableRegions returns the regions whose holder may be asked, the own one first. The
 // caller holds mu.
 func (l *Limiter) usableRegions(now time.Duration) []string {
@@ -432,14 +505,13 @@
 	errNotHolding = errors.New("quota: the entry does not hold the shard")
 )
 
-// send sends a message to the holder of a region, and returns what it grants and its
-// name.
+// send sends a numbered message to the holder of a region, and returns what it grants
+// and its name.
 func (l *Limiter) send(ctx context.Context, region string, r ExchangeRequest, needs []Need) ([]Grant, string, error) {
 	holders := ranked(l.options.View(), l.options.LowBandwidth, r.Shard, r.Shards, region)
 	if len(holders) == 0 {
 		return nil, "", errNoHolder
 	}
-	r.Sequence = l.sequence.Add(1)
 	if holders[0].Name == l.options.Self.Name {
 		grants, holding := l.exchangeHere(r, needs)
 		if !holding {
@@ -447,12 +519,6 @@
 		}
 		return grants, holders[0].Name, nil
 	}
-	timeout := exchangeTimeout
-	if region != l.options.Self.Region {
-		timeout = remoteTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	l.exchanges.Inc()
 	var response ExchangeResponse
 	if err := l.options.Peers.Post(ctx, traffic.Quota, holders[0].PeerAddress, ExchangePath, r, &response); err != nil {
@@ -509,6 +575,11 @@
 func (l *Limiter) askTransfer(ctx context.Context, region string, h *holding, kind Kind, needs []Need) ([]Grant, time.Duration) {
 	asked := l.options.Now()
 	request := ExchangeRequest{Shard: h.shard, Shards: h.shards, Sender: l.options.Self.Name, Incarnation: l.options.Self.Incarnation, Kind: kind, Needs: encodeNeeds(needs)}
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	l.mu.Lock()
+	l.number(region, &request)
+	l.mu.Unlock()
 	grants, _, err := l.send(ctx, region, request, needs)
 	if err != nil {
 		l.failures.Inc()
--- a/internal/quota/credit.go
+++ b/internal/quota/credit.go
@@ -17,6 +17,12 @@
 	minInterval  = 50 * time.Millisecond
 	// scarceInterval is the same while the bucket of the tenant is empty.
 	scarceInterval = 70 * time.Millisecond
+	// slowDelay is the delay of responses above which credit is obtained for more demand,
+	// and before it is used up. Responses of another region take about 62 ms.
+	slowDelay = 75 * time.Millisecond
+	// maxExtraWait is less than what internal/grants allows for the response of an owner,
+	// besides the time for which a request may wait there.
+	maxExtraWait = 150 * time.Millisecond
 	// minDemand is the demand per second below which no credit is obtained in advance.
 	minDemand = 0.05
 )
@@ -28,6 +34,7 @@
 	last     time.Duration // when the last message was sent
 	inFlight bool
 	pause    time.Duration // no message before, since the last one failed
+	delay    time.Duration // until responses arrive, as a mean of the last ones
 	urgent   time.Duration // when the next message is due because of requests without credit; 0: none wait
 }
 
@@ -37,6 +44,7 @@
 	pending    int    // taken by requests that have no target yet
 	generation uint64 // changes when the credit expires
 	expires    time.Duration
+	unnamed    time.Duration // credit that no message has named yet expires then; 0: there is none
 	demand     demand
 	waiting    []chan *permitKey // requests without credit, in order of arrival
 	retryAfter time.Duration     // as the holder stated it; 0: credit is not scarce
@@ -79,7 +87,8 @@
 	b.demand.add(1, now)
 	if b.free > 0 {
 		key := b.take(id)
-		if b.free == 0 && b.demand.at(now)*advanceTime.Seconds() > 2 {
+		demand := b.demand.at(now)
+		if b.free == 0 && demand*advanceTime.Seconds() > 2 || c.delay > slowDelay && float64(b.free) < demand*c.delay.Seconds() && !b.isScarce(now) {
 			c.hurry(now + coalesceTime)
 		}
 		return key, nil
@@ -182,7 +191,8 @@
 }
 
 // Needs returns the needs for a message that is sent now. One message is in flight at
-// a time: Apply or Failed must follow.
+// a time: Apply or Failed must follow, or Needs again for a message to another holder if
+// there is no response.
 func (c *Credit) Needs(now time.Duration, x *Index) []Need {
 	c.last, c.urgent, c.inFlight = now, 0, true
 	var needs []Need
@@ -196,9 +206,10 @@
 			delete(c.tenants, id)
 			continue
 		}
-		n := b.need(id, now, int(e.Limit.Capacity))
+		n := b.need(id, now, c.advanceTime(), int(e.Limit.Capacity))
 		expiresSoon := n.Held > 0 && b.expires-now < creditLifetime/2+coalesceTime
 		if n.Waiting+n.Returned+n.Wanted > 0 || expiresSoon {
+			b.unnamed = 0
 			needs = append(needs, n)
 		}
 	}
@@ -206,6 +217,26 @@
 	return needs
 }
 
+// advanceTime returns how much demand credit is obtained for in advance. It is more if
+// responses take long.
+func (c *Credit) advanceTime() time.Duration {
+	if c.delay <= slowDelay {
+		return advanceTime
+	}
+	return advanceTime + c.delay
+}
+
+// ExtraWait returns for how much longer than usual a request without credit waits, since
+// responses take long.
+func (c *Credit) ExtraWait() time.Duration {
+	if c.delay <= slowDelay {
+		return 0
+	}
+	return min(c.delay, maxExtraWait)
+}
+
+func (c *Credit) noteDelay(d time.Duration) { c.delay += (d - c.delay) / 4 }
+
 // abandon ends the wait of requests of a tenant that has no limit any more.
 func (b *balance) abandon() {
 	for _, w := range b.waiting {
@@ -230,7 +261,7 @@
 
 // need returns what the tenant has and needs. Credit that is more than twice what is
 // to be held in advance is returned.
-func (b *balance) need(id uint32, now time.Duration, capacity int) Need {
+func (b *balance) need(id uint32, now, advanceTime time.Duration, capacity int) Need {
 	advance := 0
 	if demand := b.demand.at(now); demand >= minDemand && !b.isScarce(now) {
 		advance = int(math.Ceil(demand*advanceTime.Seconds() + math.Sqrt(demand*advanceTime.Seconds())))
@@ -248,10 +279,16 @@
 // these needs. Credit is valid for creditLifetime from then.
 func (c *Credit) Apply(now, sent time.Duration, needs []Need, grants []Grant) {
 	c.inFlight = false
+	if len(needs) > 0 {
+		c.noteDelay(now - sent)
+	}
 	for _, n := range needs {
 		if b := c.tenants[n.ID]; b != nil {
 			b.expire(now) // before the new expiry hides that it has passed
 			b.expires = sent + creditLifetime
+			if b.unnamed > 0 {
+				b.expires = min(b.expires, b.unnamed)
+			}
 			b.retryAfter = 0
 		}
 	}
@@ -270,6 +307,32 @@
 	c.hurryForWaiting(now)
 }
 
+// ApplyLate adds the credit of a response that arrives after another message was sent,
+// which has not named this credit: it expires creditLifetime after its own message was
+// sent, and all credit of the tenant with it, until a message has named it.
+func (c *Credit) ApplyLate(now, sent time.Duration, grants []Grant) {
+	c.noteDelay(now - sent)
+	for _, g := range grants {
+		b, expires := c.tenants[g.ID], sent+creditLifetime
+		if b == nil || now >= expires {
+			continue
+		}
+		b.expire(now)
+		if g.Granted > 0 {
+			if b.free+b.pending > 0 {
+				expires = min(expires, b.expires)
+			}
+			b.expires, b.unnamed = expires, expires
+			b.free += g.Granted
+			b.received.add(float64(g.Granted), now)
+			c.serve(g.ID, b)
+		}
+		if g.RetryAfter > 0 {
+			b.retryAfter, b.scarceAt = g.RetryAfter, now
+		}
+	}
+}
+
 // hurryForWaiting schedules a message if requests still wait.
 func (c *Credit) hurryForWaiting(now time.Duration) {
 	for _, b := range c.tenants {
--- a/internal/quota/fake_test.go
+++ b/internal/quota/fake_test.go
@@ -32,6 +32,8 @@
 	waited            int
 	lossy             uint64 // one in so many messages of owners is lost, late or doubled, each; 0: none
 	salt              int    // of the irregular times of requests
+	// extra returns by how much a message of an owner or its response is late; nil: none
+	extra func(o *fakeOwner, sequence uint64) time.Duration
 }
 
 type fakeHolder struct {
@@ -47,7 +49,10 @@
 	cut      bool                  // off from all holders
 	unusable map[int]time.Duration // regions whose holder is not asked, until when
 	credit   *Credit
-	used     int // requests let through
+	sent     map[int]uint64        // by region: the last message
+	received map[int]uint64        // by region: the last message whose response has arrived
+	patience map[int]time.Duration // by region
+	used     int                   // requests let through
 	waiting  []fakeWaiter
 }
 
@@ -74,7 +79,7 @@
 	for r := range fakeRegions {
 		f.holders = append(f.holders, &fakeHolder{region: r, ledger: NewLedger(0, -idleTime), transfers: newHolding(0, 1, 0).transfers})
 		for n := range ownersPerRegion {
-			f.owners = append(f.owners, &fakeOwner{name: fmt.Sprint("o", r, n), region: r, credit: NewCredit(), unusable: map[int]time.Duration{}})
+			f.owners = append(f.owners, &fakeOwner{name: fmt.Sprint("o", r, n), region: r, credit: NewCredit(), unusable: map[int]time.Duration{}, sent: map[int]uint64{}, received: map[int]uint64{}, patience: map[int]time.Duration{}})
 		}
 	}
 	return f
@@ -136,12 +141,13 @@
 	}
 	sent, h := f.now, f.holders[order[0]]
 	r := f.message(o.name, OwnerExchange)
+	r.Received, o.sent[h.region] = o.received[h.region], r.Sequence
 	f.count(o.region != h.region, needs)
 	d := delay(o.region, h.region)
 	unanswered := func(timeout time.Duration) {
 		f.after(timeout, func() {
 			o.unusable[h.region] = f.now + unusableTime
-			f.send(o, order[1:], needs)
+			f.send(o, order[1:], o.credit.Needs(f.now, f.index))
 		})
 	}
 	if fate := xxhash.Sum64String(fmt.Sprint(r.Sequence)) % uint64(max(f.lossy, 1)); f.lossy > 0 && fate < 3 {
@@ -151,6 +157,11 @@
 		unanswered(exchangeTimeout)
 		return
 	}
+	if f.extra != nil {
+		there, back := f.extra(o, r.Sequence), f.extra(o, r.Sequence+1<<32)
+		f.sendLate(o, h, sent, r, needs, d+there, d+back, unanswered)
+		return
+	}
 	f.after(d, func() {
 		if h.ledger == nil || h.frozen || o.cut {
 			unanswered(lo.Ternary(h.frozen || o.cut, exchangeTimeout, d))
@@ -162,7 +173,37 @@
 			unanswered(exchangeTimeout)
 			return
 		}
-		f.after(d, func() { o.credit.Apply(f.now, sent, needs, grants) })
+		f.after(d, func() {
+			o.received[h.region] = r.Sequence
+			o.credit.Apply(f.now, sent, needs, grants)
+		})
+	})
+}
+
+// sendLate delivers a message and its response with these delays. If they take longer
+// than the owner waits, it asks another region, and adds the credit of the late response
+// unless it has sent another message to this one.
+func (f *fake) sendLate(o *fakeOwner, h *fakeHolder, sent time.Duration, r ExchangeRequest, needs []Need, there, back time.Duration, unanswered func(time.Duration)) {
+	patience := min(max(lo.Ternary(o.region == h.region, exchangeTimeout, remoteTimeout), o.patience[h.region]), maxPatience)
+	late := there+back > patience
+	if late {
+		unanswered(patience)
+	}
+	f.after(there, func() {
+		grants := h.ledger.Exchange(f.now, f.index, r, needs)
+		f.bytes[o.region != h.region] += len(encodeGrants(grants))
+		f.after(back, func() {
+			if f.now-sent > lateTimeout || o.sent[h.region] != r.Sequence {
+				return
+			}
+			o.received[h.region], o.patience[h.region] = r.Sequence, (f.now-sent)*3/2
+			if late {
+				o.unusable[h.region] = 0
+				o.credit.ApplyLate(f.now, sent, grants)
+			} else {
+				o.credit.Apply(f.now, sent, needs, grants)
+			}
+		})
 	})
 }
 
@@ -226,7 +267,7 @@
 		f.use(o, tenant, key)
 	case granted != nil:
 		f.waited++
-		o.waiting = append(o.waiting, fakeWaiter{tenant: tenant, id: e.ID, granted: granted, until: f.now + maxTakeWait})
+		o.waiting = append(o.waiting, fakeWaiter{tenant: tenant, id: e.ID, granted: granted, until: f.now + maxTakeWait + o.credit.ExtraWait()})
 	default:
 		f.refused[tenant] = append(f.refused[tenant], f.now)
 	}
@@ -251,7 +292,8 @@
 		return true
 	default:
 	}
-	if f.now < w.until {
+	// internal/grants offers a request again if no holder has responded.
+	if f.now < w.until || f.extra != nil && f.now < w.until+maxTakeWait && !o.credit.IsScarce(w.id, f.now) {
 		return false
 	}
 	o.credit.Leave(w.id, w.granted)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -72,6 +72,18 @@
 type claim struct {
 	tokens int
 	until  time.Duration // after that the sender does not use it any more
+
+	granted               int // of the tokens, those in the response to the message with these numbers
+	incarnation, sequence uint64
+}
+
+// missed returns the tokens that the sender states not to have received, and that it
+// will not use.
+func (c claim) missed(r ExchangeRequest) int {
+	if r.Received == 0 || r.Incarnation != c.incarnation || r.Received >= c.sequence {
+		return 0
+	}
+	return c.granted
 }
 
 // sender is what is known of an entry that sends messages.
@@ -148,7 +160,7 @@
 		if r.Kind != OwnerExchange {
 			g = a.transfer(senderName(r), n, now)
 		} else {
-			g = a.exchange(r.Sender, n, now)
+			g = a.exchange(r, n, now)
 			if g.RetryAfter > 0 {
 				l.lacking[n.ID] = a
 			}
@@ -214,19 +226,21 @@
 	return float64(sum)
 }
 
-// exchange gives credit to an owner. What it held before and does not state any more
-// was used or lost.
-func (a *account) exchange(owner string, n Need, now time.Duration) Grant {
-	before := a.outside[owner].tokens
+// exchange gives credit to an owner. What it held before and does not state any more,
+// other than what it returns or has not received, was used or lost.
+func (a *account) exchange(r ExchangeRequest, n Need, now time.Duration) Grant {
+	owner, former := r.Sender, a.outside[r.Sender]
 	held := min(n.Held, int(a.bucket.capacity)+1)
+	gone := max(former.tokens-held, 0)
+	returned := min(n.Returned+former.missed(r), gone)
 	a.outside[owner] = claim{tokens: held, until: now + creditLifetime}
-	a.bucket.Give(min(n.Returned, max(before-held, 0)), a.outsideTokens(now))
-	a.demand.add(float64(max(before-held-n.Returned, 0)), now)
+	a.bucket.Give(returned, a.outsideTokens(now))
+	a.demand.add(float64(gone-returned), now)
 
 	var g Grant
 	g.Granted = a.bucket.Take(min(n.Waiting, n.Wanted))
 	g.Granted += a.bucket.Take(min(n.Wanted-g.Granted, int(a.bucket.Level()-advanceFloor*a.bucket.capacity)))
-	a.outside[owner] = claim{tokens: held + g.Granted, until: now + creditLifetime}
+	a.outside[owner] = claim{tokens: held + g.Granted, until: now + creditLifetime, granted: g.Granted, incarnation: r.Incarnation, sequence: r.Sequence}
 	if unserved := n.Waiting - g.Granted; unserved > 0 {
 		if now-a.lacking > unservedTime {
 			a.unserved = 0
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,32 +59,42 @@
 // Limiter decides which requests of tenants with a rate may be sent. It is safe for
 // concurrent use.
 type Limiter struct {
-	options  Options
-	regions  []string // all, sorted, beginning with the own one
-	sequence atomic.Uint64
-
-	mu        sync.Mutex
-	ctx       context.Context // of Run; nil before
-	routes    *routing.Table  // that index is of
-	index     *Index          // nil before the first routing document
-	owned     map[int]*ownedShard
-	holdings  map[int]*holding
-	yielded   map[int]uint64           // by shard: index of the view of an entry that took over
-	started   time.Duration            // when the process started
-	credited  map[string]firstCredit   // by region
-	unheld    time.Duration            // this process has granted from no shard since, but for those held now and in ceased
-	ceased    map[int]time.Duration    // by shard: when this process ceased to hold it
-	lostSince map[string]time.Duration // entries that are lost, by name
-	unusable  map[string]time.Duration // regions whose holder did not grant, until when they are not asked
-	draining  bool
-	lastLook  time.Duration
-	logLines  Bucket // limits the lines on tenants
+	options Options
+	regions []string // all, sorted, beginning with the own one
+
+	mu           sync.Mutex
+	ctx          context.Context // of Run; nil before
+	routes       *routing.Table  // that index is of
+	index        *Index          // nil before the first routing document
+	owned        map[int]*ownedShard
+	holdings     map[int]*holding
+	yielded      map[int]uint64           // by shard: index of the view of an entry that took over
+	started      time.Duration            // when the process started
+	credited     map[string]firstCredit   // by region
+	unheld       time.Duration            // this process has granted from no shard since, but for those held now and in ceased
+	ceased       map[int]time.Duration    // by shard: when this process ceased to hold it
+	lostSince    map[string]time.Duration // entries that are lost, by name
+	lastSequence uint64                   // of the messages
+	sent         map[messageKey]uint64    // sequence numbers of the last messages
+	received     map[messageKey]uint64    // those of the last messages whose responses have arrived
+	patience     map[string]time.Duration // by region: how long the last response took, and half as long again
+	unusable     map[string]time.Duration // regions whose holder did not grant, until when they are not asked
+	draining     bool
+	lastLook     time.Duration
+	logLines     Bucket // limits the lines on tenants
 
 	taken, waited, rejected, expired   *metrics.Counter
 	unanswered                         *metrics.Counter // requests that no holder has responded to in time
 	exchanges, failures, moved, limits *metrics.Counter
 }
 
+// messageKey identifies messages that are numbered in one order.
+type messageKey struct {
+	shard  int
+	region string
+	kind   Kind
+}
+
 // firstCredit is the first credit that this process has got of a region.
 type firstCredit struct {
 	at     time.Duration
@@ -109,6 +118,7 @@
 	return &Limiter{
 		options: o, regions: regions, owned: map[int]*ownedShard{}, holdings: map[int]*holding{}, yielded: map[int]uint64{},
 		lostSince: map[string]time.Duration{}, unusable: map[string]time.Duration{}, lastLook: now,
+		sent: map[messageKey]uint64{}, received: map[messageKey]uint64{}, patience: map[string]time.Duration{},
 		started: now, credited: map[string]firstCredit{}, unheld: now, ceased: map[int]time.Duration{},
 		logLines:   NewBucket(logLinesPerSecond, maxLogLines, maxLogLines, now),
 		taken:      metrics.GetOrCreateCounter("sequoialane_quota_taken_total"),
@@ -157,7 +167,8 @@
 	p.shard.credit.Return(p.key, p.limiter.options.Now())
 }
 
-// Take takes credit for a request of the tenant, waiting for at most maxWait. The
+// Take takes credit for a request of the tenant, waiting for at most maxWait, and up to
+// maxExtraWait more if the holder's responses take long. The
 // permit must be used or returned. It returns an *ExceededError if a holder has said
 // that there is none, and otherwise ErrNoResponse. The permit of a tenant without a rate
 // is nil.
@@ -179,12 +190,16 @@
 		return nil, l.reject(shard, t.ID)
 	}
 	shard.notify()
+	wait := min(maxWait, maxTakeWait)
+	if wait > 0 {
+		wait += shard.credit.ExtraWait()
+	}
 	l.mu.Unlock()
 	if key != nil {
 		return &Permit{l, shard, key}, nil
 	}
 	l.waited.Inc()
-	timer := time.NewTimer(min(maxWait, maxTakeWait))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case key := <-granted:
@@ -277,6 +292,7 @@
 			s.credit.Reset()
 		}
 		l.holdings, l.yielded = map[int]*holding{}, map[int]uint64{}
+		l.sent, l.received = map[messageKey]uint64{}, map[messageKey]uint64{}
 		l.unheld, l.ceased = l.options.Now(), map[int]time.Duration{}
 	}
 	l.index = x
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -34,6 +34,9 @@
 	Sequence    uint64 `json:"sequence" cbor:"5,keyasint"` // increases with each message of the incarnation
 	Kind        Kind   `json:"kind,omitempty" cbor:"6,keyasint,omitempty"`
 	Needs       []byte `json:"needs" cbor:"7,keyasint"` // encoded by encodeNeeds
+	// Received is the sequence number of the last message of the kind to the region whose
+	// response has arrived; 0: not stated. Later responses will not be applied.
+	Received uint64 `json:"received,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // ExchangeResponse holds the credit.
