--- a/internal/quota/late_test.go
+++ b/internal/quota/late_test.go
@@ -223,3 +223,39 @@
 	assert.True(t, any)
 	assert.Greater(t, due, l.options.Now())
 }
+
+// Guards against tokens that lie unused in one region or at one owner while another one
+// rejects requests: tenants that send 2.5 or 5 times their limit for some seconds, with
+// three times the requests in one region, must get what their limits allow.
+func TestUnevenPeak(t *testing.T) {
+	const from = 8 * second
+	for _, burst := range []float64{0, 0.2, 1, 2} {
+		for _, peak := range []float64{2.5, 5} {
+			for _, length := range []time.Duration{4 * second, 7 * second} {
+				f := newFake(t, 4, tenantMix(burst)...)
+				times := map[string][]time.Duration{}
+				var peaks []routing.Tenant
+				for n, tenant := range f.tenants {
+					during := tenant.Rate / 1.6
+					if n%3 == 0 {
+						during = peak * tenant.Rate
+						peaks = append(peaks, tenant)
+					}
+					times[tenant.Name] = slices.Concat(
+						f.demand(tenant.Name, tenant.Rate/1.6, second, from, unevenOwners()...),
+						f.demand(tenant.Name, during, from, from+length, unevenOwners()...),
+						f.demand(tenant.Name, tenant.Rate/1.6, from+length, 20*second, unevenOwners()...))
+				}
+				f.run(21 * second)
+				f.check(times, 0.9)
+				least := 2.0
+				for _, tenant := range peaks {
+					least = min(least, f.passed([]routing.Tenant{tenant}, from, from+length))
+				}
+				t.Logf("burst %.1f s, %.1f times the limit for %v: passed %.3f of what the limits allow, of one tenant at least %.3f", burst, peak, length, f.passed(peaks, from, from+length), least)
+				assert.GreaterOrEqual(t, f.passed(peaks, from, from+length), 1.0)
+				assert.GreaterOrEqual(t, least, 0.9)
+			}
+		}
+	}
+}
