Quotas: requests that wait keep waiting when the shards change

Cause: when a document changes the number of shards, Credit.Reset ended the wait of requests like for tenants without a limit, so that all of them were sent without credit.

Change: Reset leaves them waiting. They get credit of the new holder or are rejected after the usual 200 ms.

Measured: TestShardsChangeWhileRequestsWait failed before (20 of 20 requests were allowed without credit) and passes.

--- a/internal/quota/credit.go
+++ b/internal/quota/credit.go
@@ -214,10 +214,10 @@
 	b.waiting = nil
 }
 
-// Reset makes all credit void and ends the wait of requests.
+// Reset makes all credit void. Requests that wait go on waiting: their tenants may have
+// a limit still.
 func (c *Credit) Reset() {
 	for _, b := range c.tenants {
-		b.abandon()
 		b.free, b.pending = 0, 0
 		b.generation++
 	}
