Quotas: credit is returned to one holder only

Cause: an owner that got no response from the holder of its region sent the same message to that of another region. If the first one had applied it, and the second had given that credit within the last second, both added the returned credit to their buckets.

Change: the repeated message returns nothing; the credit counts as used.

Measured: TestCreditIsReturnedToOneRegion failed before (5 units returned to each of both) and passes.

--- a/internal/quota/calls.go
+++ b/internal/quota/calls.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
@@ -229,10 +230,20 @@
 			return
 		}
 		l.markUnusable(region, err)
+		request.Needs = encodeNeeds(withoutReturns(needs))
 	}
 	l.finish(s, now, nil, nil, false)
 }
 
+// withoutReturns returns the needs for another holder after a message without a response:
+// the first one may have added the returned credit to its bucket. The credit counts as used.
+func withoutReturns(needs []Need) []Need {
+	return lo.Map(needs, func(n Need, _ int) Need {
+		n.Returned = 0
+		return n
+	})
+}
+
 // finish ends a message of this entry as an owner.
 func (l *Limiter) finish(s *ownedShard, sent time.Duration, needs []Need, grants []Grant, ok bool) {
 	l.mu.Lock()
--- a/internal/quota/interleavings_test.go
+++ b/internal/quota/interleavings_test.go
@@ -4,13 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/fleetview"
+	"github.com/sequoialane/sequoialane/internal/peerhttp"
 	"github.com/sequoialane/sequoialane/internal/routing"
 )
 
@@ -50,3 +56,43 @@
 		assert.ErrorIs(t, <-errs, ErrNoResponse)
 	}
 }
+
+// Guards against credit that is returned to the holders of two regions because the first
+// one applied the message but its response came too late: both buckets would gain it.
+func TestCreditIsReturnedToOneRegion(t *testing.T) {
+	var mu sync.Mutex
+	var returned []int
+	v := &fleetview.View{Index: 1, Routes: routing.NewTable(&routing.Document{Version: 1, Tenants: []routing.Tenant{limited}})}
+	for name, region := range map[string]string{"a": "r1", "b": "r1", "c": "r2"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var request ExchangeRequest
+			call, ok := peerhttp.Decode(w, r, &request)
+			needs, err := decodeNeeds(request.Needs)
+			if !ok || err != nil || len(needs) != 1 {
+				return
+			}
+			mu.Lock()
+			returned = append(returned, needs[0].Returned)
+			mu.Unlock()
+			if region == "r1" {
+				time.Sleep(2 * exchangeTimeout)
+			}
+			call.Respond(ExchangeResponse{Holding: true})
+		}))
+		t.Cleanup(s.Close)
+		v.Entries = append(v.Entries, fleetstate.Entry{Name: name, Region: region, DataCentre: region, State: fleetstate.Serving, PeerAddress: s.Listener.Addr().String()})
+	}
+	l := New(Options{
+		Self: v.Rank(shardKey(0, 1), "r1")[1], Settings: usual, Regions: map[string]string{"r1": "r1", "r2": "r2"},
+		View: func() *fleetview.View { return v }, Fresh: func() bool { return true }, Peers: peerhttp.New(nil), Log: zap.NewNop(),
+		Now: func() time.Duration { return time.Minute },
+	})
+	l.ViewChanged(v)
+	s := l.shard(0)
+	b := s.credit.balance(l.index.Tenant("t").ID)
+	b.free, b.expires = 5, time.Minute+creditLifetime
+	l.exchange(context.Background(), 0, s)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, []int{5, 0}, returned)
+}
