Quotas: test that a handover counts the credit outside

Cause: Ledger.Levels hands over the levels of the buckets only. Owners may use the former holder's credit for up to a second, in which the next holder's bucket fills up beside it.

--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -60,3 +60,18 @@
 	exchange()
 	assert.True(t, key != nil || len(granted) == 1, "no credit after Retry-After")
 }
+
+// Guards against a holder that takes over without knowing the credit that the former one
+// has given: its bucket fills up while that credit may still be used.
+func TestHandoverCountsCredit(t *testing.T) {
+	x := NewIndex([]routing.Tenant{{Name: "t", Rate: 30, Burst: 30}}, usual, 1)
+	e := x.Tenant("t")
+	former := NewLedger(0, -idleTime)
+	grants := former.Exchange(0, x, ExchangeRequest{Sender: "o", Sequence: 1}, []Need{{ID: e.ID, Wanted: 20, Waiting: 1}})
+	assert.Len(t, grants, 1)
+	next := NewLedger(0, 0)
+	next.Continue(idleTime, former.Levels(0))
+	now := creditLifetime - time.Millisecond // the owner may still use the credit
+	next.Exchange(now, x, ExchangeRequest{Sender: "p", Sequence: 1}, []Need{{ID: e.ID}})
+	assert.LessOrEqual(t, float64(grants[0].Granted+next.Levels(now)[e.ID]), e.Limit.Capacity)
+}
