Quotas: releases are remembered when the shards change

Cause: a change of the number of shards cleared the index of the view by which another entry has taken over. An entry whose copy had the new number of shards but not yet that entry held the shards beside it, until its next poll.

Change: the newest index applies to all shards of the new number.

Measured: TestShardsChangeAfterRelease failed before (both shards held by an entry with an older view) and passes.

--- a/internal/quota/interleavings_test.go
+++ b/internal/quota/interleavings_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// Guards against an entry that forgets, when the number of shards changes, that another
+// one has taken over by a newer view, and holds a shard beside it.
+func TestShardsChangeAfterRelease(t *testing.T) {
+	f := newTestFleet(t, 1, limited)
+	f.awaitHolder("e0")
+	l, old := f.limiters["e0"], f.view.Load()
+	assert.True(t, l.release(ReleaseRequest{Shard: 0, Shards: 1, Index: old.Index + 2}).Released)
+	tenants := []routing.Tenant{limited}
+	for n := range tenantsPerShard {
+		tenants = append(tenants, routing.Tenant{Name: fmt.Sprint("more", n), Rate: 1})
+	}
+	v := &fleetview.View{Index: old.Index + 1, Entries: old.Entries, Routes: routing.NewTable(&routing.Document{Version: 2, Tenants: tenants})}
+	f.view.Store(v)
+	l.ViewChanged(v)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	assert.Empty(t, l.holdings)
+}
+
 // Guards against credit that is returned to the holders of two regions because the first
 // one applied the message but its response came too late: both buckets would gain it.
 func TestCreditIsReturnedToOneRegion(t *testing.T) {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -264,7 +265,11 @@
 		for _, s := range l.owned {
 			s.credit.Reset()
 		}
-		l.holdings, l.yielded = map[int]*holding{}, map[int]uint64{}
+		l.holdings = map[int]*holding{}
+		newest := slices.Max(append(slices.Collect(maps.Values(l.yielded)), 0))
+		for shard := range x.shards {
+			l.yielded[shard] = newest
+		}
 	}
 	l.index = x
 }
