--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -193,17 +193,26 @@
 	return true
 }
 
+// formerHolder is the sender of the credit that a former holder has given. It states the
+// levels of its buckets only, so the rest of each capacity counts as outside until that
+// credit has expired. Owners that state their part meanwhile count twice, which costs
+// tokens, but never exceeds the limit.
+const formerHolder = ""
+
 // account returns the state of a tenant. A bucket that was not needed so far has
 // the level that it would have if it had existed since the holder took over.
 func (l *Ledger) account(id uint32, limit Limit, now time.Duration) *account {
 	a := l.tenants[id]
 	if a == nil {
 		level := limit.Start + limit.Rate*(now-l.since).Seconds()
+		outside := map[string]claim{}
 		if handed, ok := l.handed[id]; ok {
-			level = float64(handed) + limit.Rate*(now-l.began).Seconds()
+			unclaimed := l.began + creditLifetime
+			level = float64(handed) + limit.Rate*max(now-unclaimed, 0).Seconds()
+			outside[formerHolder] = claim{tokens: int(math.Ceil(max(limit.Capacity-level, 0))), until: unclaimed}
 			delete(l.handed, id)
 		}
-		a = &account{bucket: NewBucket(limit.Rate, limit.Capacity, level, now), outside: map[string]claim{}}
+		a = &account{bucket: NewBucket(limit.Rate, limit.Capacity, level, now), outside: outside}
 		l.tenants[id] = a
 	}
 	a.bucket.refill(now, a.outsideTokens(now))
