Control: a member without a confirmation does not wait for a heartbeat

Cause: after a restart of all control members the first barrier waited for the leader's next regular heartbeat while all entries waited for its confirmation. Change: the first barrier, and one after a failed one, is confirmed at once. The fakes of the tests count both kinds of barriers.

--- a/internal/fleetcontrol/barrier.go
+++ b/internal/fleetcontrol/barrier.go
@@ -127,10 +127,14 @@
 	k.mu.Lock()
 	start := k.boot.SinceBoot() // before the barrier, so that a pause during it makes it older
 	k.started, k.lastStart = true, start
+	barrier := k.group.ReadBarrierOnHeartbeat
+	if k.failing || !k.confirmation.valid {
+		barrier = k.group.ReadBarrier // entries wait for it, so it does not wait for a heartbeat
+	}
 	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
 	defer cancel()
-	err := k.group.ReadBarrierOnHeartbeat(ctx)
+	err := barrier(ctx)
 	k.barriers.Inc()
 	if err != nil {
 		k.failures.Inc()
--- a/internal/fleetcontrol/barrier_test.go
+++ b/internal/fleetcontrol/barrier_test.go
@@ -23,6 +23,8 @@
 	during func()
 }
 
+func (g *pausingGroup) ReadBarrier(ctx context.Context) error { return g.ReadBarrierOnHeartbeat(ctx) }
+
 func (g *pausingGroup) ReadBarrierOnHeartbeat(ctx context.Context) error {
 	if g.during != nil {
 		g.during()
--- a/internal/fleetcontrol/losses_test.go
+++ b/internal/fleetcontrol/losses_test.go
@@ -32,7 +32,7 @@
 	return g.stateMachine.Apply(g.index.Add(1), command), nil
 }
 
-func (g *stateGroup) ReadBarrier(context.Context) error { return nil }
+func (g *stateGroup) ReadBarrier(ctx context.Context) error { return g.ReadBarrierOnHeartbeat(ctx) }
 
 func (g *stateGroup) ReadBarrierOnHeartbeat(context.Context) error {
 	g.barriers.Add(1)
