--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -55,7 +55,7 @@
 			see(t, parts, risk)
 		}
 		switch cost := parts.total(); {
-		case !t.glance.hasCapacity:
+		case !t.assessment.hasCapacity:
 			full = min(full, cost)
 		case c.target == nil || cost < bestCost:
 			c.target, bestCost, c.risk = t, cost, risk
@@ -75,7 +75,7 @@
 	if best == nil {
 		return Grant{}, false
 	}
-	seen := *p.glanceAt(best, now)
+	seen := *p.assess(best, now)
 	p.countGrant(r, now)
 	p.shares.charge(r.Tenant, r.weight(), chosen.expected.RunTime.Seconds())
 	p.lastLeaseID++
@@ -91,7 +91,7 @@
 	best.inFlight++
 	best.lastGrantAt = now
 	p.granted.Inc()
-	best.glance.look = 0
+	best.assessment.look = 0
 	p.updateLook(now)
 	return Grant{
 		LeaseID: p.lastLeaseID, Target: best.record.ID, Address: best.record.Address,
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -52,7 +52,7 @@
 // costsAt returns the expected cost of sending the request to the target, and the
 // probability that it fails there.
 func (p *Pool) costsAt(t *target, r Request, expected workload.Cost, now time.Time) (c costs, risk float64) {
-	g := p.glanceAt(t, now)
+	g := p.assess(t, now)
 	c.failure = g.risk
 	if r.Retryable {
 		c.failure *= p.retryableWeight
@@ -71,9 +71,9 @@
 	return c, g.risk
 }
 
-// glance holds what the costs of a target depend on in a look at the waiting requests,
+// assessment holds what the costs of a target depend on in a look at the waiting requests,
 // whichever of them is looked at. It is computed once in a look, since it is costly.
-type glance struct {
+type assessment struct {
 	look        uint64  // number of the look; 0: not known
 	risk        float64 // probability that the next request fails
 	slots       float64
@@ -83,17 +83,17 @@
 	wait        float64 // nanoseconds that a further request is expected to wait for a slot
 }
 
-func (p *Pool) glanceAt(t *target, now time.Time) *glance {
-	if t.glance.look != p.looks {
-		t.glance = glance{
+func (p *Pool) assess(t *target, now time.Time) *assessment {
+	if t.assessment.look != p.looks {
+		t.assessment = assessment{
 			look: p.looks, risk: failureProbability(p.currentFailingProbability(t, now)), slots: float64(max(t.record.Slots, 1)),
 			occupancy: t.occupancy(now), slowness: t.slowness(now), hasCapacity: t.hasCapacity(now),
 		}
 		if !p.cfg.Settings.UniformCost {
-			t.glance.wait = p.waitAt(t, now)
+			t.assessment.wait = p.waitAt(t, now)
 		}
 	}
-	return &t.glance
+	return &t.assessment
 }
 
 // currentRetryableWeight returns the cost of a failure of a retryable request,
@@ -104,7 +104,7 @@
 }
 
 // timeCost returns the cost of the expected queueing and run time on the target.
-func (p *Pool) timeCost(g *glance, r Request, expected workload.Cost) float64 {
+func (p *Pool) timeCost(g *assessment, r Request, expected workload.Cost) float64 {
 	if r.Objective <= 0 {
 		return 0
 	}
@@ -120,7 +120,7 @@
 // expectedWait returns the nanoseconds that a request with the run time waits for a
 // slot of the target, and delays other requests there. Without the latter a long request
 // would queue wherever its own wait is short.
-func (p *Pool) expectedWait(g *glance, runTime float64) float64 {
+func (p *Pool) expectedWait(g *assessment, runTime float64) float64 {
 	queued := max(g.occupancy+1-g.slots, 0)
 	switch {
 	case p.cfg.Settings.UniformCost:
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -78,7 +78,7 @@
 	return ExplainedTarget{
 		ID: t.record.ID, Address: t.record.Address, DataCentre: t.record.DataCentre, Region: t.region, Full: !t.hasCapacity(now),
 		InFlight: t.inFlight, Slots: t.record.Slots, Risk: risk, Speed: t.speed(now),
-		WaitMS: t.glance.wait / float64(time.Millisecond), RemainingWorkMS: p.remainingWork(t, now) / float64(time.Millisecond),
+		WaitMS: t.assessment.wait / float64(time.Millisecond), RemainingWorkMS: p.remainingWork(t, now) / float64(time.Millisecond),
 		Cost: c.total(), FailureCost: c.failure, OccupancyCost: c.occupancy, TimeCost: c.time, BytesCost: c.bytes, FloorCost: c.floor,
 	}
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -34,7 +34,7 @@
 	leases           map[uint64]*lease
 	durationRatio    float64   // moving average of run time to expected run time; 0: unknown
 	durationRatioAt  time.Time // time of the last change of durationRatio
-	glance           glance
+	assessment       assessment
 	backoffUntil     time.Time
 	coldUntil        time.Time
 	leaving          bool      // it has said in a response that it is about to stop
