--- a/internal/pool/fairness.go
+++ b/internal/pool/fairness.go
@@ -36,10 +36,11 @@
 
 // order sorts the waiting requests by priority, and within a priority by the virtual
 // time at which each is due. Requests that are due at the same time keep their order
-// of arrival. Requests without a tenant count as those of one tenant of weight 1.
-func (s *tenantShares) order(waiters []*waiter) {
+// of arrival. Requests without a tenant count as those of one tenant of weight 1. It
+// reports whether shares have changed the order.
+func (s *tenantShares) order(waiters []*waiter) (changed bool) {
 	if !slices.ContainsFunc(waiters, func(w *waiter) bool { return w.request.Tenant != "" }) {
-		return // already ordered by priority and arrival
+		return false // already ordered by priority and arrival
 	}
 	slices.SortStableFunc(waiters, func(a, b *waiter) int { return a.arrived.Compare(b.arrived) })
 	next := map[string]float64{}
@@ -55,6 +56,9 @@
 	slices.SortStableFunc(waiters, func(a, b *waiter) int {
 		return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.due, b.due))
 	})
+	return !slices.IsSortedFunc(waiters, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), a.arrived.Compare(b.arrived))
+	})
 }
 
 // prune drops the tenants that have used no more than their share.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,6 +60,7 @@
 	idleReports     map[string]idleReport // by region, including this one
 
 	granted, busy, budgetSpent *metrics.Counter
+	reordered                  *metrics.Counter
 	waited                     *metrics.Histogram
 	workload                   workloadMetrics
 }
@@ -105,6 +106,7 @@
 		failingShare: failingShare{value: initialFailingShare},
 		budget:       budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
 		granted:      metrics.GetOrCreateCounter("sequoialane_pool_granted_total" + labels),
+		reordered:    metrics.GetOrCreateCounter("sequoialane_pool_reordered_total" + labels),
 		busy:         metrics.GetOrCreateCounter("sequoialane_pool_busy_total" + labels),
 		budgetSpent:  metrics.GetOrCreateCounter("sequoialane_pool_retry_budget_spent_total" + labels),
 		waited:       metrics.GetOrCreateHistogram("sequoialane_pool_wait_seconds" + labels),
--- a/internal/pool/wake.go
+++ b/internal/pool/wake.go
@@ -41,7 +41,9 @@
 	}
 	p.beginLook(now)
 	p.shares.prune()
-	p.shares.order(p.waiters)
+	if p.shares.order(p.waiters) {
+		p.reordered.Inc()
+	}
 	refusals := 0
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
 		if refusals >= limit {
