--- /dev/null
+++ b/review/standin-2/target.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// run is one request at which a target began to work.
+type run struct {
+	id, method, uri, target string
+	at                      time.Time
+}
+
+// runs are the requests that all targets have run.
+type runs struct {
+	mu   sync.Mutex
+	list []run
+}
+
+func (r *runs) add(x run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, x)
+}
+
+func (r *runs) byID() map[string][]run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := map[string][]run{}
+	for _, x := range r.list {
+		m[x.id] = append(m[x.id], x)
+	}
+	return m
+}
+
+// ending says how a target ends a request that it has run.
+type ending int
+
+const (
+	answers   ending = iota // 200
+	losesIt                 // the connection is reset without an answer
+	busyAfter               // 429, without the header that says that it has not run
+)
+
+// target is a stand-in for a target: it speaks what PROTOCOL.md says under "Targets"
+// and "Service discovery".
+type target struct {
+	fleet    *fleet
+	rec      *record
+	runs     *runs
+	id       string
+	service  string
+	zone     string
+	address  string
+	born     int64 // Unix milliseconds, by the clock of the target's machine
+	slots    chan struct{}
+	work     time.Duration
+	end      func(id string) ending // how the request with the id ends
+	listener net.Listener
+
+	mu       sync.Mutex
+	sequence int
+	state    string
+	home     *process
+	stopped  chan struct{}
+}
+
+// newTarget returns a target that listens on its address; it announces itself once
+// announce is called.
+func newTarget(f *fleet, rec *record, all *runs, id, service, zone, address string, born int64) (*target, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	t := &target{
+		fleet: f, rec: rec, runs: all, id: id, service: service, zone: zone, address: l.Addr().String(), born: born,
+		slots: make(chan struct{}, 2), work: 40 * time.Millisecond, listener: l, state: "ready", stopped: make(chan struct{}),
+	}
+	for i, z := range zones {
+		if z == zone {
+			t.home = f.controls[i]
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go t.serve(c)
+		}
+	}()
+	return t, nil
+}
+
+// crash ends the target: it says nothing more, and its connections end.
+func (t *target) crash() {
+	close(t.stopped)
+	_ = t.listener.Close()
+}
+
+// serve answers the requests of a connection, one at a time.
+func (t *target) serve(c net.Conn) {
+	defer c.Close()
+	go func() {
+		<-t.stopped
+		_ = c.Close()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !t.answer(c, r) {
+			return
+		}
+	}
+}
+
+// answer answers one request. It reports false if the connection ends.
+func (t *target) answer(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get("X-Sequoialane-Attempt-Id")
+	write := func(status int, fields, body string) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\nX-Sequoialane-Attempt-Id: %s\r\nKeep-Alive: timeout=10\r\n%s\r\n%s",
+			status, http.StatusText(status), len(body), id, fields, body)
+		return err == nil
+	}
+	if r.URL.Path == "/health" {
+		return write(200, "X-Sequoialane-Instance-Id: "+t.id+"\r\n", "")
+	}
+	if expect := r.Header.Get("X-Sequoialane-Expect-Instance"); expect != "" && expect != t.id {
+		t.rec.add("target %s answers 421 to %s and doesn't run it", t.id, id)
+		return write(421, "X-Sequoialane-Not-Executed: 1\r\n", "")
+	}
+	select {
+	case t.slots <- struct{}{}:
+	default:
+		t.rec.add("target %s is full, answers 503 to %s and doesn't run it", t.id, id)
+		return write(503, "X-Sequoialane-Not-Executed: 1\r\n", "")
+	}
+	defer func() { <-t.slots }()
+	t.runs.add(run{id, r.Method, r.RequestURI, t.id, time.Now()})
+	t.rec.add("target %s runs %s (%s %s)", t.id, id, r.Method, r.RequestURI)
+	time.Sleep(t.work)
+	signature := "X-Sequoialane-Response-Signature: " + t.id + "." + id + "\r\n"
+	switch t.ending(id) {
+	case losesIt:
+		t.rec.add("target %s has run %s, its answer is lost (the connection is reset)", t.id, id)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	case busyAfter:
+		t.rec.add("target %s has run %s and answers 429, without X-Sequoialane-Not-Executed", t.id, id)
+		return write(http.StatusTooManyRequests, signature, "failed")
+	default:
+		return write(200, signature, "done "+id)
+	}
+}
+
+// ending returns how the request with the id ends.
+func (t *target) ending(id string) ending {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.end == nil {
+		return answers
+	}
+	return t.end(id)
+}
+
+// fail makes a share of the target's requests end in another way than with an answer.
+func (t *target) fail(share float64, how ending) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.end = func(id string) ending {
+		if hashShare(id+t.id) < share {
+			return how
+		}
+		return answers
+	}
+}
+
+// announce sends a heartbeat with the state, to its member first and then to the
+// others. It reports whether one was acknowledged.
+func (t *target) announce(state string) bool {
+	t.mu.Lock()
+	t.state = state
+	t.sequence++
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"max_concurrency":%d},"status":{"state":%q,"sequence":%d,"warmup_left_ms":0}}`,
+		t.address, t.born, t.service, t.zone, cap(t.slots), state, t.sequence)
+	t.mu.Unlock()
+	return t.tell("instances.heartbeat", body, "is "+state)
+}
+
+// leave says that the target has left.
+func (t *target) leave() bool {
+	return t.tell("instances.leave", `{"born":`+strconv.FormatInt(t.born, 10)+`}`, "leaves")
+}
+
+func (t *target) tell(call, body, what string) bool {
+	members := append([]*process{t.home}, t.fleet.controls...)
+	for _, m := range members {
+		status, _, err := t.fleet.call(m, "call="+call+"&of="+t.id, []byte(body))
+		if err == nil && status/100 == 2 {
+			t.rec.add("target %s (born %d) %s: acknowledged by %s", t.id, t.born, what, m.name)
+			return true
+		}
+	}
+	t.rec.add("target %s (born %d) %s: not acknowledged", t.id, t.born, what)
+	return false
+}
+
+// beat sends heartbeats until the target stops.
+func (t *target) beat() {
+	tick := time.NewTicker(heartbeat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-t.stopped:
+			return
+		case <-tick.C:
+			t.mu.Lock()
+			state := t.state
+			t.mu.Unlock()
+			t.announce(state)
+		}
+	}
+}
