--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -92,6 +92,9 @@
 	if c.trouble {
 		targets[0].fail(greyShare, busyAfter)
 	}
+	for _, t := range targets {
+		t.work = longWork
+	}
 	list := c.volley(addresses, 120, 50*time.Millisecond, http.MethodPost, func(int) string { return "/licencas/2f" })
 	time.Sleep(time.Second)
 	result := held
@@ -105,7 +108,7 @@
 	return result, nil
 }
 
-// longWork makes the other targets full, so that clients need this one.
+// longWork makes each target full at times, so that all of them get requests.
 const longWork = 200 * time.Millisecond
 
 // bornBack: the clock of a target's machine is two seconds ahead when it starts, and
