--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -50,7 +51,9 @@
 	rec          *record
 	controls     []*process
 	entries      []*process
+	mu           sync.Mutex
 	started      []*process // all, also those that have ended
+	stopped      bool
 }
 
 // freePorts returns ports that are free on all the addresses.
@@ -77,9 +80,8 @@
 
 func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-// startFleet starts three control members and three entries.
-func startFleet(root, folder string, rec *record) (*fleet, error) {
-	f := &fleet{root: root, folder: folder, rec: rec}
+// startAll starts three control members and three entries.
+func (f *fleet) startAll() error {
 	f.net = 10 + rand.IntN(200)
 	var ips []string
 	for i, zone := range zones {
@@ -90,14 +92,14 @@
 	}
 	var err error
 	if f.ports, err = freePorts(ips); err != nil {
-		return f, err
+		return err
 	}
 	for _, p := range append(append([]*process{}, f.controls...), f.entries...) {
 		if err := f.start(p, true); err != nil {
-			return f, err
+			return err
 		}
 	}
-	return f, nil
+	return nil
 }
 
 // settingsOf renders the settings of a process as the templates of the deploy folder do.
@@ -153,6 +155,11 @@
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.folder, "LANG=C", "SEQUOIALANE_CONFIG=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopped {
+		return errors.New("the fleet is stopped")
+	}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -168,6 +175,9 @@
 
 // stop ends all processes.
 func (f *fleet) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
 	for _, p := range f.started {
 		_ = p.cmd.Process.Kill()
 		<-p.ended
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,11 +5,16 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
+	"syscall"
 	"time"
 )
 
+// maxTime is how long a case may run.
+const maxTime = 110 * time.Second
+
 // caseRun is what a case has at hand.
 type caseRun struct {
 	fleet   *fleet
@@ -46,9 +51,10 @@
 	}
 	defer os.RemoveAll(temporary)
 	c := &caseRun{rec: rec, runs: &runs{}, trouble: os.Getenv("TROUBLE") != "0"}
-	c.fleet, err = startFleet(root, temporary, rec)
+	c.fleet = &fleet{root: root, folder: temporary, rec: rec}
 	defer c.fleet.stop()
-	if err != nil {
+	go c.endEarly(temporary)
+	if err := c.fleet.startAll(); err != nil {
 		rec.say("the case couldn't run: %v", err)
 		return notRun
 	}
@@ -61,6 +67,20 @@
 	return result
 }
 
+// endEarly ends the case, as one that couldn't run, if it takes too long or is asked to end.
+func (c *caseRun) endEarly(temporary string) {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-asked:
+	case <-time.After(maxTime):
+	}
+	c.rec.say("the case couldn't run: it was ended early")
+	c.fleet.stop()
+	_ = os.RemoveAll(temporary)
+	os.Exit(notRun)
+}
+
 // begin puts the configuration, starts targets and waits until requests can be sent.
 func (c *caseRun) begin(text string, service string, perZone int) ([]*target, error) {
 	if err := c.fleet.put(text, 15*time.Second); err != nil {
