Callers' connections: what is closed without a response is counted and logged

A connection now keeps what has arrived of its current request; a close without a response counts sequoialane_callers_unanswered_total{listener,arrived} (head, part, unread) and logs the phase and the bytes left in the kernel. The entry logs when it closes its callers' listener. No logic of requests changes.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -94,6 +94,9 @@
 	readEnd    atomic.Int64 // time at which the last read ended
 	fresh      int          // bytes since the last progress; used by the server's goroutine only
 	writeLimit atomic.Int64 // deadline set by the server, in Unix nanoseconds; 0: none
+
+	request      atomic.Int32 // what has arrived and been answered of the current request
+	callerClosed atomic.Bool  // the caller has closed the connection
 }
 
 // setPhase changes the phase, which is progress.
@@ -169,13 +172,16 @@
 // does not count as a stall of the sender. A read of one byte only notices a close.
 func (c *conn) readSocket(p []byte) (int, error) {
 	if c.guard == nil || len(p) == 1 {
-		return c.Conn.Read(p)
+		n, err := c.Conn.Read(p)
+		c.noteClose(err)
+		return n, err
 	}
 	if phase(c.phase.Load()) == phaseActive {
 		c.progress.Add(c.guard.clock() - c.readEnd.Load())
 	}
 	c.receiving.Store(true)
 	n, err := c.Conn.Read(p)
+	c.noteClose(err)
 	c.receiving.Store(false)
 	c.readEnd.Store(c.guard.clock())
 	if c.evicted.Load() {
@@ -184,6 +190,13 @@
 	return n, err
 }
 
+// noteClose notes that the caller has closed the connection if a read ended with err.
+func (c *conn) noteClose(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.callerClosed.Store(true)
+	}
+}
+
 // received counts bytes from the caller. It reports false if they are part of a head
 // that was rejected.
 func (c *conn) received(p []byte, bufferSize int) bool {
@@ -196,7 +209,14 @@
 		c.setPhase(phaseHead)
 	}
 	c.countProgress(len(p), headProgressBytes)
-	return c.countHead(p)
+	c.request.Store(requestPart)
+	if !c.countHead(p) {
+		return false
+	}
+	if c.head.complete {
+		c.request.Store(requestHead)
+	}
+	return true
 }
 
 // countProgress notes progress each time step bytes have arrived.
@@ -213,6 +233,7 @@
 	if c.guard == nil {
 		return c.Conn.Write(p)
 	}
+	c.request.Store(requestAnswered)
 	c.sending.Store(true)
 	defer c.sending.Store(false)
 	written := 0
@@ -283,6 +304,7 @@
 		var onClose func()
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.aheadErr, onClose = err, c.onClose
+			c.noteClose(err)
 		}
 		c.mu.Unlock()
 		if onClose != nil {
@@ -379,6 +401,7 @@
 }
 
 func (c *conn) closeSocket() error {
+	c.reportUnanswered()
 	err := c.Conn.Close()
 	if c.guard != nil {
 		c.guard.remove(c)
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -272,6 +272,7 @@
 	end := started.Add(time.Duration(drainShare * grace))
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(p.clock.Now()))
 	defer cancel()
+	p.log.Info("entry closes its callers' listener", zap.Int64("in_flight", p.gateway.InFlight()), zap.Duration("after", p.clock.Now().Sub(started)))
 	if err := p.callers.http.Shutdown(ctx); err != nil {
 		p.log.Warn("requests aborted at the end of the grace period", zap.Int64("in_flight", p.gateway.InFlight()), zap.Error(err))
 	}
