A server that stops answers every request that it has read

What callers saw: during planned work a whole request got neither a response nor a rejection; its connection was closed.

The class: a close decided by somebody who does not know whether a request has arrived.

Why this works: callerconn.Server.Drain closes nothing from outside. The goroutine that reads a connection ends it, once no byte of a further request has come within 250 ms and a last look finds none in the kernel; a request that has begun to arrive is served with Connection: close. The listener first accepts what waits in its queue. All servers of all programs use it.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -80,6 +80,7 @@
 	aheadHeld    int64         // bytes of the guard's memory for ahead
 	requestHeld  int64         // bytes of the guard's memory for the request
 	closed       bool          // no memory may be taken any more
+	draining     bool          // the connection ends after its request
 
 	guard      *Guard // nil: no limits
 	listener   *Listener
@@ -102,6 +103,9 @@
 // setPhase changes the phase, which is progress.
 func (c *conn) setPhase(p phase) {
 	c.phase.Store(int32(p))
+	if c.guard == nil {
+		return
+	}
 	c.fresh = 0
 	now := c.guard.clock()
 	c.progress.Store(now)
@@ -158,7 +162,7 @@
 	if !ok {
 		n, err = c.readSocket(p)
 	}
-	if n > 0 && c.guard != nil && !c.received(p[:n], len(p)) {
+	if n > 0 && !c.received(p[:n], len(p)) {
 		return 0, os.ErrDeadlineExceeded // net/http writes no response after this error
 	}
 	if n == 1 && len(p) == 1 && err == nil {
@@ -172,16 +176,13 @@
 // does not count as a stall of the sender. A read of one byte only notices a close.
 func (c *conn) readSocket(p []byte) (int, error) {
 	if c.guard == nil || len(p) == 1 {
-		n, err := c.Conn.Read(p)
-		c.noteClose(err)
-		return n, err
+		return c.readRaw(p)
 	}
 	if phase(c.phase.Load()) == phaseActive {
 		c.progress.Add(c.guard.clock() - c.readEnd.Load())
 	}
 	c.receiving.Store(true)
-	n, err := c.Conn.Read(p)
-	c.noteClose(err)
+	n, err := c.readRaw(p)
 	c.receiving.Store(false)
 	c.readEnd.Store(c.guard.clock())
 	if c.evicted.Load() {
@@ -190,6 +191,17 @@
 	return n, err
 }
 
+// readRaw reads from the socket. A connection between requests is only given up after a
+// look for bytes that have arrived.
+func (c *conn) readRaw(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && err != nil {
+		n, err = c.lookAgain(p, err)
+	}
+	c.noteClose(err)
+	return n, err
+}
+
 // noteClose notes that the caller has closed the connection if a read ended with err.
 func (c *conn) noteClose(err error) {
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
@@ -200,13 +212,17 @@
 // received counts bytes from the caller. It reports false if they are part of a head
 // that was rejected.
 func (c *conn) received(p []byte, bufferSize int) bool {
-	switch phase(c.phase.Load()) {
-	case phaseActive:
+	if c.betweenRequests() {
+		c.setPhase(phaseHead)
+		c.resumeDeadline()
+	}
+	if c.guard == nil {
+		return true
+	}
+	if phase(c.phase.Load()) == phaseActive {
 		c.head.addBody(p, bufferSize)
 		c.countProgress(len(p), progressBytes)
 		return true
-	case phaseNew, phaseIdle:
-		c.setPhase(phaseHead)
 	}
 	c.countProgress(len(p), headProgressBytes)
 	c.request.Store(requestPart)
@@ -353,7 +369,7 @@
 	<-reading
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	_ = c.Conn.SetReadDeadline(c.deadline())
 }
 
 // SetReadDeadline implements net.Conn.
@@ -364,7 +380,7 @@
 	if c.reading != nil {
 		return nil // set once the goroutine has ended
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline())
 }
 
 // SetDeadline implements net.Conn.
@@ -406,5 +422,6 @@
 	if c.guard != nil {
 		c.guard.remove(c)
 	}
+	c.listener.conns.remove(c)
 	return err
 }
--- /dev/null
+++ b/internal/callerconn/drain.go
@@ -0,0 +1,217 @@
+package callerconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// lastReadTime is how long a connection without a request stays open after its
+	// listener has begun to drain: the first request of a new connection arrives one
+	// round trip after it was accepted.
+	lastReadTime = 250 * time.Millisecond
+	// lastLookTime is how long a read, whose deadline has passed, looks for bytes that
+	// arrived while the process did not run.
+	lastLookTime = time.Millisecond
+	// maxLastAccepts limits how many connections are accepted after the listener has
+	// begun to drain.
+	maxLastAccepts = 256
+)
+
+// openConns are the open connections of a listener.
+type openConns struct {
+	mu          sync.Mutex
+	open        map[*conn]struct{}
+	draining    bool
+	accepting   bool          // Accept may return further connections
+	lastAccepts int           // connections accepted while draining
+	drained     chan struct{} // closed when draining, not accepting, and no connection is open
+}
+
+func newOpenConns() *openConns {
+	return &openConns{open: make(map[*conn]struct{}), drained: make(chan struct{})}
+}
+
+// add registers a connection.
+func (o *openConns) add(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.open[c] = struct{}{}
+	if o.draining {
+		o.lastAccepts++
+		c.drain()
+	}
+}
+
+// remove unregisters a closed connection.
+func (o *openConns) remove(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, c)
+	o.check()
+}
+
+// startAccepting notes that Accept may return connections. It reports false if the
+// listener drains.
+func (o *openConns) startAccepting() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.accepting = !o.draining
+	return o.accepting
+}
+
+// stopAccepting notes that Accept returns no further connection.
+func (o *openConns) stopAccepting() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.accepting = false
+	o.check()
+}
+
+// check closes drained once that is so. o.mu is held.
+func (o *openConns) check() {
+	if !o.draining || o.accepting || len(o.open) > 0 {
+		return
+	}
+	select {
+	case <-o.drained:
+	default:
+		close(o.drained)
+	}
+}
+
+// drain begins to drain all open connections. It reports false if that had begun.
+func (o *openConns) drain() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.draining {
+		return false
+	}
+	o.draining = true
+	for c := range o.open {
+		c.drain()
+	}
+	o.check()
+	return true
+}
+
+func (l *Listener) isDraining() bool {
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	return l.conns.draining
+}
+
+// drain stops accepting, ends all connections after their requests and waits for that
+// until ctx ends.
+func (l *Listener) drain(ctx context.Context) error {
+	if l.conns.drain() {
+		l.interruptAccept()
+	}
+	select {
+	case <-l.conns.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// interruptAccept wakes a blocked Accept. A listener without deadlines is closed.
+func (l *Listener) interruptAccept() {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(pastDeadline) == nil {
+		return
+	}
+	_ = l.Listener.Close() // Accept fails then
+}
+
+// accept accepts a connection. While the listener drains, it accepts those that wait in
+// the kernel, since a close of the listener would reset them, and then closes it.
+func (l *Listener) accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err == nil {
+		return raw, nil
+	}
+	if !l.isDraining() {
+		if errors.Is(err, net.ErrClosed) {
+			l.conns.stopAccepting()
+		}
+		return nil, err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if raw, err := l.acceptWaiting(); err == nil {
+			return raw, nil
+		}
+	}
+	_ = l.Listener.Close() // fails only if it is closed
+	l.conns.stopAccepting()
+	return nil, http.ErrServerClosed
+}
+
+// acceptWaiting accepts a connection that waits in the kernel.
+func (l *Listener) acceptWaiting() (net.Conn, error) {
+	l.conns.mu.Lock()
+	enough := l.conns.lastAccepts >= maxLastAccepts
+	l.conns.mu.Unlock()
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if enough || !ok {
+		return nil, net.ErrClosed
+	}
+	if err := d.SetDeadline(time.Now().Add(lastLookTime)); err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// drain makes the connection end after its request; without one, after lastReadTime.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	if c.reading == nil {
+		_ = c.Conn.SetReadDeadline(c.deadline()) // fails if the connection is closed
+	}
+}
+
+// deadline returns the deadline for reads. c.mu is held.
+func (c *conn) deadline() time.Time {
+	if !c.draining || !c.betweenRequests() {
+		return c.readDeadline
+	}
+	last := time.Now().Add(lastReadTime)
+	if c.readDeadline.IsZero() || last.Before(c.readDeadline) {
+		return last
+	}
+	return c.readDeadline
+}
+
+// betweenRequests reports whether no byte of a further request has been read.
+func (c *conn) betweenRequests() bool {
+	p := phase(c.phase.Load())
+	return p == phaseNew || p == phaseIdle
+}
+
+// lookAgain reads what has arrived on a connection between requests whose read has
+// ended with err because of its deadline. The goroutine may have run long after it.
+func (c *conn) lookAgain(p []byte, err error) (int, error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.betweenRequests() || c.evicted.Load() {
+		return 0, err
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(lastLookTime)) != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// resumeDeadline sets the deadline of the server again after a first byte has arrived
+// on a draining connection.
+func (c *conn) resumeDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining && c.reading == nil {
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails if the connection is closed
+	}
+}
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -129,31 +128,6 @@
 	return l
 }
 
-// Serve runs the server on the listener, limited by the guard.
-func (g *Guard) Serve(server *http.Server, inner net.Listener, o Options) error {
-	server.ConnContext = ConnContext
-	server.ConnState = connState
-	server.Handler = g.handler(server.Handler)
-	return server.Serve(g.Listen(inner, o))
-}
-
-// connState follows the state of a connection.
-func connState(c net.Conn, state http.ConnState) {
-	own, ok := c.(*conn)
-	if !ok || own.guard == nil {
-		return
-	}
-	switch state {
-	case http.StateActive:
-		own.setPhase(phaseActive)
-	case http.StateIdle:
-		own.endRequest()
-		own.head.next()
-		own.unreadBody.Store(false)
-		own.setPhase(phaseIdle)
-	}
-}
-
 // admit registers a new connection. It reports false if the listener has too many
 // and none of them may be closed.
 func (g *Guard) admit(c *conn) bool {
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +19,7 @@
 type Listener struct {
 	net.Listener
 	pipelined *metrics.Counter
+	conns     *openConns
 
 	guard    *Guard // nil: no limits
 	options  Options
@@ -54,27 +54,29 @@
 	return otherwise
 }
 
-// New returns a listener on top of inner. ConnContext must be set in the server
-// that accepts from it.
+// New returns a listener on top of inner. ConnContext and connState must be set in the
+// server that accepts from it.
 func New(inner net.Listener) *Listener {
-	return &Listener{Listener: inner, pipelined: metrics.GetOrCreateCounter("sequoialane_callers_pipelined_total")}
+	return &Listener{Listener: inner, conns: newOpenConns(), pipelined: metrics.GetOrCreateCounter("sequoialane_callers_pipelined_total")}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		raw, err := l.Listener.Accept()
+		raw, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
 		c := &conn{Conn: raw, pipelined: l.pipelined, guard: l.guard, listener: l}
 		if l.guard == nil {
+			l.conns.add(c)
 			return c, nil
 		}
 		c.progress.Store(l.guard.clock())
 		c.readEnd.Store(l.guard.clock())
 		limitSocketBuffers(raw, l.guard.settings.SocketBufferKB<<10)
 		if l.guard.admit(c) {
+			l.conns.add(c)
 			return c, nil
 		}
 		_ = raw.Close()
@@ -106,9 +108,3 @@
 	own.setOnClose(cancel)
 	return context.WithValue(ctx, contextKey{}, own)
 }
-
-// Serve sets ConnContext in the server and runs it on the listener.
-func Serve(server *http.Server, inner net.Listener) error {
-	server.ConnContext = ConnContext
-	return server.Serve(New(inner))
-}
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -39,14 +39,12 @@
 
 // Process runs a control member with its servers.
 type Process struct {
-	settings  *Settings
-	log       *zap.Logger
-	group     *consensus.Group
-	member    *Member
-	peers     *http.Server
-	control   *http.Server
-	guard     *callerconn.Guard // of the server control
-	listeners []net.Listener    // of the servers peers and control, in this order
+	settings *Settings
+	log      *zap.Logger
+	group    *consensus.Group
+	member   *Member
+	peers    *callerconn.Server
+	control  *callerconn.Server
 }
 
 // NewProcess opens the data folder and the listeners. Api makes the handler for
@@ -82,20 +80,33 @@
 	mux.HandleFunc("GET /fleet/v1/group", func(w http.ResponseWriter, _ *http.Request) { peerhttp.WriteJSON(w, group.Status()) })
 	p := &Process{
 		settings: s, log: log, group: group, member: member,
-		peers: newServer(mux, log), control: newServer(api(member), log),
-		guard: callerconn.NewGuard(s.Callers, int64(s.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, log),
 	}
-	for _, address := range []string{s.PeerAddress, s.ControlAddress} {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			group.Stop()
-			return nil, trace.Wrap(err)
-		}
-		p.listeners = append(p.listeners, listener)
+	if err := p.listen(mux, api(member)); err != nil {
+		group.Stop()
+		return nil, trace.Wrap(err)
 	}
 	return p, nil
 }
 
+// listen opens the listeners of both servers.
+func (p *Process) listen(peers, control http.Handler) error {
+	peerListener, err := net.Listen("tcp", p.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	controlListener, err := net.Listen("tcp", p.settings.ControlAddress)
+	if err != nil {
+		_ = peerListener.Close()
+		return err
+	}
+	guard := callerconn.NewGuard(p.settings.Callers, int64(p.settings.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, p.log)
+	p.peers = callerconn.NewServer(newServer(peers, p.log), peerListener)
+	p.control = guard.NewServer(newServer(control, p.log), controlListener, callerconn.Options{
+		Name: "control", HeadBytes: func() int64 { return maxHeaderBytes }, IdleTime: func() time.Duration { return idleTimeout },
+	})
+	return nil
+}
+
 func newServer(handler http.Handler, log *zap.Logger) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
@@ -107,14 +118,9 @@
 // the consensus member fails.
 func (p *Process) Run(ctx context.Context) error {
 	failed := make(chan error, 2)
-	control := func(l net.Listener) error {
-		return p.guard.Serve(p.control, l, callerconn.Options{
-			Name: "control", HeadBytes: func() int64 { return maxHeaderBytes }, IdleTime: func() time.Duration { return idleTimeout },
-		})
-	}
-	for i, serve := range []func(net.Listener) error{p.peers.Serve, control} {
+	for _, server := range []*callerconn.Server{p.peers, p.control} {
 		go func() {
-			if err := serve(p.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
 				failed <- trace.Wrap(err)
 			}
 		}()
@@ -149,10 +155,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.settings.Grace.Std())))
 	defer cancel()
 	p.leaveGroup(ctx)
-	if err := p.control.Shutdown(ctx); err != nil {
+	if err := p.control.Drain(ctx); err != nil {
 		p.log.Warn("calls of operators and targets aborted", zap.Error(err))
 	}
-	if err := p.peers.Shutdown(ctx); err != nil {
+	if err := p.peers.Drain(ctx); err != nil {
 		p.log.Warn("calls of peers aborted", zap.Error(err))
 	}
 	p.group.Stop()
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -73,25 +73,14 @@
 	draining  chan struct{}
 }
 
+// server is one of the servers of an entry.
 type server struct {
-	name     string
-	listener net.Listener
-	http     *http.Server
-	callers  bool // serves callers' requests
-	peers    bool // serves other processes of the fleet only
-}
-
-// serve runs the server until it is closed. What clients other than the processes of
-// the fleet may take is limited.
-func (p *Process) serve(s *server) error {
-	if s.peers {
-		return s.http.Serve(s.listener)
-	}
-	return p.guard.Serve(s.http, s.listener, callerconn.Options{
-		Name: s.name, Side: !s.callers, HeadBytes: p.headBytes,
-		HeadTime: func() time.Duration { return p.limits().HeaderTimeout },
-		IdleTime: func() time.Duration { return p.limits().IdleTimeout },
-	})
+	*callerconn.Server
+	name    string
+	address string
+	handler http.Handler
+	callers bool // serves callers' requests
+	peers   bool // serves other processes of the fleet only
 }
 
 // limits returns the limits of the routing document.
@@ -152,14 +141,14 @@
 		Sender: p.client, Advice: p.advice, Clock: clock, Log: log, BodyMemory: p.guard.Bodies,
 	})
 	directory := &Directory{follower: p.follower, lowBandwidth: s.lowBandwidth(), ttl: s.AddressTTL.Std()}
-	p.callers = &server{name: "callers", callers: true, http: &http.Server{Handler: p.gateway}}
+	p.callers = &server{name: "callers", address: s.CallerAddress, handler: p.gateway, callers: true}
 	p.servers = []*server{
 		p.callers,
-		{name: "ready", http: &http.Server{Handler: h.Ready(p.Ready)}},
-		{name: "directory", http: &http.Server{Handler: h.Directory(directory)}},
-		{name: "peers", peers: true, http: &http.Server{Handler: peerHandler(broker, p.quota)}},
+		{name: "ready", address: s.ReadyAddress, handler: h.Ready(p.Ready)},
+		{name: "directory", address: s.DirectoryAddress, handler: h.Directory(directory)},
+		{name: "peers", address: s.PeerAddress, handler: peerHandler(broker, p.quota), peers: true},
 	}
-	return p, p.listen([]string{s.CallerAddress, s.ReadyAddress, s.DirectoryAddress, s.PeerAddress})
+	return p, p.listen()
 }
 
 func peerHandler(broker *grants.Broker, limiter *quota.Limiter) http.Handler {
@@ -173,24 +162,38 @@
 	return mux
 }
 
-func (p *Process) listen(addresses []string) error {
-	for i, s := range p.servers {
-		listener, err := net.Listen("tcp", addresses[i])
+// listen opens the listeners of all servers.
+func (p *Process) listen() error {
+	for _, s := range p.servers {
+		listener, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return trace.Wrap(err, "listener for %s", s.name)
 		}
-		s.listener = listener
-		s.http.ReadHeaderTimeout = headerTimeout
-		if !s.callers {
-			s.http.ReadTimeout = readTimeout
-		}
-		s.http.IdleTimeout = callerIdleTimeout
-		s.http.MaxHeaderBytes = maxHeaderBytes
-		s.http.ErrorLog = zap.NewStdLog(p.log.Named(s.name))
+		s.Server = p.newServer(s, listener)
 	}
 	return nil
 }
 
+// newServer returns a server on the listener. What clients other than the processes of
+// the fleet may take is limited.
+func (p *Process) newServer(s *server, listener net.Listener) *callerconn.Server {
+	httpServer := &http.Server{
+		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.log.Named(s.name)),
+	}
+	if !s.callers {
+		httpServer.ReadTimeout = readTimeout
+	}
+	if s.peers {
+		return callerconn.NewServer(httpServer, listener)
+	}
+	return p.guard.NewServer(httpServer, listener, callerconn.Options{
+		Name: s.name, Side: !s.callers, HeadBytes: p.headBytes,
+		HeadTime: func() time.Duration { return p.limits().HeaderTimeout },
+		IdleTime: func() time.Duration { return p.limits().IdleTimeout },
+	})
+}
+
 // confirmed reports whether the view that is loaded afterwards may decide about keys.
 func (p *Process) confirmed() bool {
 	limit := p.settings.RevocationLimit.Std()
@@ -237,7 +240,7 @@
 	failed := make(chan error, len(p.servers))
 	for _, s := range p.servers {
 		go func() {
-			if err := p.serve(s); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(); !errors.Is(err, http.ErrServerClosed) {
 				failed <- trace.Wrap(err, "server for %s", s.name)
 			}
 		}()
@@ -273,7 +276,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(p.clock.Now()))
 	defer cancel()
 	p.log.Info("entry closes its callers' listener", zap.Int64("in_flight", p.gateway.InFlight()), zap.Duration("after", p.clock.Now().Sub(started)))
-	if err := p.callers.http.Shutdown(ctx); err != nil {
+	if err := p.callers.Drain(ctx); err != nil {
 		p.log.Warn("requests aborted at the end of the grace period", zap.Int64("in_flight", p.gateway.InFlight()), zap.Error(err))
 	}
 	p.log.Info("entry stopped", zap.Duration("took", p.clock.Now().Sub(started)))
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -32,58 +32,50 @@
 // Server is an HTTP server on one listener.
 type Server struct {
 	listener net.Listener
-	server   *http.Server
+	server   *callerconn.Server
 	ready    atomic.Bool
 	draining atomic.Bool
 	serveErr chan error
-	guard    *callerconn.Guard // nil: only processes of the fleet connect
-
-	requestBytes int64 // memory of a request without its head and its body; 0: the default of the guard
 }
 
 // Listen listens on a TCP address and returns a server that does not accept
 // connections yet. Port 0 lets the kernel choose the port.
 func Listen(address string, handler http.Handler) (*Server, error) {
+	return listen(address, handler, callerconn.NewServer)
+}
+
+// ListenCallers is Listen for connections that the guard limits. A request takes
+// requestBytes besides its head and its body; 0: the default of the guard.
+func ListenCallers(address string, handler http.Handler, guard *callerconn.Guard, requestBytes int64) (*Server, error) {
+	return listen(address, handler, func(server *http.Server, l net.Listener) *callerconn.Server {
+		return guard.NewServer(server, l, callerconn.Options{
+			Name: "callers", RequestBytes: requestBytes, HeadBytes: func() int64 { return maxReadHeaderBytes }, IdleTime: func() time.Duration { return IdleTimeout },
+		})
+	})
+}
+
+func listen(address string, handler http.Handler, newServer func(*http.Server, net.Listener) *callerconn.Server) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	s := &Server{listener: listener, serveErr: make(chan error, 1)}
-	s.server = &http.Server{
+	s.server = newServer(&http.Server{
 		Handler:           s.withStatusEndpoints(handler),
 		MaxHeaderBytes:    maxReadHeaderBytes,
 		ReadHeaderTimeout: ReadHeaderTimeout,
 		IdleTimeout:       IdleTimeout,
-	}
+	}, listener)
 	return s, nil
 }
 
-// ListenCallers is Listen for connections that the guard limits. A request takes
-// requestBytes besides its head and its body; 0: the default of the guard.
-func ListenCallers(address string, handler http.Handler, guard *callerconn.Guard, requestBytes int64) (*Server, error) {
-	s, err := Listen(address, handler)
-	if err == nil {
-		s.guard, s.requestBytes = guard, requestBytes
-	}
-	return s, err
-}
-
-func (s *Server) serve() error {
-	if s.guard == nil {
-		return callerconn.Serve(s.server, s.listener)
-	}
-	return s.guard.Serve(s.server, s.listener, callerconn.Options{
-		Name: "callers", RequestBytes: s.requestBytes, HeadBytes: func() int64 { return maxReadHeaderBytes }, IdleTime: func() time.Duration { return IdleTimeout },
-	})
-}
-
 // Address returns the IP address and port of the listener.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Start accepts connections in the background.
 func (s *Server) Start() {
 	go func() {
-		err := s.serve()
+		err := s.server.Serve()
 		if !errors.Is(err, http.ErrServerClosed) {
 			s.serveErr <- err
 		}
@@ -104,11 +96,11 @@
 	s.draining.Store(true)
 }
 
-// Shutdown drains, stops accepting connections and waits for requests in flight
-// until ctx ends.
+// Shutdown drains, stops accepting connections and waits until all requests that have
+// begun to arrive are answered, or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	return trace.Wrap(s.server.Shutdown(ctx))
+	return trace.Wrap(s.server.Drain(ctx))
 }
 
 // Close closes the listener and all connections immediately.
