Gateway: responses in flight when an entry stops close their connections

What callers saw: nothing that was reported; found while looking for further ways of the lost request. Connection: close was decided when a request arrived. One that was in flight at SIGTERM was answered without it, so its caller kept the connection and could send the next request at the moment of its close.

Change: the header is set when the response is begun, also for errors.

Evidence: TestResponsesInFlightAtADrainCloseTheirConnections failed before, for a response of a target and for an error.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,10 +102,18 @@
 	}
 }
 
-// Drain makes every further response close its connection, so that callers
-// reconnect to other entries.
+// Drain makes every response that is begun from now on close its connection, so that
+// callers reconnect to other entries.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// closeWhenDraining is called when the header of a response is complete: the drain may
+// have begun while the request was in flight.
+func (g *Gateway) closeWhenDraining(h http.Header) {
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 // InFlight returns the number of requests being handled.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -146,9 +154,6 @@
 	g.requests.Inc()
 	ctx, span := telemetry.StartSpan(telemetry.Extract(r.Context(), r.Header), "gateway.request")
 	defer span.End()
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	req := &request{id: r.Header.Get(g.options.HeaderNames.RequestID), host: r.Host, started: g.options.Clock.Now()}
 	release, rejection := g.prepare(w, r, req)
 	defer release()
@@ -181,6 +186,7 @@
 		e = e.WithRetryAfter(g.spread(e.RetryAfter))
 	}
 	g.log(req, fault.ResponseOf(e.Kind).Status, "refused", e)
+	g.closeWhenDraining(w.Header())
 	writeError(w, req.id, e)
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -35,6 +35,7 @@
 	if connection != "" {
 		h.Set("Connection", connection)
 	}
+	g.closeWhenDraining(h)
 	if h["Date"] == nil {
 		h["Date"] = nil // keeps net/http from adding one
 	}
