Entry: requests that a stop cannot finish are rejected instead of cut

What callers saw: at the end of the grace period a connection was closed under a request that waited for a target, with no answer although it had not run; and a request that began late in a stop could be cut with an unknown outcome.

Cause: the end of the process was the only end of a wait. The class is that of the lost request: a close decided by a clock that does not know what is under way. Found by the audit of all places that close connections.

Change: from half of the grace period on new requests get 503 draining with Connection: close and may return at once; at 0.85 all waits for a target end, with 503 if the request has not run and with the failure of its last attempt otherwise. Attempts in flight are left alone.

Evidence: TestWaitingRequestsAreAnsweredBeforeTheEndOfAStop (its requests wait until their deadline otherwise) and TestNewRequestsAreRejectedLateInAStop; the two calls they need did not exist before.

--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -37,9 +37,12 @@
 	maxHeaderBytes = 256 << 10
 	headMargin     = 4 << 10
 	// acceptShare is the share of the grace period after which the listener for
-	// callers closes. Callers cache responses of the directory for a while, so
-	// new connections still arrive after SIGTERM.
+	// callers closes and new requests are rejected. Callers cache responses of the
+	// directory for a while, so new connections still arrive after SIGTERM.
 	acceptShare = 0.5
+	// waitShare is the share of the grace period after which no request waits for a
+	// target any more.
+	waitShare = 0.85
 	// drainShare is the share of the grace period after which open requests are
 	// aborted and the process ends.
 	drainShare = 0.93
@@ -266,16 +269,20 @@
 func (p *Process) drain() {
 	started := p.clock.Now()
 	grace := float64(p.settings.Grace.Std())
+	after := func(share float64) time.Duration {
+		return started.Add(time.Duration(share * grace)).Sub(p.clock.Now())
+	}
 	close(p.draining)
 	p.quota.Drain()
 	p.follower.SetState(fleetstate.Leaving)
 	p.gateway.Drain()
 	p.log.Info("entry draining", zap.Int64("in_flight", p.gateway.InFlight()))
-	time.Sleep(time.Duration(acceptShare * grace))
-	end := started.Add(time.Duration(drainShare * grace))
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(p.clock.Now()))
-	defer cancel()
+	time.Sleep(after(acceptShare))
+	p.gateway.RejectNew()
 	p.log.Info("entry closes its callers' listener", zap.Int64("in_flight", p.gateway.InFlight()), zap.Duration("after", p.clock.Now().Sub(started)))
+	defer time.AfterFunc(after(waitShare), p.gateway.EndWaits).Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), after(drainShare))
+	defer cancel()
 	if err := p.callers.Drain(ctx); err != nil {
 		p.log.Warn("requests aborted at the end of the grace period", zap.Int64("in_flight", p.gateway.InFlight()), zap.Error(err))
 	}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -156,7 +156,7 @@
 func (e *execution) startNextAttempt(wait time.Duration) *fault.Error {
 	limit := e.g.options.Clock.Now().Add(wait)
 	for e.grants < maxGrants {
-		l, err := e.g.options.Broker.Acquire(e.callerCtx, e.req.service, e.poolRequest(), limit.Sub(e.g.options.Clock.Now()))
+		l, err := e.acquire(limit.Sub(e.g.options.Clock.Now()))
 		if err != nil && e.awaitCredit(err, limit) {
 			continue
 		}
@@ -403,6 +403,8 @@
 		return fault.New(fault.Overloaded, err.Error()).WithRetryAfter(postponed.RetryAfter)
 	case errors.Is(err, pool.ErrNoTarget):
 		return fault.New(fault.NoUpstream, "the service has no target that may get the request").WithRetryAfter(retryAfterNoTarget)
+	case errors.Is(err, errStopping):
+		return stoppingError()
 	case errors.Is(err, grants.ErrCanceled):
 		return fault.New(fault.Overloaded, "the caller left while the request waited").WithRetryAfter(retryAfterBusy)
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,7 +73,7 @@
 	splits        *routing.Splitter
 	splitsVersion atomic.Uint64 // document version that the splitter state belongs to
 	inFlight      atomic.Int64
-	draining      atomic.Bool
+	stop          *stop
 
 	spread         func(time.Duration) time.Duration // extends a Retry-After
 	started        time.Time
@@ -91,6 +91,7 @@
 		options:     o,
 		phase:       float64(xxhash.Sum64String(o.Name)%1024) / 1024,
 		splits:      routing.NewSplitter(),
+		stop:        newStop(),
 		requests:    metrics.GetOrCreateCounter("sequoialane_gateway_requests_total"),
 		callersGone: metrics.GetOrCreateCounter("sequoialane_gateway_callers_gone_total"),
 		duration:    metrics.GetOrCreateHistogram("sequoialane_gateway_request_seconds"),
@@ -102,18 +103,6 @@
 	}
 }
 
-// Drain makes every response that is begun from now on close its connection, so that
-// callers reconnect to other entries.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
-// closeWhenDraining is called when the header of a response is complete: the drain may
-// have begun while the request was in flight.
-func (g *Gateway) closeWhenDraining(h http.Header) {
-	if g.draining.Load() {
-		h.Set("Connection", "close")
-	}
-}
-
 // InFlight returns the number of requests being handled.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -30,6 +30,9 @@
 // the body.
 func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, req *request) (release func(), rejection *fault.Error) {
 	release = func() {}
+	if rejection := g.stop.rejection(); rejection != nil {
+		return release, rejection
+	}
 	g.awaitRoutes(r)
 	confirmed := g.isConfirmed() // before the view is loaded, so that it holds for that view
 	v := g.options.View()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,14 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/sequoialane/sequoialane/internal/fault"
+	"github.com/sequoialane/sequoialane/internal/grants"
+	"github.com/sequoialane/sequoialane/internal/pool"
 	"github.com/sequoialane/sequoialane/internal/targetconn"
 )
 
@@ -45,3 +50,65 @@
 		})
 	}
 }
+
+// waitingBroker grants nothing until the request for a grant ends.
+type waitingBroker struct {
+	*fakeFleet
+	waiting chan struct{} // receives one value for each waiting request
+}
+
+func (b *waitingBroker) Acquire(ctx context.Context, service string, r pool.Request, maxWait time.Duration) (*grants.Lease, error) {
+	if len(r.Tried) == 0 && b.outcome != nil {
+		return b.fakeFleet.Acquire(ctx, service, r, maxWait)
+	}
+	b.waiting <- struct{}{}
+	<-ctx.Done()
+	return nil, grants.ErrCanceled
+}
+
+// Guards against a stop at whose end requests are cut that wait for a target: they have
+// not run, or their outcome is known, and their callers must be told.
+func TestWaitingRequestsAreAnsweredBeforeTheEndOfAStop(t *testing.T) {
+	cases := []struct {
+		desc   string
+		path   string
+		first  func(int) targetconn.Result // outcome of the first attempt; nil: the request waits for it
+		status int
+		kind   fault.Kind
+	}{
+		{"not sent yet", "/once/1", nil, http.StatusServiceUnavailable, fault.Draining},
+		{"between two attempts, not run", "/once/1", func(int) targetconn.Result { return shed() }, http.StatusServiceUnavailable, fault.NoUpstream},
+		{"between two attempts, may have run", "/reads/1", func(int) targetconn.Result { return reset() }, http.StatusBadGateway, fault.OutcomeUnknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.desc, func(t *testing.T) {
+			f := &fakeFleet{outcome: tc.first}
+			b := &waitingBroker{fakeFleet: f, waiting: make(chan struct{}, targets)}
+			g := newGateway(f)
+			g.options.Broker = b
+			go func() {
+				<-b.waiting
+				g.Drain()
+				g.EndWaits()
+			}()
+			w := call(t, g, http.MethodPost, tc.path, "body")
+			assert.Equal(t, tc.status, w.Code)
+			assert.Equal(t, string(tc.kind), w.Header().Get(fault.HeaderKind))
+		})
+	}
+}
+
+// Guards against a request that begins when its entry has hardly any time left, and is
+// cut at the end of the stop with an unknown outcome.
+func TestNewRequestsAreRejectedLateInAStop(t *testing.T) {
+	f := &fakeFleet{outcome: func(int) targetconn.Result { return good() }}
+	g := newGateway(f)
+	g.Drain()
+	assert.Equal(t, http.StatusOK, call(t, g, http.MethodPost, "/once/1", "body").Code, "the entry still serves")
+	g.RejectNew()
+	w := call(t, g, http.MethodPost, "/once/1", "body")
+	assert.Equal(t, http.StatusServiceUnavailable, w.Code)
+	assert.Equal(t, string(fault.Draining), w.Header().Get(fault.HeaderKind))
+	assert.NotEmpty(t, w.Header().Get("Retry-After"))
+	assert.Len(t, f.sent, 1)
+}
