Soak of planned stops: callers use their connections until the process is gone

Entries and control members are stopped and reloaded in series and at the same time; no process may log a request that was read and has no answer.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 # Runs random faults over the platform's programs: SEEDS=50 FIRST_SEED=1, and
 # FIRST_SEED=0 for fresh seeds each time.
 soak-platform:
-	$(GO) test -count=1 -timeout=0 -v -run='^(TestSoak|TestTenantSoak|TestControlReplacedInSeries)$$' ./platform/soak -args -seeds=$(SEEDS) -first-seed=$(FIRST_SEED) -length=20s
+	$(GO) test -count=1 -timeout=0 -v -run='^(TestSoak|TestTenantSoak|TestControlReplacedInSeries|TestPlannedStopsLoseNoRequest)$$' ./platform/soak -args -seeds=$(SEEDS) -first-seed=$(FIRST_SEED) -length=20s
 
 # Runs a small fleet on loopback, injects failures and prints the results of the
 # callers.
