Programs with fixed settings ignore SIGHUP

What callers saw: nothing that was reported; found by the audit of all ways in which a process closes its connections. sequoialane-entry and sequoialane-control did not catch SIGHUP, whose default action ends the process without a drain, with every request in flight. They have no reload; it is ignored now.

Evidence: TestHangupDoesNotEndTheProgram ended the test binary with "signal: hangup" before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,12 +37,20 @@
 
 // Main runs the program until SIGTERM or SIGINT and exits the process.
 func (p Program) Main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal()
 	code := p.Execute(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
 
+// untilSignal returns a context that ends with SIGTERM or SIGINT. SIGHUP is ignored:
+// settings are read at the start only, and its default action would end the process
+// without a drain.
+func untilSignal() (context.Context, context.CancelFunc) {
+	signal.Ignore(syscall.SIGHUP)
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
 // Execute runs the command line and returns the exit code.
 func (p Program) Execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	root := &cli.Command{
