Drain: other read deadlines are left alone, and accepting ends in time

Drain set the deadline of the server on every connection, also on one whose reads were just being ended by a deadline in the past or that was lingering, which could then wait for its caller. And callers that return at once could keep the listener open for 256 connections; it is 64 now, and 200 ms.

--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -18,9 +21,11 @@
 	// lastLookTime is how long a read, whose deadline has passed, looks for bytes that
 	// arrived while the process did not run.
 	lastLookTime = time.Millisecond
-	// maxLastAccepts limits how many connections are accepted after the listener has
-	// begun to drain.
-	maxLastAccepts = 256
+	// maxLastAccepts and lastAcceptTime limit how many connections are accepted after
+	// the listener has begun to drain, and for how long: callers that return at once
+	// would keep it open.
+	maxLastAccepts = 64
+	lastAcceptTime = 200 * time.Millisecond
 )
 
 // openConns are the open connections of a listener.
@@ -30,6 +35,7 @@
 	draining    bool
 	accepting   bool          // Accept may return further connections
 	lastAccepts int           // connections accepted while draining
+	acceptUntil time.Time     // when draining
 	drained     chan struct{} // closed when draining, not accepting, and no connection is open
 }
 
@@ -93,6 +99,7 @@
 		return false
 	}
 	o.draining = true
+	o.acceptUntil = time.Now().Add(lastAcceptTime)
 	for c := range o.open {
 		c.drain()
 	}
@@ -100,6 +107,21 @@
 	return true
 }
 
+// acceptsLast reports whether a further connection may be accepted while draining.
+func (o *openConns) acceptsLast() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastAccepts < maxLastAccepts && time.Now().Before(o.acceptUntil)
+}
+
+// phases describes the open connections by their phase, for a log line.
+func (o *openConns) phases() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	counts := lo.CountValuesBy(lo.Keys(o.open), func(c *conn) string { return phase(c.phase.Load()).String() })
+	return fmt.Sprintf("%d connections left %v", len(o.open), counts)
+}
+
 func (l *Listener) isDraining() bool {
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
@@ -116,7 +138,7 @@
 	case <-l.conns.drained:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return fmt.Errorf("%s: %w", l.conns.phases(), ctx.Err())
 	}
 }
 
@@ -153,11 +175,8 @@
 
 // acceptWaiting accepts a connection that waits in the kernel.
 func (l *Listener) acceptWaiting() (net.Conn, error) {
-	l.conns.mu.Lock()
-	enough := l.conns.lastAccepts >= maxLastAccepts
-	l.conns.mu.Unlock()
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if enough || !ok {
+	if !ok || !l.conns.acceptsLast() {
 		return nil, net.ErrClosed
 	}
 	if err := d.SetDeadline(time.Now().Add(lastLookTime)); err != nil {
@@ -171,7 +190,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.reading == nil {
+	if c.reading == nil && c.betweenRequests() { // other deadlines end reads on purpose
 		_ = c.Conn.SetReadDeadline(c.deadline()) // fails if the connection is closed
 	}
 }
