Forwarding: a request that was sent before is not reported as not run

What callers saw: 503 owner_unreachable, "not run", for an idempotent request without a key that its owner may have run. A rejection must be true.

Cause: forward sends a request again after a failure on a reused connection and returned the error of the last attempt only; if the owner had stopped by then, that one was not sent. Found by the audit of what ends when a process stops.

Evidence: TestRequestSentBeforeTheOwnerStoppedMayHaveRun got 503 owner_unreachable with effect not-run before. The error now says sent if any attempt was.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -44,6 +44,7 @@
 	span.SetAttributes(attribute.String("peer", to.Name), attribute.String("mode", string(m)))
 	started := time.Now()
 	p := e.peers.get(to.PeerAddress)
+	sent := false // in any attempt
 	for {
 		resp, errResp, peerErr, reused := e.forwardOnce(ctx, p, to, q, m, relayTo)
 		if peerErr == nil {
@@ -51,6 +52,8 @@
 			forwardDuration.Update(secondsSince(started))
 			return resp, errResp, nil
 		}
+		sent = sent || peerErr.sent
+		peerErr.sent = sent
 		retry := reused && q.body.replayable() && ctx.Err() == nil
 		if !retry {
 			countRequest(sidePeerOut, "unreachable")
