Control: leaving the consensus group leaves time for open calls

What callers saw: calls of operators, targets and entries were cut when a control member stopped while its group had no majority.

Cause: leaving the group had 5 s, the whole drain 0.8 of the grace period (4.8 s of 6). If the group cannot decide, leaving took all of it, and both servers were drained with a context that had ended.

TestStopWithoutMajorityLeavesTimeForCalls failed before. Leaving now ends at 0.75 of the grace period and the calls at 0.9.

--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -36,10 +36,11 @@
 	members map[int]*fleetcontrol.Member // running members by number
 	stops   map[int]func()
 	kills   map[int]func()
+	log     *zap.Logger // of members that are started
 }
 
 func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{t: t, folder: t.TempDir(), members: map[int]*fleetcontrol.Member{}, stops: map[int]func(){}, kills: map[int]func(){}}
+	c := &cluster{t: t, folder: t.TempDir(), members: map[int]*fleetcontrol.Member{}, stops: map[int]func(){}, kills: map[int]func(){}, log: zap.NewNop()}
 	for n := range size {
 		s := fleetcontrol.DefaultSettings()
 		host := c.ports.NextHost()
@@ -79,7 +80,7 @@
 		c.members[n] = m
 		return http.NewServeMux()
 	}
-	p, err := fleetcontrol.NewProcess(&s, api, sys.RealClock{}, zap.NewNop())
+	p, err := fleetcontrol.NewProcess(&s, api, sys.RealClock{}, c.log)
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/fleetcontrol/drain_test.go
+++ b/internal/fleetcontrol/drain_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/sequoialane/sequoialane/internal/draintest"
 	"github.com/sequoialane/sequoialane/internal/fleetcontrol"
@@ -55,3 +57,28 @@
 	s.DataFolder, s.Grace = t.TempDir(), settings.Duration(4*time.Second)
 	return s
 }
+
+// Guards against a stop whose calls are cut, since leaving the consensus group has taken
+// all its time.
+func TestStopWithoutMajorityLeavesTimeForCalls(t *testing.T) {
+	c := newCluster(t, 3)
+	core, lines := observer.New(zap.WarnLevel)
+	c.start(0, true)
+	c.start(1, true)
+	c.log = zap.New(core)
+	c.start(2, true)
+	c.mustPut(2, 3)
+	require.Eventually(t, func() bool { return len(c.member(2).Slots()) == 3 }, stepTimeout, 20*time.Millisecond)
+	for _, address := range []string{c.all[2].ControlAddress, c.all[2].PeerAddress} {
+		response, err := http.Get("http://" + address + "/")
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	c.kill(0)
+	c.kill(1)
+	started := time.Now()
+	c.stop(2)
+	assert.Less(t, time.Since(started), c.all[2].Grace.Std())
+	assert.Empty(t, lines.FilterMessageSnippet("aborted").All())
+	assert.NotEmpty(t, lines.FilterMessageSnippet("the consensus group may depend").All(), "leaving takes all its time")
+}
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -27,7 +27,8 @@
 	readTimeout    = 10 * time.Second // for a whole request; every call is answered long before
 	idleTimeout    = time.Minute
 	leaveTimeout   = 5 * ElectionTimeout // for an election and the removal of a lost member, on which the group may depend
-	drainShare     = 0.8                 // share of the grace period after which open calls are aborted
+	leaveShare     = 0.75                // share of the grace period that leaving the group may take at most
+	drainShare     = 0.9                 // share of the grace period after which open calls are aborted
 	maxHeaderBytes = 64 << 10
 	// bodyMemoryDivisor is the part of the memory for documents that are being
 	// received; responseMemoryDivisor that for responses, which are small copies of
@@ -152,9 +153,10 @@
 func (p *Process) drain() {
 	p.log.Info("control member draining", zap.String("role", string(p.group.Status().Role)))
 	p.member.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*float64(p.settings.Grace.Std())))
+	grace := float64(p.settings.Grace.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*grace))
 	defer cancel()
-	p.leaveGroup(ctx)
+	p.leaveGroup(min(leaveTimeout, time.Duration(leaveShare*grace)))
 	if err := p.control.Drain(ctx); err != nil {
 		p.log.Warn("calls of operators and targets aborted", zap.Error(err))
 	}
@@ -165,10 +167,9 @@
 	p.log.Info("control member stopped")
 }
 
-// leaveGroup waits until the consensus group no longer depends on this member,
-// for at most leaveTimeout.
-func (p *Process) leaveGroup(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+// leaveGroup waits until the consensus group no longer depends on this member.
+func (p *Process) leaveGroup(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := p.group.Leave(ctx); err != nil {
 		p.log.Warn("stopping although the consensus group may depend on this member", zap.Error(err))
