--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Runs the tests of KNOWN-RED.txt.
 known-red:
-	$(GO) test -count=1 $(if $(KNOWN_RED),-run='$(KNOWN_RED)',-run='^$$') ./internal/... ./tools/...
+	$(GO) test -count=1 $(if $(KNOWN_RED),-run='$(KNOWN_RED)',-run='^$$') ./internal/... ./platform/... ./tools/...
 
 # Runs the packages with shared tables under the race detector.
 race:
