Announce the end of a connection in responses of an entry's upstreams

Cause: writeResponse removed the hop-by-hop fields of the upstream from the header of its own response, and with them what was set there before. It now keeps that field, as the gateway of the platform does.

Evidence: TestResponseAnnouncesEndOfConnection failed before (no Connection field) and passes now. Run: go test ./internal/entry.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -95,10 +95,14 @@
 // truncated response is not taken for a complete one.
 func writeResponse(w http.ResponseWriter, q *request, r *Response) (written int64, err error) {
 	h := w.Header()
+	connection := h.Get("Connection")
 	for name, values := range r.Header {
 		h[name] = values
 	}
 	removeHopByHopHeaders(h)
+	if connection != "" {
+		h.Set("Connection", connection)
+	}
 	h.Set(headerRequestID, q.id)
 	if r.Length >= 0 && bodyAllowed(q.method, r.Status) {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
