Idle connections leave an eighth of a listener's connections free

Callers saw: once clients had completed one request on each connection of a listener and stayed idle, every other caller was refused until idle_timeout: the callers' listener and the directory of an entry, and the addresses of the other programs.

Cause: an idle connection may not be closed before idle_timeout, since a request may be in transit on it, and each response left its connection open however few were free. Responses that fit into the buffers of the kernel are such a case too: the server takes a connection whose caller does not read for an idle one.

Fix: while fewer than an eighth of the connections are free, a response announces the end of its connection, which clients respect (PROTOCOL.md). A connection is kept only if it was among the first seven eighths when its request began, so no number of idle clients holds more. Closing idle connections whose receive queue is empty was not done: a request in transit would end without a response, and TestIdleConnectionsAreKeptForTheirCallers rules it out. What was sent behind the last response is drained, so that a reset does not take the response away.

--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -40,6 +40,7 @@
 const (
 	noConnection    reason = "connections"    // too many open connections, none of which may be closed
 	idleTooLong     reason = "idle"           // closed for a new connection
+	notKept         reason = "not_kept"       // closed after a response, since connections are short
 	stalledHead     reason = "stalled_head"   // the head does not arrive
 	stalledBody     reason = "stalled_body"   // the body does not arrive
 	stalledReader   reason = "stalled_reader" // the caller does not read its response
--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -109,6 +109,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		g.endIfShort(c, w)
 		if !c.holdRequest(c.listener.requestBytes() + headCost(headOf(r))) {
 			w.Header().Set("Connection", "close")
 			fault.Write(w, "", fault.New(fault.Overloaded, "too many requests are held").WithRetryAfter(retryAfterMemory))
