Bodies from other entries count in the memory for bodies of an owner

Callers saw: the owner of a service in sequoialane-entry could run out of memory, and with it all requests of the service, when clients of many entries sent bodies at once, although each entry held its own bodies within its limit.

Cause: the owner buffered bodies of up to 1 MiB from the peer port, which no guard limits, and counted none of them; the growing buffer took a multiple of the body.

Fix: such a body takes its length from the memory for bodies before it is read, into a buffer of that length. If too little is left, stalled bodies of callers give way, as for a caller's body; otherwise the owner rejects the request with 503 before it reads the claim or a target is chosen: not run, or unknown with an idempotency key, of which an earlier copy may have run. The rest of the body is read, so that the sending entry gets the rejection instead of a broken connection.

--- a/cmd/sequoialane-entry/wire.go
+++ b/cmd/sequoialane-entry/wire.go
@@ -70,6 +70,7 @@
 	do.ProvideValue(i, workerpool.New(backgroundWorkers, backgroundQueue))
 	do.ProvideValue(i, &http.Client{Transport: entry.NewTransport()})
 	do.Provide(i, newLogger)
+	do.Provide(i, newGuard)
 	do.Provide(i, newTable)
 	do.Provide(i, newGossip)
 	do.Provide(i, newFollower)
@@ -89,6 +90,10 @@
 	return log.With(zap.String("entry", cfg.settings.Name)), nil
 }
 
+func newGuard(i do.Injector) (*callerconn.Guard, error) {
+	return do.MustInvoke[config](i).settings.NewGuard(do.MustInvoke[*zap.Logger](i)), nil
+}
+
 func seededRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func newTable(i do.Injector) (*membership.Table, error) {
@@ -190,6 +195,7 @@
 		TimeToLive:   cfg.settings.TimeToLive.Std(),
 		FloorPercent: cfg.settings.FloorPercent,
 		Version:      version,
+		Guard:        do.MustInvoke[*callerconn.Guard](i),
 	}), nil
 }
 
@@ -204,7 +210,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	callers, err := httpserver.ListenCallers(cfg.settings.CallerAddress, e.CallerHandler(), cfg.settings.NewGuard(do.MustInvoke[*zap.Logger](i)), entry.RequestBytes)
+	callers, err := httpserver.ListenCallers(cfg.settings.CallerAddress, e.CallerHandler(), do.MustInvoke[*callerconn.Guard](i), entry.RequestBytes)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/sequoialane/sequoialane/internal/callerconn"
 	"github.com/sequoialane/sequoialane/internal/claims"
 	"github.com/sequoialane/sequoialane/internal/configsync"
 	"github.com/sequoialane/sequoialane/internal/membership"
@@ -52,6 +53,8 @@
 	TimeToLive   time.Duration // of address responses
 	FloorPercent int           // percentage of the healthy capacity that ejection must leave
 	Version      string        // version of the program
+	// Guard has the memory for the bodies that other entries forward. nil: no limit.
+	Guard *callerconn.Guard
 }
 
 // Entry handles the requests that arrive at one entry VM. It is safe for
@@ -71,6 +74,7 @@
 	log         *zap.Logger
 	ttl         time.Duration
 	version     string
+	guard       *callerconn.Guard // nil: no limit
 	services    *services
 	peers       *peers
 	spillPauses *spillPauses
@@ -99,6 +103,7 @@
 		log:         o.Log,
 		ttl:         o.TimeToLive,
 		version:     o.Version,
+		guard:       o.Guard,
 		services:    newServices(self.Region, self.DataCentre, o.FloorPercent, o.Clock),
 		peers:       newPeers(o.Clock),
 		spillPauses: newSpillPauses(),
--- a/internal/entry/peerapi.go
+++ b/internal/entry/peerapi.go
@@ -49,6 +49,7 @@
 	ctx, span := telemetry.StartSpan(telemetry.Extract(r.Context(), r.Header), "entry.peer")
 	defer span.End()
 	q, errResp := e.acceptPeer(w, r)
+	defer func() { q.body.close() }()
 	var resp *Response
 	if errResp == nil {
 		ctx, cancel := context.WithDeadline(ctx, q.deadline.Add(deadlineGrace))
@@ -86,15 +87,15 @@
 	removeHopByHopHeaders(q.header)
 	removeFleetHeaders(q.header)
 	var err *fault.Error
-	if q.body, err = peerBody(w, r, q.keyed); err != nil {
+	if q.body, err = e.peerBody(w, r, q.keyed); err != nil {
 		return q, newErrorResponse(err)
 	}
 	return q, nil
 }
 
-// peerBody buffers a body that is small enough to be sent again. It returns a
-// larger one as a stream, unread.
-func peerBody(w http.ResponseWriter, r *http.Request, keyed bool) (*body, *fault.Error) {
+// peerBody buffers a body that is small enough to be sent again, within the memory for
+// bodies. It returns a larger one as a stream, unread.
+func (e *Entry) peerBody(w http.ResponseWriter, r *http.Request, keyed bool) (*body, *fault.Error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &body{}, nil
 	}
@@ -105,11 +106,20 @@
 		enableFullDuplex(source.control)
 		return &body{stream: source, length: r.ContentLength}, nil
 	}
-	whole, err := io.ReadAll(source)
-	if err != nil {
+	size := r.ContentLength + bytes.MinRead // bytes.Buffer reads to the end without growing
+	if !e.guard.TakePeerBody(size) {
+		// The sender may not read the response before it has sent the whole body.
+		_, _ = io.Copy(io.Discard, source)
+		return nil, fault.New(fault.Overloaded, "the owner holds too many bodies").WithRetryAfter(time.Second)
+	}
+	b := &body{length: r.ContentLength, release: func() { e.guard.GivePeerBody(size) }}
+	whole := bytes.NewBuffer(make([]byte, 0, size))
+	if _, err := whole.ReadFrom(source); err != nil {
+		b.close()
 		return nil, bodyError(err)
 	}
-	return &body{buffered: whole, length: r.ContentLength}, nil
+	b.buffered = whole.Bytes()
+	return b, nil
 }
 
 // heartbeat acknowledges a peer's request with 102 (Processing) on arrival and
