Test of a forwarded request: nothing is read from a lost connection

It failed once beside the race detector and a load of 33: the response was read between the write and the close of the connection.

--- a/internal/entry/forward_sent_test.go
+++ b/internal/entry/forward_sent_test.go
@@ -27,6 +27,15 @@
 	return n, err
 }
 
+// Read loses what arrives once cut is set.
+func (c *cutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.cut.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
 // Guards against the answer "not run" for a request that was sent to its owner, on a
 // connection that was then lost, and sent again to an owner that had stopped by then.
 func TestRequestSentBeforeTheOwnerStoppedMayHaveRun(t *testing.T) {
