Drain: a server that has ended or was not started

If http.Serve had ended without an Accept of ours, Drain waited until its context ended (3 s of 3 in the review's test); if the server had not been started, it returned with the listener open.

--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -37,6 +37,9 @@
 	if l.conns.drain() {
 		l.interruptAccept()
 	}
+	if !l.conns.isAccepting() {
+		_ = l.Listener.Close() // fails only if it is closed
+	}
 	select {
 	case <-l.conns.drained:
 		return nil
--- a/internal/callerconn/openconns.go
+++ b/internal/callerconn/openconns.go
@@ -59,6 +59,12 @@
 	o.check()
 }
 
+func (o *openConns) isAccepting() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.accepting
+}
+
 // check closes drained once that is so. o.mu is held.
 func (o *openConns) check() {
 	if !o.draining || o.accepting || len(o.open) > 0 {
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -40,6 +40,7 @@
 		_ = s.listener.Close() // fails only if it is closed
 		return http.ErrServerClosed
 	}
+	defer s.listener.conns.stopAccepting()
 	return s.http.Serve(s.listener)
 }
 
