Drain: a lack of descriptors does not reset waiting connections

Temporary errors go to net/http now, which accepts again after a pause.

TestDrainAcceptsAfterATemporaryError.

--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -69,17 +69,27 @@
 		}
 		return nil, err
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		if raw, err := l.acceptWaiting(); err == nil {
 			return raw, nil
 		}
+	case isTemporary(err):
+		return nil, err // the server tries again after a pause
 	}
 	_ = l.Listener.Close() // fails only if it is closed
 	l.conns.stopAccepting()
 	return nil, http.ErrServerClosed
 }
 
-// acceptWaiting accepts a connection that waits in the kernel.
+// isTemporary reports whether a later Accept may succeed, as after the lack of a
+// descriptor.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
+// acceptWaiting accepts a connection that waits in the kernel. It fails if there is none.
 func (l *Listener) acceptWaiting() (net.Conn, error) {
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
 	if !ok || !l.conns.acceptsLast() {
--- a/internal/callerconn/drain_edges_test.go
+++ b/internal/callerconn/drain_edges_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,6 +20,35 @@
 	return s.Drain(ctx)
 }
 
+// failingListener lacks a descriptor for the first connections.
+type failingListener struct {
+	*net.TCPListener
+	released chan struct{}
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	<-l.released
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against resetting all waiting connections because the process lacks a
+// descriptor for a moment.
+func TestDrainAcceptsAfterATemporaryError(t *testing.T) {
+	l := &failingListener{TCPListener: listenTCP(t), released: make(chan struct{})}
+	l.failures.Store(1)
+	drain := startDraining(t, l, ok)
+	c := dial(t, l.Addr().String())
+	_, err := io.WriteString(c, get("/"))
+	require.NoError(t, err)
+	time.AfterFunc(50*time.Millisecond, func() { close(l.released) })
+	require.NoError(t, drain())
+	assert.Equal(t, http.StatusOK, exchange(c, ""))
+}
+
 // Guards against a drain that waits for a server which has ended, and against one that
 // leaves the listener of a server open which was not started.
 func TestDrainOfAServerThatDoesNotRun(t *testing.T) {
