--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -72,6 +72,7 @@
 	reading      chan struct{} // closed when the goroutine that reads ahead ends; nil: none
 	stopping     bool          // the goroutine that reads ahead should end
 	hasUnread    bool          // further requests may be unread
+	headBegun    bool          // the server has read the first byte of a further head
 	onClose      func()        // called when the caller has closed the connection; may be nil
 	aheadHeld    int64         // bytes of the guard's memory for ahead
 	requestHeld  int64         // bytes of the guard's memory for the request
--- a/internal/callerconn/drain_edges_test.go
+++ b/internal/callerconn/drain_edges_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,14 +13,61 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 )
 
+// forBothServers runs the test with a server whose connections a guard limits and with
+// one without limits. The idle and header timeouts are longer than any drain.
+func forBothServers(t *testing.T, h http.HandlerFunc, test func(t *testing.T, s *Server, address string)) {
+	t.Helper()
+	for _, guarded := range []bool{false, true} {
+		t.Run(fmt.Sprint("guarded ", guarded), func(t *testing.T) {
+			inner := listenTCP(t)
+			server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+			s := NewServer(server, inner)
+			if guarded {
+				g := NewGuard(DefaultSettings(), 256<<20, Shares{Bodies: 4, Responses: 16, Requests: 16}, zap.NewNop())
+				s = g.NewServer(&http.Server{Handler: h, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}, inner, Options{Name: "edges"})
+			}
+			go func() { _ = s.Serve() }()
+			t.Cleanup(func() { _ = s.Close() })
+			test(t, s, inner.Addr().String())
+		})
+	}
+}
+
 func drainWithin(s *Server, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	return s.Drain(ctx)
 }
 
+// Guards against losing a request whose first byte was read while the one before it ran.
+func TestDrainAnswersHeadsBegunBehindARequest(t *testing.T) {
+	var release chan struct{}
+	work := func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			<-release
+		}
+	}
+	forBothServers(t, work, func(t *testing.T, s *Server, address string) {
+		release = make(chan struct{})
+		c := dial(t, address)
+		for _, text := range []string{get("/first"), "G"} {
+			_, err := io.WriteString(c, text)
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		close(release)
+		require.Equal(t, http.StatusOK, exchange(c, ""))
+		drained := make(chan error, 1)
+		go func() { drained <- drainWithin(s, drainTimeout) }()
+		time.Sleep(lastReadTime + lastReadTime/2)
+		assert.Equal(t, http.StatusOK, exchange(c, get("/second")[1:]))
+		assert.NoError(t, <-drained)
+	})
+}
+
 // failingListener lacks a descriptor for the first connections.
 type failingListener struct {
 	*net.TCPListener
--- a/internal/callerconn/readahead.go
+++ b/internal/callerconn/readahead.go
@@ -32,6 +32,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasUnread = true
+	c.headBegun = true
 	if c.aheadErr != nil {
 		return
 	}
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -88,6 +88,20 @@
 			own.head.next()
 			own.unreadBody.Store(false)
 		}
-		own.setPhase(phaseIdle)
+		if own.takeHeadBegun() {
+			own.setPhase(phaseHead)
+		} else {
+			own.setPhase(phaseIdle)
+		}
 	}
 }
+
+// takeHeadBegun reports whether the server has read the first byte of a further head
+// while the last request ran.
+func (c *conn) takeHeadBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := c.headBegun
+	c.headBegun = false
+	return begun
+}
