Drain: the last look asks the kernel instead of waiting for 1 ms

The last look now asks for the unread bytes, or whether the listener is readable, and then reads or accepts without a short deadline.

TestDrainSeesWhatArrivesDuringAPause.

--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -15,9 +15,11 @@
 	// listener has begun to drain: the first request of a new connection arrives one
 	// round trip after it was accepted.
 	lastReadTime = 250 * time.Millisecond
-	// lastLookTime is how long a read, whose deadline has passed, looks for bytes that
-	// arrived while the process did not run.
-	lastLookTime = time.Millisecond
+	// lastHeadTime is how long a head that has begun may take to arrive once its
+	// listener drains.
+	lastHeadTime = 2 * time.Second
+	// acceptTime limits the accept of a connection that waits.
+	acceptTime = time.Second
 	// maxLastAccepts and lastAcceptTime limit how many connections are accepted after
 	// the listener has begun to drain, and for how long: callers that return at once
 	// would keep it open.
@@ -92,12 +94,13 @@
 // acceptWaiting accepts a connection that waits in the kernel. It fails if there is none.
 func (l *Listener) acceptWaiting() (net.Conn, error) {
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || !l.conns.acceptsLast() {
+	if !ok || !l.conns.acceptsLast() || !isReadable(l.Listener) {
 		return nil, net.ErrClosed
 	}
-	if err := d.SetDeadline(time.Now().Add(lastLookTime)); err != nil {
+	if err := d.SetDeadline(time.Now().Add(acceptTime)); err != nil {
 		return nil, err
 	}
+	defer func() { _ = d.SetDeadline(pastDeadline) }() // fails only if it is closed
 	return l.Listener.Accept()
 }
 
@@ -135,7 +138,7 @@
 	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.betweenRequests() || c.evicted.Load() {
 		return 0, err
 	}
-	if c.Conn.SetReadDeadline(time.Now().Add(lastLookTime)) != nil {
+	if unreadBytes(c.Conn) == 0 || c.Conn.SetReadDeadline(time.Time{}) != nil {
 		return 0, err
 	}
 	return c.Conn.Read(p)
--- a/internal/callerconn/drain_edges_test.go
+++ b/internal/callerconn/drain_edges_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -68,6 +71,65 @@
 	})
 }
 
+// pausingListener does not run for a while at the end of an accept or of a read whose
+// deadline has passed.
+type pausingListener struct {
+	*net.TCPListener
+	onAccept, onRead func()
+}
+
+func (l *pausingListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		l.onAccept()
+		return nil, err
+	}
+	return &pausingConn{TCPConn: c.(*net.TCPConn), onRead: l.onRead}, nil
+}
+
+type pausingConn struct {
+	*net.TCPConn
+	onRead func()
+}
+
+func (c *pausingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.onRead()
+	}
+	return n, err
+}
+
+// Guards against losing what arrives while the process does not run, just after a
+// deadline of the drain has passed.
+func TestDrainSeesWhatArrivesDuringAPause(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	var kept, late net.Conn
+	var read, accept sync.Once
+	l := &pausingListener{TCPListener: listenTCP(t)}
+	l.onRead = func() {
+		read.Do(func() {
+			_, _ = io.WriteString(kept, get("/"))
+			time.Sleep(pause)
+		})
+	}
+	l.onAccept = func() {
+		accept.Do(func() {
+			late = dial(t, l.Addr().String())
+			_, _ = io.WriteString(late, get("/"))
+			time.Sleep(pause)
+		})
+	}
+	drain := startDraining(t, l, ok)
+	kept = dial(t, l.Addr().String())
+	require.Equal(t, http.StatusOK, exchange(kept, get("/")))
+	drained := make(chan error, 1)
+	go func() { drained <- drain() }()
+	assert.Equal(t, http.StatusOK, exchange(kept, ""))
+	assert.NoError(t, <-drained)
+	assert.Equal(t, http.StatusOK, exchange(late, ""))
+}
+
 // failingListener lacks a descriptor for the first connections.
 type failingListener struct {
 	*net.TCPListener
--- a/internal/callerconn/unanswered.go
+++ b/internal/callerconn/unanswered.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // arrival says how much of a request that has no response had arrived when its
@@ -67,29 +64,6 @@
 	return arrivedNothing, unread
 }
 
-// unreadBytes returns how many bytes of a connection are in the receive buffer of the
-// kernel; 0 if that is not known.
-func unreadBytes(c net.Conn) int {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	unread := 0
-	err = raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ); err == nil {
-			unread = n
-		}
-	})
-	if err != nil { // the connection is closed
-		return 0
-	}
-	return unread
-}
-
 // String implements fmt.Stringer.
 func (p phase) String() string {
 	switch p {
