Drain: a head that stops does not hold a stop

The deadline of a head is taken off when its request begins, and deadlines that end reads on purpose are kept.

TestDrainDoesNotWaitForHeadsThatStop, TestDrainDoesNotEndRequestsInFlight.

--- a/internal/callerconn/drain.go
+++ b/internal/callerconn/drain.go
@@ -109,17 +109,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.reading == nil && c.betweenRequests() { // other deadlines end reads on purpose
+	if c.reading == nil && c.awaitsHead() { // other deadlines end reads on purpose
 		_ = c.Conn.SetReadDeadline(c.deadline()) // fails if the connection is closed
 	}
 }
 
 // deadline returns the deadline for reads. c.mu is held.
 func (c *conn) deadline() time.Time {
-	if !c.draining || !c.betweenRequests() {
+	last := time.Now()
+	switch {
+	case c.evicted.Load():
+		return pastDeadline
+	case c.draining && c.betweenRequests():
+		last = last.Add(lastReadTime)
+	case c.draining && phase(c.phase.Load()) == phaseHead:
+		last = last.Add(lastHeadTime)
+	default:
 		return c.readDeadline
 	}
-	last := time.Now().Add(lastReadTime)
 	if c.readDeadline.IsZero() || last.Before(c.readDeadline) {
 		return last
 	}
@@ -132,6 +139,11 @@
 	return p == phaseNew || p == phaseIdle
 }
 
+// awaitsHead reports whether the head of a request has not been read in full.
+func (c *conn) awaitsHead() bool {
+	return c.betweenRequests() || phase(c.phase.Load()) == phaseHead
+}
+
 // lookAgain reads what has arrived on a connection between requests whose read has
 // ended with err because of its deadline. The goroutine may have run long after it.
 func (c *conn) lookAgain(p []byte, err error) (int, error) {
@@ -144,12 +156,11 @@
 	return c.Conn.Read(p)
 }
 
-// resumeDeadline sets the deadline of the server again after a first byte has arrived
-// on a draining connection.
+// resumeDeadline sets the deadline again after the phase has changed.
 func (c *conn) resumeDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.draining && c.reading == nil {
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // fails if the connection is closed
+	if c.reading == nil {
+		_ = c.Conn.SetReadDeadline(c.deadline()) // fails if the connection is closed
 	}
 }
--- a/internal/callerconn/drain_edges_test.go
+++ b/internal/callerconn/drain_edges_test.go
@@ -45,6 +45,42 @@
 	return s.Drain(ctx)
 }
 
+// Guards against a caller that holds a stop with a few bytes that never become a head,
+// such as a line end behind a body.
+func TestDrainDoesNotWaitForHeadsThatStop(t *testing.T) {
+	read := func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }
+	forBothServers(t, read, func(t *testing.T, s *Server, address string) {
+		c := dial(t, address)
+		require.Equal(t, http.StatusOK, exchange(c, post(1)+"x"))
+		_, err := io.WriteString(c, "\r\n")
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond) // the bytes are read
+		assert.NoError(t, drainWithin(s, drainTimeout))
+	})
+}
+
+// Guards against the deadline of a head that ends the request behind it.
+func TestDrainDoesNotEndRequestsInFlight(t *testing.T) {
+	work := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		case <-time.After(lastHeadTime + lastHeadTime/4):
+		}
+	}
+	forBothServers(t, work, func(t *testing.T, s *Server, address string) {
+		c := dial(t, address)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\n")
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		drained := make(chan error, 1)
+		go func() { drained <- drainWithin(s, drainTimeout) }()
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, http.StatusOK, exchange(c, "Host: h\r\n\r\n"))
+		assert.NoError(t, <-drained)
+	})
+}
+
 // Guards against losing a request whose first byte was read while the one before it ran.
 func TestDrainAnswersHeadsBegunBehindARequest(t *testing.T) {
 	var release chan struct{}
--- a/internal/callerconn/readahead.go
+++ b/internal/callerconn/readahead.go
@@ -93,7 +93,6 @@
 func (c *conn) stopReadingAhead() {
 	c.mu.Lock()
 	reading := c.reading
-	c.reading = nil
 	c.stopping = true
 	c.mu.Unlock()
 	if reading == nil {
@@ -103,5 +102,8 @@
 	<-reading
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reading == reading {
+		c.reading = nil
+	}
 	_ = c.Conn.SetReadDeadline(c.deadline())
 }
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -82,6 +82,7 @@
 	switch state {
 	case http.StateActive:
 		own.setPhase(phaseActive)
+		own.resumeDeadline() // that of the head must not end the request
 	case http.StateIdle:
 		if own.guard != nil {
 			own.endRequest()
