--- a/internal/bodybuffer/buffer.go
+++ b/internal/bodybuffer/buffer.go
@@ -22,9 +22,10 @@
 )
 
 var (
-	// ErrTooLarge reports a body over its limit.
+	// ErrTooLarge reports a body that is over its limit or, with the values that are
+	// decoded from it, over the memory for bodies.
 	ErrTooLarge = errors.New("the body is over the limit")
-	// ErrNoMemory reports that there is too little memory for the body.
+	// ErrNoMemory reports that there is too little memory for the body at the moment.
 	ErrNoMemory = errors.New("too many bodies are held")
 )
 
