Control: memory of a change is reserved before it is decoded

What callers see: a control member of sequoialane-control that is sent a few changes within the size limit takes up to 2,262,264 kB of 262,144.

Cause: the HTTP library decodes a body into maps and lists, checks it and then decodes it again. Only four times the bytes of the body counted. Each value can also have an error of its own; the response joined all of them, and each error of an unknown field contained the whole object.

Fix: the body is read, its values are counted (internal/jsonshape), and the memory for them is reserved from that for bodies until the change is committed: 413 if it never fits, 503 if it does not fit at the moment, 400 for nesting deeper than 64 levels. A response names eight errors at most, of limited length and without objects and lists. callerconn.CountBodies has no user any more and is removed.

--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/fault"
@@ -61,45 +60,6 @@
 	memory.Give(n)
 }
 
-// bodyCopies is how often a body is held by a handler that reads it into a growing
-// buffer and decodes it.
-const bodyCopies = 4
-
-// CountBodies makes the handler's request bodies count in the memory for bodies, for
-// handlers of libraries that buffer them. Reading a body fails with a timeout if
-// there is too little memory.
-func CountBodies(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Body == nil || r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
-			return
-		}
-		body := &countedBody{ReadCloser: r.Body, ctx: r.Context(), memory: BodyMemory(r.Context())}
-		r.Body = body
-		defer func() { GiveBody(body.ctx, body.memory, body.taken) }()
-		next.ServeHTTP(w, r)
-	})
-}
-
-type countedBody struct {
-	io.ReadCloser
-	ctx    context.Context // of the request
-	memory *membudget.Budget
-	taken  int64
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		if !TakeBody(b.ctx, b.memory, bodyCopies*int64(n)) {
-			return 0, os.ErrDeadlineExceeded
-		}
-		b.taken += bodyCopies * int64(n)
-	}
-	return n, err
-}
-
 // handler counts the head of a request, and limits the time for the rest of a body
 // that the handler did not read.
 func (g *Guard) handler(next http.Handler) http.Handler {
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -72,7 +72,7 @@
 	mux := http.NewServeMux()
 	a := &api{options}
 	a.register(humago.New(mux, config))
-	return mux, mux
+	return mux, limitChanges(mux)
 }
 
 func withSpan(next http.Handler) http.Handler {
--- a/internal/control/errors.go
+++ b/internal/control/errors.go
@@ -1,12 +1,13 @@
 package control
 
 import (
-	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 
 	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
 
 	"github.com/sequoialane/sequoialane/internal/controlapi"
 	"github.com/sequoialane/sequoialane/internal/fault"
@@ -25,14 +26,53 @@
 func installErrorConstructor() {
 	installErrorConstructorOnce.Do(func() {
 		huma.NewError = func(status int, message string, errs ...error) huma.StatusError {
-			if err := errors.Join(errs...); err != nil {
-				message += ": " + strings.ReplaceAll(err.Error(), "\n", "; ")
+			if len(errs) > 0 {
+				message += ": " + describe(errs)
 			}
 			return controlapi.NewError(fault.New(kindForStatus(status), message))
 		}
 	})
 }
 
+const (
+	maxReportedErrors = 8   // of one request
+	maxErrorBytes     = 256 // of the text of each error
+)
+
+// describe joins the first errors of a request. A request may have one for each of its
+// values, and their text may contain them.
+func describe(errs []error) string {
+	texts := lo.Map(lo.Slice(errs, 0, maxReportedErrors), func(err error, _ int) string { return truncated(textOf(err)) })
+	if more := len(errs) - len(texts); more > 0 {
+		texts = append(texts, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(texts, "; ")
+}
+
+// textOf returns the text of an error, without the value if that is an object or a
+// list, which may be the whole request.
+func textOf(err error) string {
+	detail, ok := err.(*huma.ErrorDetail)
+	if !ok {
+		return strings.ReplaceAll(err.Error(), "\n", "; ")
+	}
+	switch value := detail.Value.(type) {
+	case map[string]any, []any:
+		return fmt.Sprintf("%s (%s)", detail.Message, detail.Location)
+	case string:
+		return fmt.Sprintf("%s (%s: %s)", detail.Message, detail.Location, truncated(value))
+	default:
+		return detail.Error()
+	}
+}
+
+func truncated(text string) string {
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+}
+
 func kindForStatus(status int) fault.Kind {
 	switch {
 	case status == http.StatusRequestEntityTooLarge:
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -84,7 +84,7 @@
 		return nil, trace.Wrap(err)
 	}
 	guard := callerconn.NewGuard(options.Settings.Callers, int64(options.Settings.MemoryMB)<<20, callerconn.Shares{Bodies: bodyMemoryDivisor, Responses: responseMemoryDivisor, Requests: requestMemoryDivisor}, options.Log)
-	if p.api, err = httpserver.ListenCallers(self.APIAddress, callerconn.CountBodies(handler), guard, 0); err != nil {
+	if p.api, err = httpserver.ListenCallers(self.APIAddress, handler, guard, 0); err != nil {
 		_ = p.peer.Close()
 		return nil, trace.Wrap(err)
 	}
