Gateway: waits after a start end with a stop, too

Found by the review: a request that waits for the first view, or for the credit of its tenant, after a start ignored the end of waits, and could be cut at the end of a stop that follows soon.

TestRequestsThatWaitForFirstViewAreAnsweredBeforeTheEndOfAStop failed before.

--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -55,6 +55,7 @@
 	g.startupWaits.Inc()
 	ctx, cancel := context.WithTimeout(r.Context(), g.startupWait(r))
 	defer cancel()
+	defer context.AfterFunc(g.stop.waits, cancel)()
 	for {
 		changed := g.options.ViewChanged() // before the view is loaded, so that no change is missed
 		if suffices(g.options.View()) {
@@ -82,7 +83,13 @@
 	}
 	clock := e.g.options.Clock
 	wait := max(exceeded.RetryAfter, minRetryAfter)
-	return clock.Now().Add(wait).Before(limit) && clock.Sleep(e.callerCtx, wait) == nil
+	if !clock.Now().Add(wait).Before(limit) {
+		return false
+	}
+	ctx, cancel := context.WithCancel(e.callerCtx)
+	defer cancel()
+	defer context.AfterFunc(e.g.stop.waits, cancel)()
+	return clock.Sleep(ctx, wait) == nil
 }
 
 // startupWait returns how long a request may wait for a view.
--- a/internal/gateway/startup_test.go
+++ b/internal/gateway/startup_test.go
@@ -66,3 +66,16 @@
 		})
 	}
 }
+
+// Guards against a stop soon after the start that cuts requests which wait for the
+// first view.
+func TestRequestsThatWaitForFirstViewAreAnsweredBeforeTheEndOfAStop(t *testing.T) {
+	g, _ := startingGateway(&fakeFleet{}, sys.NewManualClock(time.Unix(1_700_000_000, 0)))
+	status := make(chan int, 1)
+	go func() { status <- call(t, g, "POST", "/once/1", "b", "X-Left", "600000").Code }()
+	assert.Eventually(t, func() bool { return g.startupWaiters.Load() == 1 }, 5*time.Second, time.Millisecond)
+	started := time.Now()
+	g.EndWaits()
+	assert.Equal(t, 503, <-status)
+	assert.Less(t, time.Since(started), maxStartupWait)
+}
