Entry: all its servers drain, the others after that of the callers

Found by the audit and the review: the directory, the readiness check and the peer server of an entry ended with the process, so a lookup or a call of another entry that had begun to arrive was cut, as callers' requests were.

The process ends at 0.97 of the grace period at the latest.

--- a/internal/fleetentry/drain_test.go
+++ b/internal/fleetentry/drain_test.go
@@ -18,17 +18,27 @@
 // Guards against an entry that, when it stops, closes the connection of a request
 // which has arrived without an answer.
 func TestStopAnswersRequestsThatArrive(t *testing.T) {
-	s := loopbackSettings(t)
-	p, err := New(s, Handlers{
-		Ready:     func(func() bool) http.Handler { return http.NotFoundHandler() },
-		Directory: func(*Directory) http.Handler { return http.NotFoundHandler() },
-	}, sys.RealClock{}, zap.NewNop())
-	require.NoError(t, err)
-	ctx, stop := context.WithCancel(context.Background())
-	stopped := make(chan error, 1)
-	go func() { stopped <- p.Run(ctx) }()
-	draintest.CheckSplitRequests(t, s.CallerAddress, stop)
-	require.NoError(t, <-stopped)
+	servers := map[string]func(*Settings) string{
+		"callers":   func(s *Settings) string { return s.CallerAddress },
+		"directory": func(s *Settings) string { return s.DirectoryAddress },
+		"ready":     func(s *Settings) string { return s.ReadyAddress },
+		"peers":     func(s *Settings) string { return s.PeerAddress },
+	}
+	for desc, address := range servers {
+		t.Run(desc, func(t *testing.T) {
+			s := loopbackSettings(t)
+			p, err := New(s, Handlers{
+				Ready:     func(func() bool) http.Handler { return http.NotFoundHandler() },
+				Directory: func(*Directory) http.Handler { return http.NotFoundHandler() },
+			}, sys.RealClock{}, zap.NewNop())
+			require.NoError(t, err)
+			ctx, stop := context.WithCancel(context.Background())
+			stopped := make(chan error, 1)
+			go func() { stopped <- p.Run(ctx) }()
+			draintest.CheckSplitRequests(t, address(s), stop)
+			require.NoError(t, <-stopped)
+		})
+	}
 }
 
 // loopbackSettings returns settings of an entry on loopback whose control members do
--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -44,8 +45,10 @@
 	// target any more.
 	waitShare = 0.85
 	// drainShare is the share of the grace period after which open requests are
-	// aborted and the process ends.
+	// aborted.
 	drainShare = 0.93
+	// exitShare is the share of the grace period after which the process ends.
+	exitShare = 0.97
 )
 
 // Handlers are the HTTP handlers and header names of the platform's interface.
@@ -286,5 +289,25 @@
 	if err := p.callers.Drain(ctx); err != nil {
 		p.log.Warn("requests aborted at the end of the grace period", zap.Int64("in_flight", p.gateway.InFlight()), zap.Error(err))
 	}
+	p.drainOtherServers(after(exitShare))
 	p.log.Info("entry stopped", zap.Duration("took", p.clock.Now().Sub(started)))
 }
+
+// drainOtherServers drains the servers that requests and other entries need until the
+// end.
+func (p *Process) drainOtherServers(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var drains sync.WaitGroup
+	for _, s := range p.servers {
+		if s == p.callers {
+			continue
+		}
+		drains.Go(func() {
+			if err := s.Drain(ctx); err != nil {
+				p.log.Warn("calls aborted at the end of the grace period", zap.String("server", s.name), zap.Error(err))
+			}
+		})
+	}
+	drains.Wait()
+}
