Guard: a connection whose request has arrived is not closed for others

Bytes in the kernel now count as progress.

TestConnectionsWithUnreadRequestsAreKept failed before for a new connection, one with part of a head, and an idle one.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -128,6 +128,9 @@
 		return s, false // the request is being worked on
 	}
 	s.over = time.Duration(c.guard.at(now)-c.progress.Load()) - allowed
+	if s.over >= 0 && c.awaitsHead() && unreadBytes(c.Conn) > 0 {
+		return s, false // the process has not run since they arrived
+	}
 	return s, s.over >= 0
 }
 
--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -139,6 +139,29 @@
 }
 
 // bodyHandler reads the body within the memory for bodies.
+// Guards against closing a connection whose request has arrived while the process did
+// not run, as after a freeze of its VM.
+func TestConnectionsWithUnreadRequestsAreKept(t *testing.T) {
+	g := startGuarded(t, DefaultSettings(), 64, ok)
+	for _, p := range []phase{phaseNew, phaseHead, phaseIdle} {
+		t.Run(p.String(), func(t *testing.T) {
+			inner := listenTCP(t)
+			caller := dial(t, inner.Addr().String())
+			accepted, err := inner.Accept()
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = accepted.Close() })
+			c := &conn{Conn: accepted, guard: g.Guard, listener: g.Listen(inner, Options{Name: "unread"})}
+			c.setPhase(p)
+			later := g.now().Add(time.Hour)
+			_, stalled := c.stalled(later)
+			require.True(t, stalled)
+			_, err = io.WriteString(caller, get("/"))
+			require.NoError(t, err)
+			assert.Eventually(t, func() bool { _, stalled := c.stalled(later); return !stalled }, 10*time.Second, time.Millisecond)
+		})
+	}
+}
+
 func bodyHandler(w http.ResponseWriter, r *http.Request) {
 	memory := BodyMemory(r.Context())
 	if !TakeBody(r.Context(), memory, r.ContentLength) {
