Control: a share of the drain is kept for the calls of peers

Found by the review: the calls of operators and targets and those of peers had one deadline, so that slow ones of the first kind left the second none. Peers come last, since calls of operators may need them.

The tests of the package pass (73 s); there is none of its own for the split.

--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -28,7 +28,8 @@
 	idleTimeout    = time.Minute
 	leaveTimeout   = 5 * ElectionTimeout // for an election and the removal of a lost member, on which the group may depend
 	leaveShare     = 0.75                // share of the grace period that leaving the group may take at most
-	drainShare     = 0.9                 // share of the grace period after which open calls are aborted
+	callShare      = 0.85                // share of the grace period after which open calls of operators and targets are aborted
+	drainShare     = 0.9                 // share of the grace period after which open calls of peers are aborted
 	maxHeaderBytes = 64 << 10
 	// bodyMemoryDivisor is the part of the memory for documents that are being
 	// received; responseMemoryDivisor that for responses, which are small copies of
@@ -149,27 +150,36 @@
 	p.log.Info("seeds updated", zap.Strings("seeds", seeds))
 }
 
-// drain leaves the consensus group, finishes open calls and stops.
+// drain leaves the consensus group, finishes open calls and stops. Calls of operators
+// and targets may need those of peers, which are finished last.
 func (p *Process) drain() {
 	p.log.Info("control member draining", zap.String("role", string(p.group.Status().Role)))
 	p.member.Drain()
-	grace := float64(p.settings.Grace.Std())
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(drainShare*grace))
+	started := time.Now()
+	until := func(share float64) (context.Context, context.CancelFunc) {
+		return context.WithDeadline(context.Background(), started.Add(time.Duration(share*float64(p.settings.Grace.Std()))))
+	}
+	leaving, cancel := until(leaveShare)
+	defer cancel()
+	p.leaveGroup(leaving)
+	calls, cancel := until(callShare)
 	defer cancel()
-	p.leaveGroup(min(leaveTimeout, time.Duration(leaveShare*grace)))
-	if err := p.control.Drain(ctx); err != nil {
+	if err := p.control.Drain(calls); err != nil {
 		p.log.Warn("calls of operators and targets aborted", zap.Error(err))
 	}
-	if err := p.peers.Drain(ctx); err != nil {
+	peers, cancel := until(drainShare)
+	defer cancel()
+	if err := p.peers.Drain(peers); err != nil {
 		p.log.Warn("calls of peers aborted", zap.Error(err))
 	}
 	p.group.Stop()
 	p.log.Info("control member stopped")
 }
 
-// leaveGroup waits until the consensus group no longer depends on this member.
-func (p *Process) leaveGroup(timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+// leaveGroup waits until the consensus group no longer depends on this member,
+// for at most leaveTimeout.
+func (p *Process) leaveGroup(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := p.group.Leave(ctx); err != nil {
 		p.log.Warn("stopping although the consensus group may depend on this member", zap.Error(err))
