--- a/internal/callerconn/openconns.go
+++ b/internal/callerconn/openconns.go
@@ -39,7 +39,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.open, c)
-	o.check()
+	o.closeIfDrained()
 }
 
 // startAccepting notes that Accept may return connections. It reports false if the
@@ -56,7 +56,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.accepting = false
-	o.check()
+	o.closeIfDrained()
 }
 
 func (o *openConns) isAccepting() bool {
@@ -65,8 +65,8 @@
 	return o.accepting
 }
 
-// check closes drained once that is so. o.mu is held.
-func (o *openConns) check() {
+// closeIfDrained closes drained once that is so. o.mu is held.
+func (o *openConns) closeIfDrained() {
 	if !o.draining || o.accepting || len(o.open) > 0 {
 		return
 	}
@@ -89,7 +89,7 @@
 	for c := range o.open {
 		c.drain()
 	}
-	o.check()
+	o.closeIfDrained()
 	return true
 }
 
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -29,7 +29,7 @@
 func newServer(server *http.Server, l *Listener) *Server {
 	server.ConnContext = ConnContext
 	server.ConnState = connState
-	server.Handler = l.closing(server.Handler)
+	server.Handler = l.withConnectionClose(server.Handler)
 	return &Server{http: server, listener: l}
 }
 
@@ -62,9 +62,9 @@
 	return g.NewServer(server, inner, o).Serve()
 }
 
-// closing makes each response that is begun while the listener drains the last one of
+// withConnectionClose makes each response that is begun while the listener drains the last one of
 // its connection.
-func (l *Listener) closing(next http.Handler) http.Handler {
+func (l *Listener) withConnectionClose(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.isDraining() {
 			w.Header().Set("Connection", "close")
--- a/internal/callerconn/unanswered.go
+++ b/internal/callerconn/unanswered.go
@@ -19,7 +19,7 @@
 	arrivedHead    arrival = "head"   // a whole head was read
 )
 
-// request progress of a connection, for arrival.
+// Progress of the current request of a connection.
 const (
 	requestNone     int32 = iota
 	requestPart           // part of a head was read
