Callers' connections: bytes behind the last response are no request

Cause, from the code: net/http closes a body that the handler did not read after it has stopped to watch the connection, and then watches it again, so it can still read a byte behind a 503 that announced the end of the connection. The callers of the soak send on regardless. No request was lost; the report was wrong.

TestBytesBehindTheLastResponseAreNoRequest failed before.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -216,7 +216,7 @@
 		c.setPhase(phaseHead)
 		c.resumeDeadline()
 	}
-	if c.guard == nil {
+	if c.guard == nil || phase(c.phase.Load()) == phaseLinger { // behind the last response
 		return true
 	}
 	if phase(c.phase.Load()) == phaseActive {
--- a/internal/callerconn/unanswered_test.go
+++ b/internal/callerconn/unanswered_test.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// Guards against reporting bytes behind a response that announced the end of its
+// connection: net/http may still read one when it closes a body that was not read.
+func TestBytesBehindTheLastResponseAreNoRequest(t *testing.T) {
+	g := startGuarded(t, DefaultSettings(), 256, ok)
+	inner := listenTCP(t)
+	dial(t, inner.Addr().String())
+	accepted, err := inner.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	c := &conn{Conn: accepted, guard: g.Guard, listener: g.Listen(inner, Options{Name: "linger"})}
+	c.request.Store(requestAnswered)
+	c.phase.Store(int32(phaseLinger))
+	assert.True(t, c.received([]byte("P"), 1))
+	what, _ := c.unanswered()
+	assert.Equal(t, arrivedNothing, what)
+}
+
 // Guards against bytes in the buffer of the kernel that are not seen at the close.
 func TestUnreadBytesAreCounted(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
