--- a/internal/callerconn/guard_test.go
+++ b/internal/callerconn/guard_test.go
@@ -66,6 +66,16 @@
 	return lo.CountBy(lo.Keys(g.conns), func(c *conn) bool { return phase(c.phase.Load()) == p })
 }
 
+// stalledConns returns the number of connections that may be closed for others.
+func (g *guarded) stalledConns() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return lo.CountBy(lo.Keys(g.conns), func(c *conn) bool {
+		_, stalled := c.stalled(g.now())
+		return stalled
+	})
+}
+
 // exchange sends text and returns the status of the response; 0: none.
 func exchange(c net.Conn, text string) int {
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
@@ -187,8 +197,7 @@
 	go func() {
 		statusOfStopped <- exchange(stopped, post(bodySize)+strings.Repeat("x", bodySize-1))
 	}()
-	require.Eventually(t, func() bool { return g.Bodies.Used() == bodySize }, 10*time.Second, time.Millisecond)
-	time.Sleep(s.StallTime.Std())
+	require.Eventually(t, func() bool { return g.Bodies.Used() == bodySize && g.stalledConns() == 1 }, 10*time.Second, time.Millisecond)
 	_, err := io.WriteString(arriving, post(bodySize))
 	require.NoError(t, err)
 	stop := make(chan struct{})
