--- a/internal/fleetcontrol/stopping_test.go
+++ b/internal/fleetcontrol/stopping_test.go
@@ -38,4 +38,5 @@
 	before := polls.Get()
 	time.Sleep(time.Second)
 	assert.LessOrEqual(t, polls.Get()-before, uint64(maxPolls))
+	assert.True(t, f.Fresh(), "the copy counts as recent meanwhile")
 }
