--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,6 +28,8 @@
 	"encoded-path":      encodedPath,
 	"two-disks-lost":    twoDisksLost,
 	"options-asterisk":  optionsAsterisk,
+	"quoted-name":       quotedName,
+	"version-zero":      versionZero,
 }
 
 // running is the fleet whose processes must end with this one.
