--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,7 +25,7 @@
 var cases = map[string]func(rec *record, trouble bool) int{
 	"core-killed-early": coreKilledEarly,
 	"slow-upload-drain": slowUploadDrain,
-	"encoded-path":      encodedPath,
+	"resolve-names":     resolveNames,
 	"two-disks-lost":    twoDisksLost,
 	"options-asterisk":  optionsAsterisk,
 	"quoted-name":       quotedName,
