--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,6 +26,7 @@
 	"core-killed-early": coreKilledEarly,
 	"slow-upload-drain": slowUploadDrain,
 	"resolve-names":     resolveNames,
+	"late-reader":       lateReader,
 	"two-disks-lost":    twoDisksLost,
 	"options-asterisk":  optionsAsterisk,
 	"quoted-name":       quotedName,
