--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -20,6 +20,8 @@
 	DefaultSnapshotTimeout   = 10 * time.Second
 	DefaultSnapshotEvery     = 10_000
 	DefaultSnapshotBytes     = 16 << 20
+	// DefaultFaultTolerance is what a group of five voting members bears.
+	DefaultFaultTolerance = 2
 )
 
 // maxMembers limits the number of configured slots of a group. It must be less
@@ -29,6 +31,9 @@
 // maxVoters limits the number of voting members of a dynamic group.
 const maxVoters = 15
 
+// MaxFaultTolerance is the highest Config.FaultTolerance.
+const MaxFaultTolerance = (maxVoters - 1) / 2
+
 // Member is a slot of a group and the address of its member.
 type Member struct {
 	Slot    string `json:"slot"`
@@ -78,6 +83,11 @@
 	Dynamic bool
 	// Bootstrap lets a blank member of a dynamic group take part in forming it.
 	Bootstrap bool
+	// FaultTolerance is the number of members of a dynamic group that may lose their
+	// state at the same time without the loss of a committed entry. The group
+	// removes no departed member below 2*FaultTolerance+1 voting members once it
+	// has that many. Default DefaultFaultTolerance.
+	FaultTolerance int
 }
 
 func (c Config) withDefaults() (Config, error) {
@@ -104,6 +114,9 @@
 	if c.SnapshotBytes == 0 {
 		c.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if c.FaultTolerance < 0 || c.FaultTolerance > MaxFaultTolerance {
+		return c, trace.BadParameter("consensus: fault tolerance of group %s is %d, want 0 to %d", c.Group, c.FaultTolerance, MaxFaultTolerance)
+	}
 	if c.Client == nil {
 		c.Client = newClient(c.RequestTimeout, true, c.Locations)
 	}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,6 +95,7 @@
 		slots:              g.config.slots(),
 		dynamic:            g.config.Dynamic,
 		bootstrap:          g.config.Bootstrap,
+		faultTolerance:     cmp.Or(g.config.FaultTolerance, DefaultFaultTolerance),
 		shortFirstElection: g.config.Dynamic && !g.config.LeaseReads,
 		durable:            g.config.Storage.durable(),
 		heartbeatInterval:  g.config.HeartbeatInterval,
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -41,6 +41,7 @@
 	durable      bool
 	initial      int  // number of slots that form the group
 	dynamic      bool // slots are added and removed
+	tolerance    int  // members of a dynamic group that may lose their disks at once
 	now          time.Time
 	nodes        []*simNode
 	slots        []string
@@ -62,7 +63,12 @@
 // newDynamicSim returns a group that is formed by its first slots; the members in
 // the other slots join it.
 func newDynamicSim(seed uint64, initial, size int, durable bool) *sim {
-	return startSim(&sim{initial: initial, dynamic: true, durable: durable}, seed, size)
+	return startSim(&sim{initial: initial, dynamic: true, tolerance: (size - 1) / 2, durable: durable}, seed, size)
+}
+
+// newTolerantSim is the same for a group that bears the loss of as many disks.
+func newTolerantSim(seed uint64, initial, size, tolerance int) *sim {
+	return startSim(&sim{initial: initial, dynamic: true, tolerance: tolerance, durable: true}, seed, size)
 }
 
 // startSim starts all members of a group.
@@ -95,7 +101,7 @@
 	}
 	options := coreOptions{
 		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), seeds...),
-		dynamic: s.dynamic, bootstrap: !n.wiped, shortFirstElection: s.dynamic,
+		dynamic: s.dynamic, bootstrap: !n.wiped, shortFirstElection: s.dynamic, faultTolerance: s.tolerance,
 		durable: s.durable, heartbeatInterval: 50 * time.Millisecond, electionTimeout: simElectionTimeout,
 		learnerTimeout: 10 * time.Second, snapshotTimeout: 2 * time.Second, snapshotEvery: simSnapshotEvery, snapshotBytes: 1 << 20,
 		random:         rand.New(rand.NewPCG(s.random.Uint64(), 1)),
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -35,9 +35,12 @@
 	// Settled is set by the leader if a majority knows the last membership
 	// change. Only then has a repaired member replaced the lost one, and only
 	// then does a new group survive the failure of a member.
-	Settled       bool          `json:"settled"`
-	LeaderlessFor time.Duration `json:"leader_seen"` // time without a known leader; 0 on the leader
-	Failure       string        `json:"failure"`     // error that has stopped the member
+	Settled bool `json:"settled"`
+	// ToleratedLosses is the number of voting members that may lose their state at the
+	// same time.
+	ToleratedLosses int           `json:"tolerated_losses"`
+	LeaderlessFor   time.Duration `json:"leader_seen"` // time without a known leader; 0 on the leader
+	Failure         string        `json:"failure"`     // error that has stopped the member
 
 	lastLeaderSent int64 // latest message.Sent of the leader
 }
@@ -59,17 +62,19 @@
 	c := g.core
 	previous := g.status.Load()
 	s := &Status{
-		Group:          g.config.Group,
-		Self:           c.id,
-		Role:           c.statusRole(),
-		Leader:         c.leader,
-		Epoch:          c.epoch,
-		Term:           c.term,
-		LastIndex:      c.log.lastIndex(),
-		CommitIndex:    c.log.commit,
-		AppliedIndex:   c.log.applied,
-		Settled:        c.isSettled(),
-		lastLeaderSent: c.lastLeaderSent,
+		Group:        g.config.Group,
+		Self:         c.id,
+		Role:         c.statusRole(),
+		Leader:       c.leader,
+		Epoch:        c.epoch,
+		Term:         c.term,
+		LastIndex:    c.log.lastIndex(),
+		CommitIndex:  c.log.commit,
+		AppliedIndex: c.log.applied,
+		Settled:      c.isSettled(),
+
+		ToleratedLosses: c.config.toleratedLosses(),
+		lastLeaderSent:  c.lastLeaderSent,
 	}
 	if c.role != leader {
 		s.LeaderlessFor = c.now.Sub(c.leaderLastKnown)
--- a/internal/consensus/voter_removal.go
+++ b/internal/consensus/voter_removal.go
@@ -25,16 +25,18 @@
 type voterRemoval struct {
 	slot    string
 	silence time.Duration // since the last response of the member; of a vacant slot: since the start of this member
+	vacant  bool          // no member holds the slot
 	leaving bool          // the member has announced its end
 	voters  int           // voting members after the removal
 }
 
 // removalLowersQuorum reports whether a group of the given number of voting
-// members needs fewer votes once the departed ones are removed. If it does not,
-// a departed member costs nothing: the group tolerates the loss of as many of
-// the remaining members with it as without it, and it can still return to vote.
-func removalLowersQuorum(voters, departed int) bool {
-	remaining := max(voters-departed, minVoters)
+// members needs fewer votes once the departed ones are removed, down to the
+// smallest size allowed. If it does not, a departed member costs nothing: the
+// group tolerates the loss of as many of the remaining members with it as without
+// it, and it can still return to vote.
+func removalLowersQuorum(voters, departed, smallest int) bool {
+	remaining := max(voters-departed, smallest)
 	return quorumOf(remaining) < quorumOf(voters)
 }
 
@@ -62,17 +64,19 @@
 // is none.
 func (c *core) nextRemoval() (voterRemoval, bool) {
 	departed := c.departedVoters()
-	voters := len(c.votingConfig())
-	if len(departed) == 0 || voters <= minVoters {
+	config := c.votingConfig()
+	smallest := smallestGroup(config.holders(), c.faultTolerance)
+	if len(departed) == 0 || len(config) <= smallest {
 		return voterRemoval{}, false
 	}
 	first := departed[0]
 	abandoned := first.silence >= abandonedElectionTimeouts*c.electionTimeout
-	return first, abandoned || removalLowersQuorum(voters, len(departed))
+	return first, abandoned || removalLowersQuorum(len(config), len(departed), smallest)
 }
 
 // departedVoters returns the voting members that are silent or leaving, and the
-// vacant slots, the longest silent first.
+// vacant slots. The vacant slots come first, since they hold no log, then the
+// member that has been silent for longest.
 func (c *core) departedVoters() []voterRemoval {
 	var departed []voterRemoval
 	config := c.votingConfig()
@@ -80,12 +84,17 @@
 		p := c.voters[slot]
 		switch {
 		case config[slot] == 0:
-			departed = append(departed, voterRemoval{slot: slot, silence: c.now.Sub(c.start)})
+			departed = append(departed, voterRemoval{slot: slot, silence: c.now.Sub(c.start), vacant: true})
 		case p != nil && (c.isSilent(p) || c.isLeaving(p.id)):
 			departed = append(departed, voterRemoval{slot: slot, silence: c.now.Sub(p.lastContact), leaving: c.isLeaving(p.id)})
 		}
 	}
-	slices.SortStableFunc(departed, func(a, b voterRemoval) int { return cmp.Compare(b.silence, a.silence) })
+	slices.SortStableFunc(departed, func(a, b voterRemoval) int {
+		if a.vacant != b.vacant {
+			return lo.Ternary(a.vacant, -1, 1)
+		}
+		return cmp.Compare(b.silence, a.silence)
+	})
 	return departed
 }
 
--- a/internal/consensus/voter_removal_test.go
+++ b/internal/consensus/voter_removal_test.go
@@ -26,7 +26,22 @@
 		{"two members", 2, 1, false},
 	}
 	for _, tc := range cases {
-		assert.Equal(t, tc.want, removalLowersQuorum(tc.voters, tc.departed), tc.desc)
+		assert.Equal(t, tc.want, removalLowersQuorum(tc.voters, tc.departed, smallestGroup(tc.voters, 1)), tc.desc)
+	}
+	for _, tc := range []struct {
+		desc             string
+		voters, departed int
+		want             bool
+	}{
+		{"two of five", 5, 2, false},
+		{"all others of five are stopping", 5, 4, false},
+		{"one of six", 6, 1, true},
+		{"three of six", 6, 3, true},
+		{"one of four, after its successor was admitted", 4, 1, true},
+		{"one of three", 3, 1, false},
+		{"two of seven", 7, 2, true},
+	} {
+		assert.Equal(t, tc.want, removalLowersQuorum(tc.voters, tc.departed, smallestGroup(tc.voters, 2)), "%s, two disks may be lost", tc.desc)
 	}
 	for voters := minVoters; voters <= maxVoters; voters++ {
 		for departed := 1; voters-departed >= quorumOf(voters); departed++ {
--- a/internal/fleetcontrol/process.go
+++ b/internal/fleetcontrol/process.go
@@ -59,7 +59,7 @@
 	stateMachine := fleetstate.NewStateMachine()
 	locations := traffic.NewLocations(s.DataCentre, s.DataCentres)
 	group, err := consensus.Start(consensus.Config{
-		Group: groupName, Self: s.PeerAddress, Dynamic: true, Bootstrap: s.Bootstrap,
+		Group: groupName, Self: s.PeerAddress, Dynamic: true, Bootstrap: s.Bootstrap, FaultTolerance: s.FaultTolerance,
 		Members: lo.Map(s.seedPeers(), func(address string, _ int) consensus.Member {
 			return consensus.Member{Slot: address, Address: address}
 		}),
@@ -130,7 +130,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go p.member.Run(background)
-	p.log.Info("control member started", zap.String("peers", p.settings.PeerAddress), zap.Bool("bootstrap", p.settings.Bootstrap), zap.Strings("seeds", p.settings.Seeds))
+	p.log.Info("control member started", zap.String("peers", p.settings.PeerAddress), zap.Bool("bootstrap", p.settings.Bootstrap), zap.Int("fault_tolerance", p.settings.FaultTolerance), zap.Strings("seeds", p.settings.Seeds))
 	select {
 	case err := <-failed:
 		p.group.Stop()
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoialane/sequoialane/internal/callerconn"
+	"github.com/sequoialane/sequoialane/internal/consensus"
 	"github.com/sequoialane/sequoialane/internal/settings"
 	"github.com/sequoialane/sequoialane/internal/telemetry"
 )
@@ -21,7 +22,12 @@
 	SeedPort       int               `json:"seed_port"`       // peer port of control members; 0: the port in seeds
 	DataFolder     string            `json:"data_folder"`
 	Bootstrap      bool              `json:"bootstrap"` // the fleet starts for the first time
-	Grace          settings.Duration `json:"grace"`     // time from SIGTERM to the end of the process
+	// FaultTolerance is the number of control members that may lose their disks at the
+	// same time. The group keeps 2*FaultTolerance+1 voting members once it has them,
+	// and accepts no change before that in the first seconds after it was formed.
+	// 0: consensus.DefaultFaultTolerance, without that wait.
+	FaultTolerance int               `json:"fault_tolerance"`
+	Grace          settings.Duration `json:"grace"` // time from SIGTERM to the end of the process
 
 	MemoryMB int                 `json:"memory_mb"` // memory that the process may use
 	Callers  callerconn.Settings `json:"callers"`   // limits what the connections of operators and targets take
@@ -62,6 +68,7 @@
 	}
 	settings.RequireIntRange(report, "seed_port", s.SeedPort, 0, 65_535)
 	settings.RequireDurationRange(report, "grace", s.Grace, time.Second, time.Hour)
+	settings.RequireIntRange(report, "fault_tolerance", s.FaultTolerance, 0, consensus.MaxFaultTolerance)
 	settings.RequireIntRange(report, "memory_mb", s.MemoryMB, minMemory, maxMemory)
 	s.Callers.Check(func(path string, value any, problem string) { report("callers."+path, value, problem) })
 	s.Telemetry.Check(func(path string, value any, problem string) { report("telemetry."+path, value, problem) })
