--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -191,6 +191,7 @@
 // step handles a message of another member. Messages for another member or
 // from an unknown slot are ignored.
 func (c *core) step(m message) {
+	c.noteLeaderOfEarlierIncarnation(m)
 	toOther := m.To.Slot != c.id.Slot || m.To.Incarnation != 0 && m.To.Incarnation != c.id.Incarnation
 	if toOther || m.From.Slot == c.id.Slot || !c.hasSlot(m.From.Slot) || m.From.Incarnation == 0 {
 		return
--- a/internal/consensus/disk_loss_test.go
+++ b/internal/consensus/disk_loss_test.go
@@ -126,7 +126,7 @@
 // members, to so few voting members that the loss of as many disks as it tolerates ends
 // it for good, with committed commands.
 func TestDisksLostAfterLossesOfMembers(t *testing.T) {
-	for _, tc := range []struct{ size, tolerance int }{{3, 1}, {5, 1}, {5, 2}, {6, 2}, {7, 2}, {9, 2}} {
+	for _, tc := range []struct{ size, tolerance int }{{3, 1}, {5, 1}, {5, 2}, {6, 2}, {7, 2}, {9, 2}, {9, 4}} {
 		for seed := range max(1, *seeds/5) {
 			t.Run(fmt.Sprintf("%d members, %d disks, seed %d", tc.size, tc.tolerance, seed), func(t *testing.T) {
 				t.Parallel()
--- a/internal/consensus/formation.go
+++ b/internal/consensus/formation.go
@@ -300,6 +300,15 @@
 	return !c.isBlank() && c.formsByMajority() && (!c.durable || !c.isFormed())
 }
 
+// noteLeaderOfEarlierIncarnation has a blank member ask the leader that still sends
+// messages to the earlier incarnation in its slot. If the other slots that it knows
+// have lost their state too, nobody else can name the leader.
+func (c *core) noteLeaderOfEarlierIncarnation(m message) {
+	if c.dynamic && c.isBlank() && m.fromLeader() && m.To.Slot == c.id.Slot && m.To.Incarnation != c.id.Incarnation {
+		c.formation.leaderHint = m.From.Slot
+	}
+}
+
 // stepWhileBlank follows a leader until its snapshot arrives. A blank member votes
 // in the epoch that it has granted only, and has a term in that one only.
 func (c *core) stepWhileBlank(m message) {
