--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -86,7 +86,8 @@
 	// FaultTolerance is the number of members of a dynamic group that may lose their
 	// state at the same time without the loss of a committed entry. The group
 	// removes no departed member below 2*FaultTolerance+1 voting members once it
-	// has that many. Default DefaultFaultTolerance.
+	// has that many, and a group that has just been formed accepts no command before
+	// it has. Default DefaultFaultTolerance, without that wait.
 	FaultTolerance int
 }
 
--- a/internal/consensus/disk_loss_test.go
+++ b/internal/consensus/disk_loss_test.go
@@ -147,3 +147,33 @@
 		}
 	}
 }
+
+// Guards against a command that is acknowledged by a group that has just been formed:
+// before its other members have joined, the loss of as many disks as the group
+// tolerates ends it.
+func TestDisksLostAfterFirstCommand(t *testing.T) {
+	for _, tc := range []struct{ size, tolerance, absent int }{{6, 2, 0}, {6, 2, 1}, {5, 1, 0}, {5, 1, 1}, {9, 4, 0}} {
+		for seed := range max(1, *seeds/5) {
+			t.Run(fmt.Sprintf("%d members, %d disks, %d of the seeds absent, seed %d", tc.size, tc.tolerance, tc.absent, seed), func(t *testing.T) {
+				t.Parallel()
+				s := newTolerantSim(uint64(seed), 3, tc.size, tc.tolerance)
+				for _, n := range s.nodes[:tc.absent] {
+					s.crash(n, true)
+				}
+				require.True(t, s.runUntil(func() bool {
+					l := s.leaderOfAny()
+					return l != nil && s.propose(l)
+				}), s.describe())
+				require.True(t, s.runUntil(func() bool {
+					return s.highestCommitted[s.leaderOfAny().core.epoch] > 0 && len(s.leaderOfAny().commands) > 0
+				}), s.describe())
+				for _, n := range s.nodes[tc.absent : tc.absent+tc.tolerance] {
+					s.crash(n, false)
+				}
+				s.run(simStep)
+				s.repairAll()
+				s.requireRecovered(t, 1)
+			})
+		}
+	}
+}
--- a/internal/consensus/forward.go
+++ b/internal/consensus/forward.go
@@ -45,6 +45,7 @@
 	codeBusy       resultCode = 2 // the call had no effect
 	codeStopped    resultCode = 3 // the call had no effect
 	codeUnknown    resultCode = 4 // the call may have taken effect
+	codeTooSmall   resultCode = 5 // the call had no effect; an earlier release reads it as codeUnknown
 )
 
 type proposeRequest struct {
@@ -83,6 +84,8 @@
 		return codeBusy
 	case errors.Is(err, ErrStopped):
 		return codeStopped
+	case errors.Is(err, ErrGroupTooSmall):
+		return codeTooSmall
 	}
 	return codeUnknown
 }
@@ -95,6 +98,8 @@
 		return errNotLeading
 	case codeBusy:
 		return ErrBusy
+	case codeTooSmall:
+		return ErrGroupTooSmall
 	}
 	return ErrUnknownOutcome
 }
--- a/internal/consensus/propose.go
+++ b/internal/consensus/propose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 	"go.uber.org/zap"
 )
 
@@ -46,8 +47,8 @@
 // follower forwards the command to the leader, and returns once its own state
 // machine has applied it, so that its caller reads what it wrote. A follower that
 // lags returns after ElectionTimeout all the same. The error is ErrNotLeader,
-// ErrBusy or ErrStopped if the command was not and will not be committed, and
-// ErrUnknownOutcome otherwise.
+// ErrBusy, ErrGroupTooSmall or ErrStopped if the command was not and will not be
+// committed, and ErrUnknownOutcome otherwise.
 func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	for range maxLeaderAttempts {
 		result, err := g.proposeOnce(ctx, command)
@@ -128,7 +129,7 @@
 	}
 	index, term, ok := g.core.propose(p.command)
 	if !ok {
-		p.finish(nil, errNotLeading)
+		p.finish(nil, lo.Ternary(g.core.role == leader && g.core.awaitsMembers(), ErrGroupTooSmall, errNotLeading))
 		return
 	}
 	g.counters.proposals.Inc()
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -101,9 +101,9 @@
 }
 
 // propose appends a command to the log. It reports false if this member is not
-// the leader or is transferring leadership.
+// the leader, is transferring leadership, or awaits further members.
 func (c *core) propose(command []byte) (index, term uint64, ok bool) {
-	if c.role != leader || c.isTransferring() {
+	if c.role != leader || c.isTransferring() || c.awaitsMembers() {
 		return 0, 0, false
 	}
 	entry := c.appendEntry(Entry{Kind: entryCommand, Data: command})
