--- a/internal/fleetview/follower.go
+++ b/internal/fleetview/follower.go
@@ -312,7 +312,7 @@
 	next := previous.withUpdate(u)
 	f.view.Store(next)
 	f.notifyChanged()
-	if next.Version() != previous.Version() {
+	if next.Routes != previous.Routes {
 		f.options.Log.Info("routing document in force", zap.Uint64("version", next.Version()), zap.Uint64("index", next.Index))
 	}
 	f.options.OnChange(next)
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -46,7 +46,8 @@
 	return targets
 }
 
-// Version returns the version of the routing document, or 0 without one.
+// Version returns the version of the routing document, or 0 without one. 0 is also a
+// valid version: Routes tells whether there is a document.
 func (v *View) Version() uint64 {
 	if v.Routes == nil {
 		return 0
@@ -71,10 +72,10 @@
 }
 
 // withUpdate returns the view after the update. It ignores a routing document
-// whose version is not higher than the current one.
+// whose version is not higher than that of the current one.
 func (v *View) withUpdate(u fleetstate.Update) *View {
 	next := &View{Index: u.Index, Routes: v.Routes}
-	if u.Routing != nil && u.Routing.Document.Version > v.Version() {
+	if u.Routing != nil && (v.Routes == nil || u.Routing.Document.Version > v.Version()) {
 		next.Routes = routing.NewTable(u.Routing.Document)
 	}
 	targets, entries, members := v.Targets, v.Entries, v.Members
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/sequoialane/sequoialane/internal/fleetstate"
 	"github.com/sequoialane/sequoialane/internal/routing"
@@ -69,3 +70,17 @@
 	assert.Empty(t, v.Targets)
 	assert.Equal(t, uint64(6), v.Version())
 }
+
+// Guards against a first routing document that control acknowledges and no entry takes
+// up, because its version is the one of a view without a document.
+func TestFirstDocumentOfVersionZero(t *testing.T) {
+	update := func(index, version uint64) fleetstate.Update {
+		return fleetstate.Update{Index: index, Routing: &fleetstate.Routing{Document: &routing.Document{Version: version}}}
+	}
+	empty := (&View{}).withUpdate(fleetstate.Update{Index: 1})
+	assert.Nil(t, empty.Routes)
+	first := empty.withUpdate(update(2, 0))
+	require.NotNil(t, first.Routes)
+	assert.Same(t, first.Routes, first.withUpdate(update(3, 0)).Routes, "the version is not higher")
+	assert.Equal(t, uint64(1), first.withUpdate(update(4, 1)).Version())
+}
