--- a/internal/fleetcontrol/losses_test.go
+++ b/internal/fleetcontrol/losses_test.go
@@ -44,6 +44,27 @@
 
 func (g *stateGroup) Status() consensus.Status { return g.status }
 
+// Guards against a departure that is acknowledged without effect: of a target that has
+// no record, and that does not state its start, a late announcement would count as
+// newer.
+func TestLeaveOfUnknownTarget(t *testing.T) {
+	m, group := newLossTest(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.batch.run(ctx)
+	late := fleetstate.Target{ID: "t", Service: "s", Address: "10.0.0.7:1", DataCentre: "d", Slots: 1, State: fleetstate.Ready, StartedAtMS: 5}
+	require.ErrorIs(t, m.Leave(ctx, "t", 0), ErrUnknownTarget)
+	require.NoError(t, m.Leave(ctx, "t", 5))
+	require.NoError(t, m.Announce(ctx, late))
+	record, _ := group.stateMachine.Target("t")
+	assert.Equal(t, fleetstate.Gone, record.State)
+	late.ID = "u"
+	require.NoError(t, m.Announce(ctx, late))
+	require.NoError(t, m.Leave(ctx, "u", 0), "its record states the start")
+	record, _ = group.stateMachine.Target("u")
+	assert.Equal(t, fleetstate.Gone, record.State)
+}
+
 const memberAddress = "10.0.0.1:1"
 
 var pollingEntry = fleetstate.Entry{
--- a/internal/fleetcontrol/member.go
+++ b/internal/fleetcontrol/member.go
@@ -44,6 +44,10 @@
 // the routing document does not list.
 var ErrUnknownService = errors.New("fleetcontrol: the service is not in the routing document")
 
+// ErrUnknownTarget is returned if a target that does not state its start leaves and
+// has no record: a late announcement of it could not be told from one of its next start.
+var ErrUnknownTarget = errors.New("fleetcontrol: the target has no record and does not state its start")
+
 // Group is the consensus group that replicates the fleet state.
 type Group interface {
 	Propose(ctx context.Context, command []byte) ([]byte, error)
@@ -245,6 +249,9 @@
 	if ok && record.State == fleetstate.Gone && (startedAtMS == 0 || record.StartedAtMS >= startedAtMS) {
 		return nil
 	}
+	if !ok && startedAtMS == 0 {
+		return ErrUnknownTarget
+	}
 	return m.commitTarget(ctx, fleetstate.Target{ID: id, State: fleetstate.Gone, StartedAtMS: startedAtMS})
 }
 
