--- a/internal/fleetentry/process.go
+++ b/internal/fleetentry/process.go
@@ -138,7 +138,7 @@
 		Fresh: func() bool { return p.follower.FreshWithin(quota.ContactLimit) }, Peers: peers, Now: sys.RealBootClock{}.SinceBoot, Log: log,
 	})
 	broker = grants.New(grants.Options{
-		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View,
+		Self: self, Settings: s.poolSettings(), Regions: s.DataCentres, LowBandwidth: s.lowBandwidth(), View: p.follower.View, Fresh: p.follower.Fresh,
 		Advice: p.advice, Quota: p.quota, Peers: peers, Clock: clock, Log: log,
 	})
 	p.broker = broker
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -55,6 +55,7 @@
 	Regions      map[string]string // region by data centre
 	LowBandwidth bool              // links have little bandwidth, so owners carry no requests of callers
 	View         func() *fleetview.View
+	Fresh        func() bool         // reports whether control has confirmed the view recently; nil: always
 	Advice       *targetadvice.Table // what targets have asked of this entry; may be nil
 	Quota        *quota.Limiter      // nil: tenants have no limits
 	Peers        *peerhttp.Client
@@ -246,14 +247,21 @@
 
 // slackShare returns the share of a group's retry slack that this entry may use: all
 // of it as the owner. Other entries grant only while owners do not respond, which
-// may be many entries at the same time, each cut off from the others.
+// may be many entries at the same time, each cut off from the others. An entry without
+// contact with control is one of them, since another one may own the group by now.
 func (b *Broker) slackShare(group Group) float64 {
 	region := b.options.Self.Region
 	ranked := b.rankedEntries(group, region)
-	if len(ranked) == 0 || ranked[0].Name == b.options.Self.Name {
+	isOwner := len(ranked) > 0 && ranked[0].Name == b.options.Self.Name
+	if isOwner && (b.options.Fresh == nil || b.options.Fresh()) {
 		return 1
 	}
-	return 1 / float64(len(b.options.View().Serving(region)))
+	v := b.options.View()
+	entries := v.Serving(region)
+	if len(entries) == 0 {
+		entries = v.Entries
+	}
+	return 1 / float64(max(len(entries), 1))
 }
 
 // tenantWeight returns the weight of a tenant among the waiting requests: its rate
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -234,6 +234,20 @@
 	assert.GreaterOrEqual(t, float64(granted), owner)
 }
 
+// Guards against an owner that is cut off from control, does not know that another entry
+// owns the group by now, and goes on using the whole slack beside it.
+func TestOwnerWithoutContactSharesTheRetrySlack(t *testing.T) {
+	r := newTestRegion(t, 4, 20)
+	owner := r.brokers[r.owner()]
+	group := Group{Service: "s", Shards: 1}
+	assert.InDelta(t, 1, owner.slackShare(group), 0)
+	fresh := true
+	owner.options.Fresh = func() bool { return fresh }
+	assert.InDelta(t, 1, owner.slackShare(group), 0)
+	fresh = false
+	assert.InDelta(t, 0.25, owner.slackShare(group), 0)
+}
+
 // Guards against evidence that is not sent to other regions.
 func TestEvidenceIsSentToOtherRegions(t *testing.T) {
 	r := newTestRegion(t, 1, 2)
