--- a/internal/fleetentry/settings.go
+++ b/internal/fleetentry/settings.go
@@ -81,12 +81,6 @@
 	bodyMemoryDivisor     = 4
 	responseMemoryDivisor = 16
 	requestMemoryDivisor  = 16
-	// ownerSlackShare and ownerRatioShare are the shares of the allowed slack
-	// and ratio that one owner uses. An owner that takes over starts with its
-	// full slack, so two owners in a row within a window use up the allowed
-	// slack.
-	ownerSlackShare = 0.5
-	ownerRatioShare = 0.8
 )
 
 // DefaultSettings returns the default settings, with names and addresses left
@@ -152,8 +146,8 @@
 func (s *Settings) poolSettings() pool.Settings {
 	regions := len(lo.Uniq(lo.Values(s.DataCentres)))
 	return pool.Settings{
-		RetryRatio:  ownerRatioShare * s.Retries.Ratio,
-		RetrySlack:  ownerSlackShare * s.Retries.Slack / float64(max(regions, 1)),
+		RetryRatio:  s.Retries.Ratio,
+		RetrySlack:  s.Retries.Slack / float64(max(regions, 1)),
 		RetryWindow: s.Retries.Window.Std(),
 		FloorShare:  s.FloorShare,
 		UniformCost: !s.RequestCost,
--- a/internal/fleetentry/settings_test.go
+++ b/internal/fleetentry/settings_test.go
@@ -83,33 +83,40 @@
 	assert.True(t, s.poolSettings().UniformCost)
 }
 
-// Guards against exceeding the allowed retries within a window when a second
-// owner takes over and starts with a new budget.
+// Guards against exceeding the allowed retries within a window when owners take over one
+// after the other, and each starts with a new budget.
 func TestRetryBudgetWhenOwnersChange(t *testing.T) {
 	for _, slack := range []float64{6, 60, 600} {
-		s := DefaultSettings()
-		s.DataCentres = map[string]string{"d": "r"}
-		s.Retries = Retries{Ratio: 0.2, Slack: slack, Window: settings.Duration(10 * time.Second)}
-		clock := sys.NewManualClock(time.Unix(1000, 0))
-		requests, retries := 0, 0
-		for range 2 { // two owners, one after the other
-			p := pool.New(pool.Config{Service: "s", Region: "r", Clock: clock, Settings: s.poolSettings()})
-			p.SetTargets([]fleetstate.Target{{ID: "t", Service: "s", DataCentre: "d", Slots: 10_000, State: fleetstate.Ready, StartedAtMS: 1}}, func(string) string { return "r" })
-			for n := range 3000 {
-				retry := n >= 100
-				_, err := p.Acquire(context.Background(), pool.Request{ID: "q", TimeLeft: time.Second, DataCentre: "d", IsRetry: retry}, 0)
-				switch {
-				case !retry:
-					requests++
-				case err == nil:
-					retries++
-				}
+		for _, owners := range []int{2, 3, 8} {
+			testRetryBudgetWhenOwnersChange(t, slack, owners)
+		}
+	}
+}
+
+func testRetryBudgetWhenOwnersChange(t *testing.T, slack float64, owners int) {
+	t.Helper()
+	s := DefaultSettings()
+	s.DataCentres = map[string]string{"d": "r"}
+	s.Retries = Retries{Ratio: 0.2, Slack: slack, Window: settings.Duration(10 * time.Second)}
+	clock := sys.NewManualClock(time.Unix(1000, 0))
+	requests, retries := 0, 0
+	for range owners { // one after the other
+		p := pool.New(pool.Config{Service: "s", Region: "r", Clock: clock, Settings: s.poolSettings()})
+		p.SetTargets([]fleetstate.Target{{ID: "t", Service: "s", DataCentre: "d", Slots: 10_000, State: fleetstate.Ready, StartedAtMS: 1}}, func(string) string { return "r" })
+		for n := range 3000 {
+			retry := n >= 100
+			_, err := p.Acquire(context.Background(), pool.Request{ID: "q", TimeLeft: time.Second, DataCentre: "d", IsRetry: retry}, 0)
+			switch {
+			case !retry:
+				requests++
+			case err == nil:
+				retries++
 			}
-			clock.Advance(time.Second)
 		}
-		assert.LessOrEqual(t, float64(retries), s.Retries.Ratio*float64(requests)+slack, "slack %g", slack)
-		assert.Positive(t, retries)
+		clock.Advance(time.Second)
 	}
+	assert.LessOrEqual(t, float64(retries), s.Retries.Ratio*float64(requests)+slack, "slack %g, %d owners", slack, owners)
+	assert.Positive(t, retries)
 }
 
 // Guards against an entry that is ready and rejects every request with a key, and against
--- a/internal/grants/credit.go
+++ b/internal/grants/credit.go
@@ -26,8 +26,10 @@
 		return pool.Grant{}, err
 	}
 	wait = max(wait-b.options.Clock.Now().Sub(started), minPoolWait)
-	r.SlackShare, r.Weight = b.slackShare(group), b.tenantWeight(r.Tenant)
-	g, err := b.pool(group).Acquire(ctx, r, wait)
+	r.Weight = b.tenantWeight(r.Tenant)
+	p := b.pool(group)
+	p.SetSlackShare(b.slackShare(group))
+	g, err := p.Acquire(ctx, r, wait)
 	if err != nil {
 		permit.Return()
 		return pool.Grant{}, err
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -161,6 +161,7 @@
 	defer b.mu.Unlock()
 	for group, p := range b.pools {
 		b.updateTargets(p, group, v)
+		p.SetSlackShare(b.slackShare(group))
 		p.DropGrants(gone)
 	}
 }
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -54,6 +54,15 @@
 	return r
 }
 
+// useManualClock gives all brokers a clock that stands still.
+func (r *testRegion) useManualClock() *sys.ManualClock {
+	clock := sys.NewManualClock(time.Unix(1_700_000_000, 0))
+	for _, b := range r.brokers {
+		b.options.Clock = clock
+	}
+	return clock
+}
+
 func (r *testRegion) owner() int {
 	name := r.view.Rank("s", "r")[0].Name
 	var n int
@@ -176,6 +185,13 @@
 // Guards against groups that each use the full slack of the retry budget.
 func TestGroupsShareTheRetrySlack(t *testing.T) {
 	r := newTestRegion(t, 1, 64)
+	clock := r.useManualClock()
+	for n := range 320 { // 64 requests in a window
+		l, err := r.brokers[0].Acquire(context.Background(), "s", request(fmt.Sprint("first", n)), 20*time.Millisecond)
+		require.NoError(t, err)
+		l.Release(pool.Outcome{Kind: pool.OK})
+		clock.Advance(pool.DefaultSettings().RetryWindow / 64)
+	}
 	granted := 0
 	for n := range 200 {
 		retry := request(fmt.Sprint("q", n))
@@ -213,10 +229,16 @@
 func TestCutOffEntriesShareTheRetrySlack(t *testing.T) {
 	const entries = 8
 	r := newTestRegion(t, entries, 20)
+	clock := r.useManualClock()
 	for _, server := range r.servers {
 		server.CloseClientConnections()
 		server.Close()
 	}
+	for _, b := range r.brokers {
+		_, err := b.Acquire(context.Background(), "s", request("first"), time.Second)
+		require.NoError(t, err)
+	}
+	clock.Advance(time.Hour)
 	granted := 0
 	for _, b := range r.brokers {
 		var err error
@@ -229,9 +251,8 @@
 		}
 		require.ErrorIs(t, err, pool.ErrBudget)
 	}
-	owner, others := pool.DefaultSettings().RetrySlack, pool.DefaultSettings().RetrySlack
-	assert.LessOrEqual(t, float64(granted), owner+others)
-	assert.GreaterOrEqual(t, float64(granted), owner)
+	assert.LessOrEqual(t, float64(granted), pool.DefaultSettings().RetrySlack)
+	assert.GreaterOrEqual(t, float64(granted), 0.3*pool.DefaultSettings().RetrySlack, "the owner has its part")
 }
 
 // Guards against an owner that is cut off from control, does not know that another entry
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -62,7 +62,7 @@
 		}
 	}
 	worthWaiting := !r.AcceptAny && bestCost > full+waitAdvantage
-	if worthWaiting || r.IsRetry && !p.budget.allows(now, r.SlackShare) {
+	if worthWaiting || r.IsRetry && !p.credit.allows(now) {
 		c.target = nil
 	}
 	return c
@@ -102,7 +102,7 @@
 // hedgeDelay returns the time after which a granted request should be hedged. The
 // expected wait for a slot of its target is no delay of the response.
 func (p *Pool) hedgeDelay(l *lease, now time.Time) time.Duration {
-	plentiful := p.budget.spentShare(now) < hedgeBudgetShare
+	plentiful := p.credit.spentShare(now) < hedgeBudgetShare
 	delay := p.durations.hedgeDelayOf(l.request.Route, l.cost.Factor, plentiful)
 	if p.cfg.Settings.UniformCost {
 		return delay // the durations include the wait
@@ -110,12 +110,12 @@
 	return delay + time.Duration(l.wait)
 }
 
-// countGrant records a grant in the retry budget. A rejected request that asks
+// countGrant records a grant in the retry credit. A rejected request that asks
 // again is counted only once, when it is granted.
 func (p *Pool) countGrant(r Request, now time.Time) {
 	if r.IsRetry {
-		p.budget.recordRetry(now)
+		p.credit.recordRetry(now)
 		return
 	}
-	p.budget.recordFirst(now)
+	p.credit.recordFirst(now)
 }
--- a/internal/pool/cost.go
+++ b/internal/pool/cost.go
@@ -99,7 +99,7 @@
 // currentRetryableWeight returns the cost of a failure of a retryable request,
 // which depends on how much of the retry budget is left.
 func (p *Pool) currentRetryableWeight(now time.Time) float64 {
-	shortage := max(0, p.budget.spentShare(now)-discountBudgetShare) / (1 - discountBudgetShare)
+	shortage := max(0, p.credit.spentShare(now)-discountBudgetShare) / (1 - discountBudgetShare)
 	return minRetryableWeight + (1-minRetryableWeight)*shortage
 }
 
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -60,7 +60,7 @@
 		e.Targets = append(e.Targets, p.explainTarget(t, c, risk, now))
 	})
 	e.RunTimeMS, e.RouteFactor, e.ResponseBytes = inMilliseconds(chosen.expected.RunTime), chosen.expected.Factor, chosen.expected.Bytes
-	e.Waiting, e.RetryBudget = len(p.waiters), p.budget.spentShare(now)
+	e.Waiting, e.RetryBudget = len(p.waiters), p.credit.spentShare(now)
 	e.Excluded = len(p.targets) - len(e.Targets)
 	if chosen.target != nil {
 		e.Target = chosen.target.record.ID
--- a/internal/pool/explain_test.go
+++ b/internal/pool/explain_test.go
@@ -23,9 +23,9 @@
 		q := newRequest()
 		q.Tenant, q.Retryable, q.AcceptAny = fmt.Sprint(n%3), n%2 == 0, true
 		e := r.Explain(q)
-		leases, firsts := len(r.leases), len(r.budget.firsts)
+		leases, firsts := len(r.leases), len(r.credit.firsts)
 		require.Equal(t, e.Target, r.Explain(q).Target)
-		require.Equal(t, []int{leases, firsts, 0}, []int{len(r.leases), len(r.budget.firsts), len(r.waiters)}, "it changes nothing")
+		require.Equal(t, []int{leases, firsts, 0}, []int{len(r.leases), len(r.credit.firsts), len(r.waiters)}, "it changes nothing")
 		require.LessOrEqual(t, len(e.Targets), maxExplained)
 		for _, target := range e.Targets {
 			require.InDelta(t, target.Cost, target.FailureCost+target.OccupancyCost+target.TimeCost+target.BytesCost+target.FloorCost, 1e-9)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -51,7 +51,7 @@
 	reportedCosts map[string]reportedCost
 	failingShare  failingShare
 	weights       decayWeights
-	budget        budget
+	credit        retryCredit
 	floorBreached bool // too few healthy targets got requests recently
 	// retryableWeight is the cost of a failure of a retryable request. A failure
 	// of any other request costs 1.
@@ -104,7 +104,7 @@
 		idleReports:  map[string]idleReport{},
 		durations:    durations{routes: work.Routes(), service: work.Service()},
 		failingShare: failingShare{value: initialFailingShare},
-		budget:       budget{ratio: s.RetryRatio, slack: s.RetrySlack, window: s.RetryWindow},
+		credit:       newRetryCredit(s, cfg.Clock.Now()),
 		granted:      metrics.GetOrCreateCounter("sequoialane_pool_granted_total" + labels),
 		reordered:    metrics.GetOrCreateCounter("sequoialane_pool_reordered_total" + labels),
 		busy:         metrics.GetOrCreateCounter("sequoialane_pool_busy_total" + labels),
@@ -135,6 +135,14 @@
 	p.dispatch(now)
 }
 
+// SetSlackShare sets the part of the retry slack that this pool may use: all of it if
+// this entry owns the group.
+func (p *Pool) SetSlackShare(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.credit.setSlackShare(share, p.cfg.Clock.Now())
+}
+
 // Acquire grants a target, waiting for capacity for at most maxWait. It returns
 // ErrBusy if maxWait or ctx ends first, and ErrNoTarget or ErrBudget at once.
 func (p *Pool) Acquire(ctx context.Context, r Request, maxWait time.Duration) (Grant, error) {
@@ -165,7 +173,7 @@
 	if !lo.SomeBy(p.targets, func(t *target) bool { return t.isEligible(r, now) }) {
 		return Grant{}, nil, ErrNoTarget
 	}
-	if r.IsRetry && !p.budget.allows(now, r.SlackShare) {
+	if r.IsRetry && !p.credit.allows(now) {
 		p.budgetSpent.Inc()
 		return Grant{}, nil, ErrBudget
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -148,19 +149,43 @@
 
 // Guards against more retries than the retry budget allows.
 func TestRetryBudget(t *testing.T) {
-	r := newTestPool(8, 100)
-	for range 10 {
-		r.mustAcquire(t, newRequest())
-	}
+	const step, perWindow = 100 * time.Millisecond, 100
+	r := newTestPool(8, 1000)
 	retry := newRequest()
 	retry.IsRetry = true
-	for range 4 { // ratio 0.2 of 10 requests, and a slack of 2
-		r.mustAcquire(t, retry)
+	var granted []int // in each step
+	retryWhileAllowed := func() int {
+		for n := 0; ; n++ {
+			if _, err := r.Acquire(context.Background(), retry, 0); err != nil {
+				require.ErrorIs(t, err, ErrBudget)
+				return n
+			}
+		}
+	}
+	assert.Zero(t, retryWhileAllowed(), "what its predecessor has spent is not known")
+	for range 4 * perWindow {
+		r.mustAcquire(t, newRequest())
+		granted = append(granted, retryWhileAllowed())
+		r.clock.Advance(step)
+	}
+	for from := range len(granted) - perWindow {
+		assert.LessOrEqual(t, lo.Sum(granted[from:from+perWindow]), perWindow/5+2, "ratio 0.2 of the requests, and a slack of 2")
+	}
+	assert.GreaterOrEqual(t, lo.Sum(granted[perWindow:2*perWindow]), perWindow/10, "half of the ratio at least is granted all the time")
+	for range 2 * perWindow {
+		r.mustAcquire(t, newRequest())
+		r.clock.Advance(step)
+	}
+	burst := retryWhileAllowed()
+	assert.GreaterOrEqual(t, burst, 8, "credit is kept for retries that come at once")
+	assert.LessOrEqual(t, burst, perWindow/5+2)
+}
+
+// earnCredit gives the pool the credit of a pool that has granted requests for long.
+func (r *testPool) earnCredit() {
+	for range 100 {
+		r.credit.recordFirst(r.clock.Now())
 	}
-	_, err := r.Acquire(context.Background(), retry, 0)
-	assert.ErrorIs(t, err, ErrBudget)
-	r.clock.Advance(11 * time.Second)
-	r.mustAcquire(t, retry)
 }
 
 // Guards against a request that asks again while all targets are busy and is
@@ -174,7 +199,7 @@
 		_, err := r.Acquire(context.Background(), newRequest(), 0)
 		require.ErrorIs(t, err, ErrBusy)
 	}
-	assert.Len(t, r.budget.firsts, 1+queuePerTarget)
+	assert.Len(t, r.credit.firsts, 1+queuePerTarget)
 }
 
 // Guards against a second attempt of a request on the same target.
@@ -338,12 +363,13 @@
 		{ID: "far", Service: "s", Address: "10.0.0.2:80", DataCentre: "far", Slots: 9, State: fleetstate.Ready, StartedAtMS: 1},
 	}, func(dataCentre string) string { return map[string]string{"d": "r", "far": "r2"}[dataCentre] })
 	r.Merge(Report{Region: "r2", Targets: []TargetEstimate{{Target: "failing", FailingProbability: 0.9}, {Target: "far", FailingProbability: 0}}})
+	r.earnCredit()
 	retryable := newRequest()
 	retryable.Retryable = true
 	assert.Equal(t, "failing", r.mustAcquire(t, retryable).Target, "a retry costs less than bytes between regions")
 	retry := newRequest()
 	retry.IsRetry = true
-	for r.budget.allows(r.clock.Now(), 1) {
+	for r.credit.allows(r.clock.Now()) {
 		r.mustAcquire(t, retry)
 	}
 	assert.Equal(t, "far", r.mustAcquire(t, retryable).Target, "no retry is left")
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -48,9 +48,6 @@
 	// Weight is the weight of the tenant in the order of waiting requests; 0 counts as
 	// 1. It is not sent to other processes.
 	Weight float64 `json:"-" cbor:"-"`
-	// SlackShare is the share of the retry slack that the request may draw on; 0: all
-	// of it. It is not sent to other processes.
-	SlackShare float64 `json:"-" cbor:"-"`
 }
 
 // LeaseTime returns for how long the grant of the request lasts at most.
@@ -111,8 +108,9 @@
 
 // Settings of a pool.
 type Settings struct {
-	// RetryRatio is the ratio of retries to first attempts allowed in a sliding
-	// window of RetryWindow. RetrySlack is the number of retries allowed on top.
+	// RetryRatio is the ratio of retries to requests allowed in a sliding window of
+	// RetryWindow, over all pools of the same requests. RetrySlack is the number of
+	// retries allowed on top.
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
