--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -110,12 +110,13 @@
 	return delay + time.Duration(l.wait)
 }
 
-// countGrant records a grant in the retry credit. A rejected request that asks
-// again is counted only once, when it is granted.
+// countGrant records a grant in the retry credit. A request earns credit once, with its
+// first grant.
 func (p *Pool) countGrant(r Request, now time.Time) {
-	if r.IsRetry {
+	switch {
+	case r.IsRetry:
 		p.credit.recordRetry(now)
-		return
+	case !r.Charged:
+		p.credit.recordFirst(now)
 	}
-	p.credit.recordFirst(now)
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// Guards against credit for each grant of a request whose earlier grants were not used.
+func TestRequestEarnsCreditOnce(t *testing.T) {
+	r := newTestPool(8, 100)
+	r.mustAcquire(t, newRequest())
+	again := newRequest()
+	again.Charged = true
+	r.mustAcquire(t, again)
+	assert.Len(t, r.credit.firsts, 1)
+}
+
 // Guards against a request that asks again while all targets are busy and is
 // counted several times, which would raise the retry budget.
 func TestRejectedRequestsAreNotCounted(t *testing.T) {
--- a/internal/pool/types.go
+++ b/internal/pool/types.go
@@ -43,7 +43,7 @@
 	IsRetry    bool          `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`  // an earlier attempt was sent, so the retry budget applies
 	Call       uint64        `json:"call,omitempty" cbor:"14,keyasint,omitempty"`    // of the calls of the sender, the one for this grant; 0: it cannot be withdrawn
 	Tenant     string        `json:"tenant,omitempty" cbor:"15,keyasint,omitempty"`  // empty: the request carries no key
-	Charged    bool          `json:"charged,omitempty" cbor:"16,keyasint,omitempty"` // an earlier grant of the request has used credit of its tenant
+	Charged    bool          `json:"charged,omitempty" cbor:"16,keyasint,omitempty"` // the request has had an earlier grant, which counts
 	Path       uint32        `json:"path,omitempty" cbor:"17,keyasint,omitempty"`    // hash of the path segment after the prefix of the route; 0: none
 	// Weight is the weight of the tenant in the order of waiting requests; 0 counts as
 	// 1. It is not sent to other processes.
