--- a/internal/consensus/disk_loss_test.go
+++ b/internal/consensus/disk_loss_test.go
@@ -50,13 +50,7 @@
 // stop ends a member as Group.Leave and Stop do.
 func (r *diskLossRun) stop(n *simNode) {
 	for deadline := r.s.now.Add(simLeaveLimit); r.s.now.Before(deadline); r.s.run(simStep) {
-		n.core.tick(r.s.now)
-		if n.core.role == leader {
-			n.core.startTransfer()
-		} else if !n.core.isTransferring() {
-			n.core.startLeave()
-		}
-		r.s.processReady(n)
+		r.s.proceedToLeave(n)
 		if n.core.leave.decision != leaveUndecided {
 			break
 		}
--- a/internal/consensus/replacement_sim_test.go
+++ b/internal/consensus/replacement_sim_test.go
@@ -202,19 +202,24 @@
 	})
 }
 
+// proceedToLeave does a step of Group.Leave: a leader transfers its leadership first.
+func (s *sim) proceedToLeave(n *simNode) {
+	n.core.tick(s.now)
+	if n.core.role == leader {
+		n.core.startTransfer()
+	} else if !n.core.isTransferring() {
+		n.core.startLeave()
+	}
+	s.processReady(n)
+}
+
 // leave stops a member as Group.Leave and Stop do.
 func (r *replacementRun) leave(n *simNode, stopped func()) {
 	deadline := r.s.now.Add(simLeaveLimit)
 	r.leaving[n] = true
 	var proceed func()
 	proceed = func() {
-		n.core.tick(r.s.now)
-		if n.core.role == leader {
-			n.core.startTransfer()
-		} else if !n.core.isTransferring() {
-			n.core.startLeave()
-		}
-		r.s.processReady(n)
+		r.s.proceedToLeave(n)
 		if n.core.leave.decision != leaveUndecided || !r.s.now.Before(deadline) {
 			r.log("%s stops (decision %v)", n.slot, n.core.leave.decision)
 			delete(r.leaving, n)
