--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,7 @@
 	stream        io.Reader // rest of the body; nil if all is buffered
 	length        int64     // bytes; -1 if unknown
 	streamStarted atomic.Bool
+	reading       sync.Mutex                  // held during each read of the stream
 	readErr       atomic.Pointer[fault.Error] // error that ended the stream early
 	release       func()                      // gives back the memory of the buffer; may be nil
 }
@@ -129,6 +131,17 @@
 	return &streamReader{body: b, source: io.MultiReader(bytes.NewReader(b.buffered), b.stream)}
 }
 
+// streamError returns the error that ended the stream early, or nil. net/http
+// cancels the context of a request whose body cannot be read before the read
+// returns, so after a cancellation it waits for the end of the read.
+func (b *body) streamError(ctx context.Context) *fault.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		b.reading.Lock()
+		defer b.reading.Unlock()
+	}
+	return b.readErr.Load()
+}
+
 // streamReader records the first read and the read error of a streamed body.
 type streamReader struct {
 	body   *body
@@ -136,6 +149,8 @@
 }
 
 func (s *streamReader) Read(p []byte) (int, error) {
+	s.body.reading.Lock()
+	defer s.body.reading.Unlock()
 	s.body.streamStarted.Store(true)
 	n, err := s.source.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/internal/entry/callerapi_test.go
+++ b/internal/entry/callerapi_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -146,6 +150,43 @@
 	assert.Equal(t, fault.Unknown, fault.Decode(raw).Effect)
 }
 
+// stalledBody sends its data and then fails like a body of net/http whose read
+// deadline has passed: the context of the request is canceled before Read returns.
+type stalledBody struct {
+	data   io.Reader
+	cancel context.CancelFunc
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	n, err := b.data.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	b.cancel()
+	time.Sleep(50 * time.Millisecond)
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against an error that names the deadline or the owner as the cause, if the
+// canceled context of a stalled request is noticed before the error of its body.
+func TestStalledBodyNoticedByContextFirst(t *testing.T) {
+	c := newCluster(t, "north", "north", "north")
+	c.addTarget(t, "north", echo)
+	for rank, n := range c.ranked("north") {
+		ctx, cancel := context.WithCancel(t.Context())
+		body := &stalledBody{data: strings.NewReader(strings.Repeat("x", 2*maxBufferedBody)), cancel: cancel}
+		r := httptest.NewRequestWithContext(ctx, http.MethodPut, "/s/consents/uploads", body)
+		r.ContentLength = 4 * maxBufferedBody
+		r.Header.Set("Authorization", "Bearer "+testToken)
+		w := httptest.NewRecorder()
+		n.CallerHandler().ServeHTTP(w, r)
+		got := fault.Decode(w.Body.Bytes())
+		assert.Equal(t, http.StatusBadGateway, w.Code, "rank %d: %s", rank, w.Body)
+		assert.Equal(t, fault.OutcomeUnknown, got.Kind, "rank %d", rank)
+		assert.Equal(t, fault.Unknown, got.Effect, "rank %d", rank)
+	}
+}
+
 // Guards against an isolated entry, whose plans may be outdated, serving requests.
 func TestIsolatedEntryRejectsRequests(t *testing.T) {
 	c := newCluster(t, "north")
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -121,7 +121,7 @@
 // terminalError returns the error to respond with if the request cannot be
 // retried, or nil if it can.
 func (e *Entry) terminalError(ctx context.Context, q *request, peerErr *peerError) *errorResponse {
-	if readErr := q.body.readErr.Load(); readErr != nil {
+	if readErr := q.body.streamError(ctx); readErr != nil {
 		return newErrorResponse(readErr)
 	}
 	if !e.clock.Now().Before(q.deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/entry/runlocal.go
+++ b/internal/entry/runlocal.go
@@ -43,7 +43,7 @@
 	req.ID = e.ids.acquire(q.id, q.fingerprint())
 	result := e.runner.Run(ctx, dispatch.NewScheduler(s.service), req)
 	countRequest(sideLocal, resultOutcome(result))
-	resp, errResp := e.toResponse(q, result)
+	resp, errResp := e.toResponse(ctx, q, result)
 	if resp == nil {
 		e.ids.release(req.ID)
 		return nil, errResp
@@ -89,9 +89,9 @@
 }
 
 // toResponse converts a dispatch result to a response or an error.
-func (e *Entry) toResponse(q *request, result dispatch.Result) (*Response, *errorResponse) {
+func (e *Entry) toResponse(ctx context.Context, q *request, result dispatch.Result) (*Response, *errorResponse) {
 	if result.Err != nil {
-		if readErr := q.body.readErr.Load(); readErr != nil && !result.ClaimChecked {
+		if readErr := q.body.streamError(ctx); readErr != nil && !result.ClaimChecked {
 			return nil, newErrorResponse(readErr)
 		}
 		return nil, &errorResponse{err: result.Err, claimChecked: result.ClaimChecked}
@@ -207,7 +207,7 @@
 	}
 	resp, errResp, peerErr := e.forward(ctx, to, q, modeRun, "")
 	if peerErr != nil {
-		if readErr := q.body.readErr.Load(); readErr != nil {
+		if readErr := q.body.streamError(ctx); readErr != nil {
 			return nil, newErrorResponse(readErr)
 		}
 		return nil, newErrorResponse(ownerUnreachable(peerErr.sent))
