--- a/internal/entry/callerapi_test.go
+++ b/internal/entry/callerapi_test.go
@@ -150,8 +150,9 @@
 	assert.Equal(t, fault.Unknown, fault.Decode(raw).Effect)
 }
 
-// stalledBody sends its data and then fails like a body of net/http whose read
-// deadline has passed: the context of the request is canceled before Read returns.
+// stalledBody sends its data, waits until the owner must have acknowledged the
+// request, and then fails like a body of net/http whose read deadline has passed:
+// the context of the request is canceled before Read returns.
 type stalledBody struct {
 	data   io.Reader
 	cancel context.CancelFunc
@@ -162,24 +163,36 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
+	time.Sleep(ackTimeout)
 	b.cancel()
 	time.Sleep(50 * time.Millisecond)
 	return 0, os.ErrDeadlineExceeded
 }
 
+func newStalledUpload(t *testing.T) *http.Request {
+	ctx, cancel := context.WithCancel(t.Context())
+	body := &stalledBody{data: strings.NewReader(strings.Repeat("x", 2*maxBufferedBody)), cancel: cancel}
+	r := httptest.NewRequestWithContext(ctx, http.MethodPut, "/s/consents/uploads", body)
+	r.ContentLength = 4 * maxBufferedBody
+	return r
+}
+
+// serveTestCaller has the node serve a request without a server, so that a test
+// decides when its context ends.
+func (n *node) serveTestCaller(r *http.Request) *httptest.ResponseRecorder {
+	r.Header.Set("Authorization", "Bearer "+testToken)
+	w := httptest.NewRecorder()
+	n.CallerHandler().ServeHTTP(w, r)
+	return w
+}
+
 // Guards against an error that names the deadline or the owner as the cause, if the
 // canceled context of a stalled request is noticed before the error of its body.
 func TestStalledBodyNoticedByContextFirst(t *testing.T) {
 	c := newCluster(t, "north", "north", "north")
 	c.addTarget(t, "north", echo)
 	for rank, n := range c.ranked("north") {
-		ctx, cancel := context.WithCancel(t.Context())
-		body := &stalledBody{data: strings.NewReader(strings.Repeat("x", 2*maxBufferedBody)), cancel: cancel}
-		r := httptest.NewRequestWithContext(ctx, http.MethodPut, "/s/consents/uploads", body)
-		r.ContentLength = 4 * maxBufferedBody
-		r.Header.Set("Authorization", "Bearer "+testToken)
-		w := httptest.NewRecorder()
-		n.CallerHandler().ServeHTTP(w, r)
+		w := n.serveTestCaller(newStalledUpload(t))
 		got := fault.Decode(w.Body.Bytes())
 		assert.Equal(t, http.StatusBadGateway, w.Code, "rank %d: %s", rank, w.Body)
 		assert.Equal(t, fault.OutcomeUnknown, got.Kind, "rank %d", rank)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -22,9 +22,10 @@
 
 // peerError is returned if a peer sent no complete response.
 type peerError struct {
-	cause     error
-	sent      bool // the peer may have received the request
-	connected bool // a connection to the peer was established
+	cause      error
+	sent       bool // the peer may have received the request
+	connected  bool // a connection to the peer was established
+	callerLeft bool // the caller ended the request, so the error says nothing about the peer
 }
 
 func (h *peerError) Error() string { return "entry: no response from peer: " + h.cause.Error() }
@@ -68,7 +69,8 @@
 	result := p.roundTrip(ctx, r)
 	if result.err != nil {
 		stop()
-		return nil, nil, &peerError{cause: result.err, sent: result.sent, connected: result.sent}, result.reused
+		peerErr := &peerError{cause: result.err, sent: result.sent, connected: result.sent, callerLeft: result.callerLeft}
+		return nil, nil, peerErr, result.reused
 	}
 	end := func() {
 		_ = result.response.Body.Close()
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -154,6 +155,58 @@
 	assert.False(t, from.peers.get(ranked[0].self.PeerAddress).avoided(from.clock.Now()), "the owner must not be marked as avoided")
 }
 
+// Guards against requests going to the second owner because a caller has
+// disconnected, or its upload has stalled, while the first owner ran its request.
+func TestLostCallerDoesNotAvoidOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		request func(t *testing.T, arrived <-chan struct{}) *http.Request
+	}{
+		{"caller disconnects", newAbandonedRequest},
+		{"upload stalls", func(t *testing.T, _ <-chan struct{}) *http.Request { return newStalledUpload(t) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t, "north", "north", "north")
+			arrived := make(chan struct{}, 1)
+			c.addTarget(t, "north", func(_ http.ResponseWriter, r *http.Request) {
+				arrived <- struct{}{}
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			})
+			ranked := c.ranked("north")
+			owner, from := ranked[0], ranked[2]
+			from.serveTestCaller(tc.request(t, arrived))
+			assert.False(t, from.peers.get(owner.self.PeerAddress).avoided(from.clock.Now()))
+		})
+	}
+}
+
+// Guards against a region getting no more spilled requests because the caller of one
+// has disconnected.
+func TestLostCallerDoesNotPauseSpill(t *testing.T) {
+	c := newCluster(t, "north", "south")
+	arrived := make(chan struct{}, 1)
+	c.addTarget(t, "south", func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	from := c.ranked("north")[0]
+	from.serveTestCaller(newAbandonedRequest(t, arrived))
+	assert.False(t, from.spillPauses.paused(testService, "south", from.clock.Now()))
+}
+
+// newAbandonedRequest returns a request whose caller disconnects once it has arrived
+// at a target and its owner must have acknowledged it.
+func newAbandonedRequest(t *testing.T, arrived <-chan struct{}) *http.Request {
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		time.Sleep(ackTimeout)
+		cancel()
+	}()
+	return httptest.NewRequestWithContext(ctx, http.MethodGet, "/s/consents/slow", nil)
+}
+
 // Guards against a region without targets rejecting requests that another region
 // can run, and against spilled requests being spilled again between regions.
 func TestSpillToOtherRegion(t *testing.T) {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -117,19 +117,20 @@
 
 // roundTripResult is the result of one request to a peer.
 type roundTripResult struct {
-	response *http.Response
-	cancel   context.CancelCauseFunc
-	err      error
-	reused   bool // the connection had been used before
-	sent     bool // bytes of the request may have reached the peer
+	response   *http.Response
+	cancel     context.CancelCauseFunc
+	err        error
+	reused     bool // the connection had been used before
+	sent       bool // bytes of the request may have reached the peer
+	callerLeft bool // the caller ended the request, which the peer had acknowledged
 }
 
 // roundTrip sends a request to the peer and cancels it if it is not acknowledged
 // in time. A request with a body has no GetBody, so net/http does not retry it
 // by itself.
-func (p *peer) roundTrip(ctx context.Context, r *http.Request) roundTripResult {
+func (p *peer) roundTrip(callerCtx context.Context, r *http.Request) roundTripResult {
 	transport := p.transport.Load()
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(callerCtx)
 	watchdog := &ackWatchdog{cancel: cancel}
 	result := roundTripResult{cancel: cancel}
 	var connected, acked atomic.Bool
@@ -154,8 +155,11 @@
 		result.err = cause
 		countSilentPeer(result.reused)
 	}
-	// The other idle connections are likely to fail in the same way.
-	p.replaceTransport(transport)
+	result.callerLeft = acked.Load() && errors.Is(callerCtx.Err(), context.Canceled)
+	if !result.callerLeft {
+		// The other idle connections are likely to fail in the same way.
+		p.replaceTransport(transport)
+	}
 	cancel(nil)
 	result.sent = connected.Load()
 	return result
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -77,6 +77,9 @@
 	if peerErr == nil {
 		return resp, errResp, nil
 	}
+	if peerErr.callerLeft {
+		return nil, nil, peerErr
+	}
 	if !peerMayBeAlive(peerErr) || !q.body.replayable() || ctx.Err() != nil {
 		e.markAvoided(owner)
 		return nil, nil, peerErr
--- a/internal/entry/runlocal.go
+++ b/internal/entry/runlocal.go
@@ -176,6 +176,9 @@
 		spilledRequests.Inc()
 		return resp, nil
 	}
+	if peerErr != nil && peerErr.callerLeft {
+		return nil, newErrorResponse(ownerUnreachable(true))
+	}
 	e.spillPauses.pause(q.service, region, e.clock.Now().Add(spillPause))
 	if peerErr != nil && peerErr.sent {
 		return nil, newErrorResponse(ownerUnreachable(true))
