--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -87,7 +88,8 @@
 	// state at the same time without the loss of a committed entry. The group
 	// removes no departed member below 2*FaultTolerance+1 voting members once it
 	// has that many, and a group that has just been formed accepts no command before
-	// it has. Default DefaultFaultTolerance, without that wait.
+	// it has, for a limited time. Default DefaultFaultTolerance; the wait is then for
+	// the members that form the group only.
 	FaultTolerance int
 }
 
@@ -154,6 +156,15 @@
 	return nil
 }
 
+// awaitedTolerance returns the number of lost members that a group that has just been
+// formed must bear before it accepts commands.
+func (c Config) awaitedTolerance() int {
+	if !c.Dynamic {
+		return 0
+	}
+	return cmp.Or(c.FaultTolerance, (len(c.Members)-1)/2)
+}
+
 func (c Config) slots() []string {
 	slots := make([]string, 0, len(c.Members))
 	for _, member := range c.Members {
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -32,7 +32,7 @@
 	shortFirstElection bool     // vote and campaign soon after a start; safe only if no read relies on a lease
 	bootstrap          bool     // with dynamic set: this member may take part in forming the group
 	faultTolerance     int      // with dynamic set: members that may lose their state at the same time
-	awaitTolerance     bool     // accept no command before the group bears the loss of faultTolerance members
+	awaitedTolerance   int      // lost members that a group that has just been formed must bear before it accepts commands
 	durable            bool     // disk group: state survives restarts; false: memory group, which may form a new epoch
 	heartbeatInterval  time.Duration
 	electionTimeout    time.Duration
--- a/internal/consensus/disk_loss_test.go
+++ b/internal/consensus/disk_loss_test.go
@@ -171,3 +171,33 @@
 		}
 	}
 }
+
+// Guards against a command that is acknowledged by two of three seeds, while the third
+// is late, in a group without a stated tolerance: if both end before it has joined, one
+// of them and the late seed are no majority.
+func TestSeedsLostAfterFirstCommand(t *testing.T) {
+	for seed := range *seeds {
+		s := newDynamicSim(uint64(seed), 3, 3, true)
+		first, late, last := s.nodes[0], s.nodes[1], s.nodes[2]
+		s.crash(late, true)
+		require.True(t, s.runUntil(func() bool { return s.leader() != nil }), s.describe())
+		startAt := s.now.Add(time.Duration(s.random.Int64N(int64(3 * simElectionTimeout))))
+		require.True(t, s.runUntil(func() bool {
+			if late.core == nil && s.now.After(startAt) {
+				s.start(late)
+			}
+			if l := s.leader(); l != nil {
+				s.propose(l)
+			}
+			return len(first.commands) > 0 || len(last.commands) > 0
+		}), s.describe())
+		s.crash(first, true)
+		s.crash(last, true)
+		s.run(simElectionTimeout)
+		s.start(first)
+		if late.core == nil {
+			s.start(late)
+		}
+		s.requireRecovered(t, 1)
+	}
+}
--- a/internal/consensus/fault_tolerance.go
+++ b/internal/consensus/fault_tolerance.go
@@ -38,8 +38,8 @@
 // joined the group: with the loss of as many members as it is to tolerate, it would
 // lose them.
 func (c *core) awaitsMembers() bool {
-	if !c.awaitTolerance || c.now.Sub(c.start) >= growthElectionTimeouts*c.electionTimeout {
+	if c.now.Sub(c.start) >= growthElectionTimeouts*c.electionTimeout {
 		return false
 	}
-	return c.config.toleratedLosses() < c.faultTolerance
+	return c.config.toleratedLosses() < c.awaitedTolerance
 }
--- a/internal/consensus/formation_faults_test.go
+++ b/internal/consensus/formation_faults_test.go
@@ -37,7 +37,8 @@
 // Guards against a group of two seeds that ends with the return of a third one
 // that was down all the while.
 func TestLateSeedJoins(t *testing.T) {
-	s := newDynamicSim(1, 3, 5, true)
+	// The group of two accepts commands at once, as it does after awaitsMembers.
+	s := startSim(&sim{initial: 3, dynamic: true, tolerance: 2, durable: true}, 1, 5)
 	late := s.nodes[0]
 	s.crash(late, true)
 	s.requireCommit(t, late)
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -96,7 +96,7 @@
 		dynamic:            g.config.Dynamic,
 		bootstrap:          g.config.Bootstrap,
 		faultTolerance:     cmp.Or(g.config.FaultTolerance, DefaultFaultTolerance),
-		awaitTolerance:     g.config.FaultTolerance > 0,
+		awaitedTolerance:   g.config.awaitedTolerance(),
 		shortFirstElection: g.config.Dynamic && !g.config.LeaseReads,
 		durable:            g.config.Storage.durable(),
 		heartbeatInterval:  g.config.HeartbeatInterval,
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -37,24 +37,24 @@
 // reorders messages and can be partitioned. A checker verifies the invariants.
 type sim struct {
 	*checker
-	random         *rand.Rand
-	durable        bool
-	initial        int  // number of slots that form the group
-	dynamic        bool // slots are added and removed
-	tolerance      int  // members of a dynamic group that may lose their disks at once
-	awaitTolerance bool
-	now            time.Time
-	nodes          []*simNode
-	slots          []string
-	network        []delivery
-	order          uint64
-	incarnation    uint64
-	reads          uint64
-	dropRate       float64            // probability that a message is lost
-	maxDelay       time.Duration      // of a message
-	crashRate      float64            // probability of a crash before and after each write to storage
-	blockedLinks   map[[2]string]bool // by sender and recipient
-	dropMessage    func(message) bool // reports messages to drop; nil: none
+	random           *rand.Rand
+	durable          bool
+	initial          int  // number of slots that form the group
+	dynamic          bool // slots are added and removed
+	tolerance        int  // members of a dynamic group that may lose their disks at once
+	awaitedTolerance int  // see coreOptions
+	now              time.Time
+	nodes            []*simNode
+	slots            []string
+	network          []delivery
+	order            uint64
+	incarnation      uint64
+	reads            uint64
+	dropRate         float64            // probability that a message is lost
+	maxDelay         time.Duration      // of a message
+	crashRate        float64            // probability of a crash before and after each write to storage
+	blockedLinks     map[[2]string]bool // by sender and recipient
+	dropMessage      func(message) bool // reports messages to drop; nil: none
 }
 
 func newSim(seed uint64, size int, durable bool) *sim {
@@ -64,13 +64,13 @@
 // newDynamicSim returns a group that is formed by its first slots; the members in
 // the other slots join it.
 func newDynamicSim(seed uint64, initial, size int, durable bool) *sim {
-	return startSim(&sim{initial: initial, dynamic: true, tolerance: (size - 1) / 2, durable: durable}, seed, size)
+	return startSim(&sim{initial: initial, dynamic: true, tolerance: (size - 1) / 2, awaitedTolerance: (initial - 1) / 2, durable: durable}, seed, size)
 }
 
 // newTolerantSim is the same for a group that bears the loss of as many disks, and
 // accepts no command before it does.
 func newTolerantSim(seed uint64, initial, size, tolerance int) *sim {
-	return startSim(&sim{initial: initial, dynamic: true, tolerance: tolerance, awaitTolerance: true, durable: true}, seed, size)
+	return startSim(&sim{initial: initial, dynamic: true, tolerance: tolerance, awaitedTolerance: tolerance, durable: true}, seed, size)
 }
 
 // startSim starts all members of a group.
@@ -103,7 +103,7 @@
 	}
 	options := coreOptions{
 		self: MemberID{Slot: n.slot, Incarnation: s.nextIncarnation()}, slots: append([]string(nil), seeds...),
-		dynamic: s.dynamic, bootstrap: !n.wiped, shortFirstElection: s.dynamic, faultTolerance: s.tolerance, awaitTolerance: s.awaitTolerance,
+		dynamic: s.dynamic, bootstrap: !n.wiped, shortFirstElection: s.dynamic, faultTolerance: s.tolerance, awaitedTolerance: s.awaitedTolerance,
 		durable: s.durable, heartbeatInterval: 50 * time.Millisecond, electionTimeout: simElectionTimeout,
 		learnerTimeout: 10 * time.Second, snapshotTimeout: 2 * time.Second, snapshotEvery: simSnapshotEvery, snapshotBytes: 1 << 20,
 		random:         rand.New(rand.NewPCG(s.random.Uint64(), 1)),
--- a/internal/fleetcontrol/cluster_test.go
+++ b/internal/fleetcontrol/cluster_test.go
@@ -206,6 +206,26 @@
 	c.mustRead(0, 9)
 }
 
+// Guards against a document that is acknowledged by two of three seeds, while the third
+// is late: once both are killed, one of them and the late seed are no majority. The
+// settings state no tolerance, as those of earlier releases.
+func TestFirstDocumentWaitsForLateSeed(t *testing.T) {
+	c := newCluster(t, 3)
+	c.start(0, true)
+	c.start(2, true)
+	started := make(chan struct{})
+	time.AfterFunc(4*fleetcontrol.ElectionTimeout, func() {
+		defer close(started)
+		c.start(1, true)
+	})
+	c.mustPut(0, 3)
+	c.kill(0)
+	c.kill(2)
+	<-started
+	c.start(0, false)
+	c.mustPut(0, 8)
+}
+
 // Guards against accepting or reading a document without a majority.
 func TestMinorityRefusesDocuments(t *testing.T) {
 	c := startAll(t, 5)
--- a/internal/fleetcontrol/settings.go
+++ b/internal/fleetcontrol/settings.go
@@ -25,7 +25,7 @@
 	// FaultTolerance is the number of control members that may lose their disks at the
 	// same time. The group keeps 2*FaultTolerance+1 voting members once it has them,
 	// and accepts no change before that in the first seconds after it was formed.
-	// 0: consensus.DefaultFaultTolerance, without that wait.
+	// 0: consensus.DefaultFaultTolerance; the wait is then for the seeds only.
 	FaultTolerance int               `json:"fault_tolerance"`
 	Grace          settings.Duration `json:"grace"` // time from SIGTERM to the end of the process
 
